--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Versions of tools are pinned here, so that CI and every contributor run the same ones.
+LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.12.2
+FUMPT := mvdan.cc/gofumpt@v0.12.0
+WIRE := github.com/google/wire/cmd/wire@v0.7.0
+MODULES := $(shell go list -f '{{.Dir}}' -m)
+PACKAGES := $(addsuffix /...,$(MODULES))
+SKIP := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|')
+
+.PHONY: demo build test lint format generate ci
+
+demo: ## run the whole cell in one process
+	go run ./cmd/pfdemo
+
+build:
+	go build -o bin/ $(wildcard ./cmd/*)
+
+test: ## pass the tests; those listed in KNOWN-RED.txt are printed and skipped
+	@sed -n 's/^test: */known red: /p' KNOWN-RED.txt
+	go test -race -count=1 $(if $(SKIP),-skip '^($(SKIP))$$') $(PACKAGES)
+
+lint:
+	@out="$$(go run $(FUMPT) -l fold cmd)"; test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
+	@for m in $(MODULES); do (cd $$m && go run $(LINT) run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+
+format:
+	go run $(FUMPT) -w fold cmd
+
+generate:
+	cd fold/daemon && go run $(WIRE) gen .
+
+ci: lint
+	$(MAKE) generate
+	git diff --exit-code -- fold/daemon/wire_gen.go
+	$(MAKE) build
+	$(MAKE) test
--- /dev/null
+++ b/cmd/pfctl/main.go
@@ -0,0 +1,12 @@
+// Command pfctl is the command line for operators and callers.
+package main
+
+import (
+	"os"
+
+	"plantainfold.example/pfctl/internal/app"
+)
+
+func main() {
+	os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/pfwork/internal/app/main.go
@@ -0,0 +1,128 @@
+package app
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/httpd"
+	"plantainfold.example/fold/worker"
+)
+
+// Exit codes.
+const (
+	exitOK    = 0
+	exitFail  = 1
+	exitUsage = 2
+)
+
+// options are the flags of the stand-in workers.
+type options struct {
+	Listen   string        `long:"listen" default:"127.0.0.1:7100" description:"IP address and port"`
+	Platform string        `long:"platform" default:"http://127.0.0.1:7000" description:"base URL of the instance list"`
+	Region   string        `long:"region" default:"lima" description:"region of the workers"`
+	Domains  int           `long:"domains" default:"3" description:"failure domains"`
+	Racks    int           `long:"racks" default:"2" description:"racks in each failure domain"`
+	Workers  int           `long:"workers" default:"8" description:"workers in each rack"`
+	CPU      int64         `long:"cpu" default:"64000" description:"thousandths of a core of each worker"`
+	Memory   int64         `long:"memory" default:"131072" description:"MiB of each worker"`
+	Accel    int64         `long:"accel" default:"0" description:"accelerators of each worker"`
+	Service  string        `long:"service" default:"planning" description:"service of the endpoints"`
+	Slots    int           `long:"slots" default:"8" description:"requests that an endpoint runs at once"`
+	Time     time.Duration `long:"time" default:"20ms" description:"service time of a request"`
+}
+
+// Main serves the workers until SIGTERM and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	var opts options
+	if _, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
+		if usage, ok := errors.AsType[*flags.Error](err); ok && usage.Type == flags.ErrHelp {
+			_, _ = fmt.Fprintln(stdout, usage.Message)
+			return exitOK
+		}
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	if err := serve(ctx, opts, stdout); err != nil {
+		_, _ = fmt.Fprintf(stderr, "pfwork: %v\n", err)
+		return exitFail
+	}
+	return exitOK
+}
+
+func serve(ctx context.Context, opts options, stdout io.Writer) error {
+	listener, err := httpd.Listen(ctx, opts.Listen)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	base := "http://" + listener.Addr().String()
+	for d := range opts.Domains {
+		domain := fmt.Sprintf("%s-%c", opts.Region, 'a'+d)
+		for r := range opts.Racks {
+			for n := range opts.Workers {
+				if err := addWorker(ctx, mux, opts, base, domain, fmt.Sprintf("%s-r%d", domain, r), n); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	_, _ = fmt.Fprintf(stdout, "%d workers on %s\n", opts.Domains*opts.Racks*opts.Workers, base)
+	return httpd.Serve(ctx, listener, mux)
+}
+
+// addWorker serves one worker and its endpoint and adds both to the instance list.
+func addWorker(ctx context.Context, mux *http.ServeMux, opts options, base, domain, rack string, n int) error {
+	name := fmt.Sprintf("%s-w%d", rack, n)
+	clock := fold.BootClock{}
+	capacity := fold.Resources{CPU: opts.CPU, Memory: opts.Memory, Accel: opts.Accel}
+	handler := worker.Handler(worker.New(name, capacity, clock), worker.NewEndpoint(opts.Slots, opts.Time, clock))
+	mux.Handle("/"+name+"/", http.StripPrefix("/"+name, handler))
+	in := fold.Instance{
+		Name:     name,
+		Role:     fold.RoleWorker,
+		Address:  base + "/" + name,
+		Region:   opts.Region,
+		Domain:   domain,
+		Rack:     rack,
+		State:    fold.Live,
+		Capacity: capacity,
+	}
+	if err := register(ctx, opts.Platform, in); err != nil {
+		return err
+	}
+	in.Name += "-endpoint"
+	in.Role = fold.RoleEndpoint
+	in.Service = opts.Service
+	in.Slots = opts.Slots
+	return register(ctx, opts.Platform, in)
+}
+
+func register(ctx context.Context, platform string, in fold.Instance) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, platform+"/v1/instances/"+in.Name, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
--- /dev/null
+++ b/fold/client/doc.go
@@ -0,0 +1,2 @@
+// Package client reaches the platform, workers and endpoints over HTTP.
+package client
--- /dev/null
+++ b/fold/codec/doc.go
@@ -0,0 +1,2 @@
+// Package codec encodes records and messages as CBOR behind one version byte.
+package codec
--- /dev/null
+++ b/fold/config/duration.go
@@ -0,0 +1,35 @@
+package config
+
+import (
+	"encoding/json"
+	"time"
+
+	"plantainfold.example/fold"
+)
+
+// Duration is a time span written with its unit, such as "500ms".
+type Duration time.Duration
+
+// UnmarshalJSON reads a string with a unit.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return fold.Refuse(fold.Invalid, `write a string with a unit, such as "500ms"`, "duration %s", b)
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return fold.Refuse(fold.Invalid, `use ns, us, ms, s, m or h, such as "500ms"`, "duration %q", s)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalJSON writes the span with its unit.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration {
+	return time.Duration(d)
+}
--- /dev/null
+++ b/fold/daemon/daemon.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"plantainfold.example/fold/entry"
+	"plantainfold.example/fold/httpd"
+	"plantainfold.example/fold/telem"
+)
+
+const flushTime = 5 * time.Second
+
+// Daemon is an assembled entry process.
+type Daemon struct {
+	settings  entry.Settings
+	entry     *entry.Entry
+	api       *httpd.API
+	telemetry *telem.Telemetry
+	log       hclog.Logger
+}
+
+// newDaemon puts the parts together.
+func newDaemon(s entry.Settings, e *entry.Entry, api *httpd.API, t *telem.Telemetry, log hclog.Logger) *Daemon {
+	return &Daemon{settings: s, entry: e, api: api, telemetry: t, log: log}
+}
+
+// Listen opens the listener of the settings.
+func (d *Daemon) Listen(ctx context.Context) (net.Listener, error) {
+	return httpd.Listen(ctx, d.settings.Listen)
+}
+
+// Run serves until ctx ends, then finishes the requests in flight and hands over what the entry owns.
+func (d *Daemon) Run(ctx context.Context, listener net.Listener) error {
+	d.entry.Start(context.Background())
+	d.log.Info("Serving.", "address", listener.Addr().String(), "domain", d.settings.Domain)
+	err := httpd.Serve(ctx, listener, d.Handler())
+	d.log.Info("Stopping. Handing over pools.")
+	if closeErr := d.entry.Close(); err == nil {
+		err = closeErr
+	}
+	flush, cancel := context.WithTimeout(context.Background(), flushTime)
+	defer cancel()
+	if closeErr := d.telemetry.Close(flush); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// Handler returns the HTTP routes of the entry.
+func (d *Daemon) Handler() http.Handler {
+	return d.api.Handler(d.entry.PeerHandler(), d.telemetry.Handler())
+}
+
+// Entry returns the entry inside the process.
+func (d *Daemon) Entry() *entry.Entry {
+	return d.entry
+}
--- /dev/null
+++ b/fold/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon assembles an entry process from its settings.
+package daemon
--- /dev/null
+++ b/fold/daemon/provide.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"io"
+
+	"github.com/hashicorp/go-hclog"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/client"
+	"plantainfold.example/fold/entry"
+	"plantainfold.example/fold/httpd"
+	"plantainfold.example/fold/telem"
+)
+
+// Connections that an entry opens to one address of each kind.
+const (
+	platformConns = 16
+	workerConns   = 2
+)
+
+// Outputs are where logs and traces go; a nil Traces turns traces off.
+type Outputs struct {
+	Logs   io.Writer
+	Traces io.Writer
+}
+
+func provideLogger(s entry.Settings, out Outputs) hclog.Logger {
+	return telem.NewLogger(s.Name, s.Level, out.Logs)
+}
+
+func provideTelemetry(out Outputs) (*telem.Telemetry, error) {
+	return telem.New(out.Traces)
+}
+
+func providePlatform(s entry.Settings) entry.Platform {
+	platform := client.NewHTTP(platformConns)
+	return entry.Platform{
+		Table:     client.NewTable(s.Table, platform),
+		Objects:   client.NewObjects(s.Objects, platform),
+		Fleet:     client.NewFleet(s.Fleet, platform),
+		Workers:   client.NewWorkers(client.NewHTTP(workerConns)),
+		Endpoints: client.NewEndpoints(client.NewHTTP(client.ConnsPerEndpoint)),
+	}
+}
+
+func provideClock() fold.Clock {
+	return fold.BootClock{}
+}
+
+func provideAPI(s entry.Settings, e *entry.Entry, log hclog.Logger) *httpd.API {
+	return httpd.New(e, e, s.Body, log)
+}
--- /dev/null
+++ b/fold/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry puts one entry process together: membership, pools, requests, jobs and configuration.
+package entry
--- /dev/null
+++ b/fold/entry/peers.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"context"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/owner"
+	"plantainfold.example/fold/peer"
+)
+
+// Kinds of calls between entries.
+const (
+	kindBeat   = "beat"
+	kindSubmit = "submit"
+	kindLookup = "lookup"
+	kindCancel = "cancel"
+	kindClaim  = "claim"
+)
+
+// submitCall asks the owner of a pool to accept a job.
+type submitCall struct {
+	Pool string   `json:"pool"`
+	Job  fold.Job `json:"job"`
+}
+
+// jobCall asks the owner of a pool about a job, or to cancel it.
+type jobCall struct {
+	Pool string `json:"pool"`
+	Job  string `json:"job"`
+}
+
+// jobAnswer is the owner's view of a job.
+type jobAnswer struct {
+	Status      fold.JobStatus   `json:"status"`
+	Explanation fold.Explanation `json:"explanation"`
+}
+
+// handlePeers registers the calls that this entry answers.
+func (e *Entry) handlePeers() {
+	peer.Handle(e.node, kindBeat, e.answerBeat)
+	peer.Handle(e.node, kindClaim, e.answerClaim)
+	peer.Handle(e.node, kindSubmit, func(ctx context.Context, _ string, call submitCall) (jobAnswer, error) {
+		return e.acceptHere(ctx, call)
+	})
+	peer.Handle(e.node, kindLookup, func(_ context.Context, _ string, call jobCall) (jobAnswer, error) {
+		return e.lookupHere(call)
+	})
+	peer.Handle(e.node, kindCancel, func(_ context.Context, _ string, call jobCall) (jobAnswer, error) {
+		return e.cancelHere(call)
+	})
+}
+
+func (e *Entry) answerBeat(_ context.Context, from string, b owner.Beat) (owner.Beat, error) {
+	if b.ID != from {
+		return owner.Beat{}, fold.Refuse(fold.Forbidden, "send heartbeats under the own name", "peer %s sent a heartbeat of %s", from, b.ID)
+	}
+	e.member(func(m *owner.Machine) { m.Heard(e.clock.Now(), b) })
+	return e.heartbeat(), nil
+}
--- /dev/null
+++ b/fold/errors.go
@@ -0,0 +1,55 @@
+package fold
+
+import "github.com/joomcode/errorx"
+
+// Errors is the namespace of all error kinds of plantainfold.
+var Errors = errorx.NewNamespace("plantainfold")
+
+// NotRun marks error kinds after which the work certainly did not run.
+var NotRun = errorx.RegisterTrait("not run")
+
+// Retryable marks error kinds after which the same call may succeed later.
+var Retryable = errorx.RegisterTrait("retryable")
+
+var remedyProperty = errorx.RegisterPrintableProperty("remedy")
+
+// Error kinds; each refusal states a remedy through Refuse.
+var (
+	Invalid      = Errors.NewType("invalid", NotRun)
+	Unauthorized = Errors.NewType("unauthorized", NotRun)
+	Forbidden    = Errors.NewType("forbidden", NotRun)
+	NotFound     = Errors.NewType("not found", NotRun)
+	Conflict     = Errors.NewType("conflict", NotRun)
+	Outdated     = Errors.NewType("outdated revision", NotRun)
+	TooLarge     = Errors.NewType("too large", NotRun)
+	NeverFits    = Errors.NewType("can never run", NotRun)
+	Overload     = Errors.NewType("overload", NotRun, Retryable)
+	OverLimit    = Errors.NewType("over limit", NotRun, Retryable)
+	Unavailable  = Errors.NewType("unavailable", NotRun, Retryable)
+	Fenced       = Errors.NewType("fenced", NotRun)
+	Unknown      = Errors.NewType("outcome unknown")
+)
+
+// Refuse returns an error of the kind with a detail and a remedy for the caller or operator.
+func Refuse(kind *errorx.Type, remedy, format string, args ...any) *errorx.Error {
+	return kind.New(format, args...).WithProperty(remedyProperty, remedy)
+}
+
+// Remedy returns what the caller or operator can do about err, or "".
+func Remedy(err error) string {
+	e := errorx.Cast(err)
+	if e == nil {
+		return ""
+	}
+	v, ok := e.Property(remedyProperty)
+	if !ok {
+		return ""
+	}
+	s, _ := v.(string)
+	return s
+}
+
+// DidNotRun reports whether err proves that the work did not run.
+func DidNotRun(err error) bool {
+	return errorx.HasTrait(err, NotRun)
+}
--- /dev/null
+++ b/fold/httpd/doc.go
@@ -0,0 +1,2 @@
+// Package httpd serves callers and operators over HTTP.
+package httpd
--- /dev/null
+++ b/fold/instance.go
@@ -0,0 +1,42 @@
+package fold
+
+import "context"
+
+// Role says what an instance of the platform does.
+type Role string
+
+// Roles of instances.
+const (
+	RoleWorker   Role = "worker"
+	RoleEndpoint Role = "endpoint"
+	RoleEntry    Role = "entry"
+)
+
+// InstanceState says whether an instance takes new work.
+type InstanceState string
+
+// States of instances in the platform's list.
+const (
+	Live    InstanceState = "live"
+	Leaving InstanceState = "leaving"
+)
+
+// Instance is one entry of the platform's instance list.
+type Instance struct {
+	Name     string        `json:"name"`
+	Role     Role          `json:"role"`
+	Address  string        `json:"address"`
+	Region   string        `json:"region"`
+	Domain   string        `json:"domain"`
+	Rack     string        `json:"rack"`
+	State    InstanceState `json:"state"`
+	Capacity Resources     `json:"capacity"`
+	Service  string        `json:"service,omitempty"`
+	Slots    int           `json:"slots,omitempty"`
+}
+
+// Fleet is the platform's lagging list of instances.
+type Fleet interface {
+	// Instances returns the live and leaving instances as far as the platform knows.
+	Instances(ctx context.Context) ([]Instance, error)
+}
--- /dev/null
+++ b/fold/keys/doc.go
@@ -0,0 +1,2 @@
+// Package keys issues and verifies the bearer keys of callers and operators.
+package keys
--- /dev/null
+++ b/fold/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer carries calls between entries as CBOR over WebSocket connections that both sides authenticate.
+package peer
--- /dev/null
+++ b/fold/place/doc.go
@@ -0,0 +1,2 @@
+// Package place chooses workers for tasks.
+package place
--- /dev/null
+++ b/fold/quota/split.go
@@ -0,0 +1,46 @@
+package quota
+
+import "plantainfold.example/fold"
+
+// Split is the division of one team's limit over pools, as a row of the table service holds it.
+type Split struct {
+	Limit fold.Resources            `json:"limit"`
+	Held  map[string]fold.Resources `json:"held"`
+}
+
+// Sum returns what all pools hold together.
+func (s Split) Sum() fold.Resources {
+	var sum fold.Resources
+	for _, held := range s.Held {
+		sum = sum.Add(held)
+	}
+	return sum
+}
+
+// Free returns what no pool holds; it is never negative.
+func (s Split) Free() fold.Resources {
+	return s.Limit.Sub(s.Sum()).Max(fold.Resources{})
+}
+
+// WithLimit returns the split under a new limit; pools keep what they hold until they return it.
+func (s Split) WithLimit(limit fold.Resources) Split {
+	s.Limit = limit
+	return s
+}
+
+// WithHeld returns the split after the pool asked for want, bounded by what is free.
+func (s Split) WithHeld(pool string, want fold.Resources) Split {
+	now := s.Held[pool]
+	grown := want.Sub(now).Max(fold.Resources{}).Min(s.Free())
+	next := want.Min(now).Add(grown)
+	held := make(map[string]fold.Resources, len(s.Held)+1)
+	for p, r := range s.Held {
+		held[p] = r
+	}
+	held[pool] = next
+	if next.IsZero() {
+		delete(held, pool)
+	}
+	s.Held = held
+	return s
+}
--- /dev/null
+++ b/fold/remote/client.go
@@ -0,0 +1,206 @@
+package remote
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"plantainfold.example/fold"
+)
+
+const (
+	callTime = 30 * time.Second
+	maxReply = 32 << 20
+	// maxErrorText bounds the part of an unexpected answer that an error quotes.
+	maxErrorText = 200
+)
+
+// Client calls one entry, or the balancer before the entries, with a key.
+type Client struct {
+	base string
+	key  string
+	http *http.Client
+}
+
+// New returns a client of the entry at a base URL; key may be empty.
+func New(base, key string) *Client {
+	return &Client{base: base, key: key, http: &http.Client{Timeout: callTime}}
+}
+
+// Ready returns nil once the entry has standing.
+func (c *Client) Ready(ctx context.Context) error {
+	_, err := call[struct{}](ctx, c, http.MethodGet, "/readyz", nil)
+	return err
+}
+
+// Status describes the entry and its view of the cell.
+func (c *Client) Status(ctx context.Context) (fold.Status, error) {
+	return call[fold.Status](ctx, c, http.MethodGet, "/v1/status", nil)
+}
+
+// Submit submits a job.
+func (c *Client) Submit(ctx context.Context, j fold.Job) (fold.JobStatus, error) {
+	return call[fold.JobStatus](ctx, c, http.MethodPost, "/v1/jobs", struct {
+		ID         string         `json:"id"`
+		Queue      string         `json:"queue"`
+		Kind       fold.Kind      `json:"kind"`
+		Count      int            `json:"count"`
+		Resources  fold.Resources `json:"resources"`
+		Duration   int64          `json:"duration"`
+		Deadline   int64          `json:"deadline"`
+		Priority   int            `json:"priority"`
+		Retries    int            `json:"retries"`
+		Idempotent bool           `json:"idempotent"`
+	}{j.ID, j.Queue, j.Kind, j.Count, j.Resources, j.Duration, j.Deadline, j.Priority, j.Retries, j.Idempotent})
+}
+
+// Job returns the status of a job.
+func (c *Client) Job(ctx context.Context, id string) (fold.JobStatus, error) {
+	return call[fold.JobStatus](ctx, c, http.MethodGet, "/v1/jobs/"+id, nil)
+}
+
+// Explain says why a job is in its state.
+func (c *Client) Explain(ctx context.Context, id string) (fold.Explanation, error) {
+	return call[fold.Explanation](ctx, c, http.MethodGet, "/v1/jobs/"+id+"/explain", nil)
+}
+
+// Cancel stops a job gracefully.
+func (c *Client) Cancel(ctx context.Context, id string) (fold.JobStatus, error) {
+	return call[fold.JobStatus](ctx, c, http.MethodDelete, "/v1/jobs/"+id, nil)
+}
+
+// Grant issues a key.
+func (c *Client) Grant(ctx context.Context, g fold.KeyGrant) (fold.IssuedKey, error) {
+	return call[fold.IssuedKey](ctx, c, http.MethodPost, "/v1/keys", g)
+}
+
+// Withdraw ends a key.
+func (c *Client) Withdraw(ctx context.Context, id string) (fold.Revision, error) {
+	return call[fold.Revision](ctx, c, http.MethodDelete, "/v1/keys/"+id, nil)
+}
+
+// Keys lists keys without their secrets.
+func (c *Client) Keys(ctx context.Context) ([]fold.KeyGrant, error) {
+	return call[[]fold.KeyGrant](ctx, c, http.MethodGet, "/v1/keys", nil)
+}
+
+// Apply replaces the manifest if its revision is still the given one.
+func (c *Client) Apply(ctx context.Context, revision int64, manifest []byte) (fold.Revision, error) {
+	header := http.Header{"If-Match": {strconv.FormatInt(revision, 10)}}
+	got, err := c.send(ctx, http.MethodPut, "/v1/manifest", header, manifest)
+	if err != nil {
+		return fold.Revision{}, err
+	}
+	return decode[fold.Revision](got)
+}
+
+// Manifest returns the manifest in force and its revision.
+func (c *Client) Manifest(ctx context.Context) (int64, []byte, error) {
+	got, err := c.send(ctx, http.MethodGet, "/v1/manifest", nil, nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	if got.status != http.StatusOK {
+		return 0, nil, got.problem()
+	}
+	text, err := strconv.Unquote(got.header.Get("ETag"))
+	if err != nil {
+		return 0, nil, fold.Unknown.Wrap(err, "read the revision")
+	}
+	revision, err := strconv.ParseInt(text, 10, 64)
+	return revision, got.body, err
+}
+
+// Serve sends a synchronous request to a queue.
+func (c *Client) Serve(ctx context.Context, queue string, r fold.Request) (fold.Reply, error) {
+	header := http.Header{
+		"Request-Id":   {r.ID},
+		"Request-Time": {strconv.FormatInt(r.Issued.UnixMilli(), 10)},
+		"Idempotent":   {strconv.FormatBool(r.Idempotent)},
+		"Timeout-Ms":   {strconv.FormatInt(r.Timeout.Milliseconds(), 10)},
+	}
+	got, err := c.send(ctx, http.MethodPost, "/v1/queues/"+queue+"/requests", header, r.Body)
+	if err != nil {
+		return fold.Reply{}, err
+	}
+	if got.header.Get("Run") != "yes" {
+		return fold.Reply{}, got.problem()
+	}
+	return fold.Reply{ID: got.header.Get("Request-Id"), Status: got.status, Body: got.body}, nil
+}
+
+func call[Out any](ctx context.Context, c *Client, method, path string, in any) (Out, error) {
+	var out Out
+	var body []byte
+	if in != nil {
+		encoded, err := json.Marshal(in)
+		if err != nil {
+			return out, fold.Invalid.Wrap(err, "encode request")
+		}
+		body = encoded
+	}
+	got, err := c.send(ctx, method, path, nil, body)
+	if err != nil {
+		return out, err
+	}
+	return decode[Out](got)
+}
+
+// answer is a response that was read whole.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func decode[Out any](a answer) (Out, error) {
+	var out Out
+	if a.status >= http.StatusBadRequest {
+		return out, a.problem()
+	}
+	if err := json.Unmarshal(a.body, &out); err != nil {
+		return out, fold.Unknown.Wrap(err, "malformed answer")
+	}
+	return out, nil
+}
+
+func (c *Client) send(ctx context.Context, method, path string, header http.Header, body []byte) (answer, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{}, fold.Invalid.Wrap(err, "build request")
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return answer{}, fold.Unknown.Wrap(err, "%s %s", method, path)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	read, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return answer{}, fold.Unknown.Wrap(err, "%s %s: read answer", method, path)
+	}
+	return answer{status: resp.StatusCode, header: resp.Header, body: read}, nil
+}
+
+// problem returns the refusal that a problem document describes.
+func (a answer) problem() error {
+	var p struct {
+		Title  string `json:"title"`
+		Detail string `json:"detail"`
+		Remedy string `json:"remedy"`
+	}
+	if err := json.Unmarshal(a.body, &p); err != nil || p.Title == "" {
+		return fold.Unknown.New("status %d: %s", a.status, a.body[:min(len(a.body), maxErrorText)])
+	}
+	wire := fold.WireError{Kind: p.Title, Detail: p.Detail, Remedy: p.Remedy}
+	return wire.Err()
+}
--- /dev/null
+++ b/fold/remote/doc.go
@@ -0,0 +1,2 @@
+// Package remote is a client of the callers' and operators' API of an entry.
+package remote
--- /dev/null
+++ b/fold/route/doc.go
@@ -0,0 +1,2 @@
+// Package route chooses endpoints for requests.
+package route
--- /dev/null
+++ b/fold/telem/doc.go
@@ -0,0 +1,2 @@
+// Package telem sets up logs, metrics and traces.
+package telem
--- /dev/null
+++ b/fold/worker/handler.go
@@ -0,0 +1,129 @@
+package worker
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"plantainfold.example/fold"
+)
+
+const (
+	maxBody        = 8 << 20
+	defaultTimeout = 30 * time.Second
+)
+
+// Handler serves one worker and its endpoint over HTTP; endpoint may be nil.
+func Handler(w *Worker, endpoint *Endpoint) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/adopt", func(rw http.ResponseWriter, r *http.Request) {
+		var body struct {
+			Owner string `json:"owner"`
+			Epoch int64  `json:"epoch"`
+		}
+		if !read(rw, r, &body) {
+			return
+		}
+		adoption, err := w.Adopt(r.Context(), body.Owner, body.Epoch)
+		answer(rw, adoption, err)
+	})
+	mux.HandleFunc("POST /v1/beat", func(rw http.ResponseWriter, r *http.Request) {
+		var body fold.BeatRequest
+		if !read(rw, r, &body) {
+			return
+		}
+		reply, err := w.Beat(r.Context(), body)
+		answer(rw, reply, err)
+	})
+	mux.HandleFunc("POST /v1/start", func(rw http.ResponseWriter, r *http.Request) {
+		var body struct {
+			Epoch   int64             `json:"epoch"`
+			Session int64             `json:"session"`
+			Tasks   []fold.WorkerTask `json:"tasks"`
+		}
+		if !read(rw, r, &body) {
+			return
+		}
+		results, err := w.Start(r.Context(), body.Epoch, body.Session, body.Tasks)
+		answer(rw, struct {
+			Results []fold.StartResult `json:"results"`
+		}{results}, err)
+	})
+	mux.HandleFunc("POST /v1/stop", func(rw http.ResponseWriter, r *http.Request) {
+		var body struct {
+			Epoch int64              `json:"epoch"`
+			Tasks []fold.StopRequest `json:"tasks"`
+		}
+		if !read(rw, r, &body) {
+			return
+		}
+		answer(rw, struct{}{}, w.Stop(r.Context(), body.Epoch, body.Tasks))
+	})
+	mux.HandleFunc("GET /v1/runs", func(rw http.ResponseWriter, _ *http.Request) {
+		answer(rw, struct {
+			Runs []Run `json:"runs"`
+		}{w.Runs()}, nil)
+	})
+	if endpoint != nil {
+		endpointRoutes(mux, endpoint)
+	}
+	return mux
+}
+
+func endpointRoutes(mux *http.ServeMux, endpoint *Endpoint) {
+	mux.HandleFunc("POST /v1/serve/{service}", func(rw http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxBody))
+		if err != nil {
+			http.Error(rw, err.Error(), http.StatusBadRequest)
+			return
+		}
+		request := fold.Request{ID: r.Header.Get("Request-Id"), Service: r.PathValue("service"), Timeout: timeoutOf(r), Body: body}
+		reply, err := endpoint.Serve(r.Context(), request)
+		if err != nil {
+			rw.Header().Set("Run", "no")
+			http.Error(rw, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		rw.Header().Set("Request-Id", reply.ID)
+		rw.Header().Set("Load", fmt.Sprintf("%d/%d", reply.Running, reply.Slots))
+		_, _ = rw.Write(reply.Body)
+	})
+	mux.HandleFunc("GET /v1/served", func(rw http.ResponseWriter, _ *http.Request) {
+		answer(rw, struct {
+			Served map[string]int `json:"served"`
+		}{endpoint.Served()}, nil)
+	})
+	mux.HandleFunc("POST /v1/leave", func(rw http.ResponseWriter, _ *http.Request) {
+		endpoint.Leave()
+		answer(rw, struct{}{}, nil)
+	})
+}
+
+func timeoutOf(r *http.Request) time.Duration {
+	ms, err := strconv.ParseInt(r.Header.Get("Timeout-Ms"), 10, 64)
+	if err != nil || ms <= 0 {
+		return defaultTimeout
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+func read(w http.ResponseWriter, r *http.Request, v any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func answer(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
