Change allotments in chunks, and shrink them under a lowered limit

Cause: every start and end of a task changed what a pool held of a team's limit, one table write each; a lowered limit was not noticed by pools, and a pool that lacked allotment could not ask others to return theirs. Figures: 10,000 changes of the need in TestHolderWritesLittleUnderChurn: before one write each, after at most 100 (bound of the test, 'go test ./fold/quota'). Conclusion: the write rate follows the demand's trend instead of single tasks. Work above a lowered limit is not yet stopped.

--- a/fold/entry/conf.go
+++ b/fold/entry/conf.go
@@ -82,7 +82,7 @@
 		}
 		if e.current.CompareAndSwap(old, next) {
 			e.log.Info("Configuration in force.", "revision", next.number, "who", next.who)
-			return nil
+			return e.spreadLimits(ctx)
 		}
 	}
 }
--- a/fold/entry/member.go
+++ b/fold/entry/member.go
@@ -231,6 +231,9 @@
 	var beat owner.Beat
 	e.member(func(m *owner.Machine) { beat = m.Beat(e.clock.Now(), e.current.Load().number) })
 	beat.Pools = e.headroom()
+	for team := range e.ownShort() {
+		beat.Short = append(beat.Short, team)
+	}
 	return beat
 }
 
--- a/fold/entry/pool.go
+++ b/fold/entry/pool.go
@@ -40,11 +40,11 @@
 	began fold.Instant
 	log   hclog.Logger
 
-	mu      sync.Mutex
-	sched   *sched.Pool
-	links   map[string]*workerLink
-	splits  map[string]fold.Resources
-	members map[string]fold.Instance
+	mu         sync.Mutex
+	sched      *sched.Pool
+	links      map[string]*workerLink
+	allotments map[string]*allotment
+	members    map[string]fold.Instance
 
 	wake    chan struct{}
 	cancel  context.CancelFunc
@@ -66,16 +66,16 @@
 // newPool returns the pool with its durable jobs loaded; nothing starts before workers are adopted.
 func newPool(ctx context.Context, e *Entry, id string, epoch int64) (*pool, error) {
 	p := &pool{
-		entry:   e,
-		id:      id,
-		epoch:   epoch,
-		began:   e.clock.Now(),
-		log:     e.log.Named("pool").With("pool", id, "epoch", epoch),
-		sched:   sched.New(id),
-		links:   make(map[string]*workerLink),
-		splits:  make(map[string]fold.Resources),
-		members: make(map[string]fold.Instance),
-		wake:    make(chan struct{}, 1),
+		entry:      e,
+		id:         id,
+		epoch:      epoch,
+		began:      e.clock.Now(),
+		log:        e.log.Named("pool").With("pool", id, "epoch", epoch),
+		sched:      sched.New(id),
+		links:      make(map[string]*workerLink),
+		allotments: make(map[string]*allotment),
+		members:    make(map[string]fold.Instance),
+		wake:       make(chan struct{}, 1),
 	}
 	parts, err := store.Scan[store.JobPart](ctx, e.table, store.JobPrefix+id+"/")
 	if err != nil {
--- a/fold/entry/splits.go
+++ b/fold/entry/splits.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/joomcode/errorx"
 
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/owner"
 	"plantainfold.example/fold/quota"
 	"plantainfold.example/fold/sched"
 	"plantainfold.example/fold/store"
@@ -14,6 +16,22 @@
 // splitTries bounds how often an allotment is changed again after a conflict with another pool.
 const splitTries = 4
 
+// allotment is what the pool holds of one team's limit.
+type allotment struct {
+	holder *quota.Holder
+	// ceiling is less than what is held while the limit was lowered below what all pools hold.
+	ceiling fold.Resources
+	lowered bool
+}
+
+// usable returns what the team may use in the pool.
+func (a *allotment) usable() fold.Resources {
+	if a.lowered {
+		return a.holder.Held().Min(a.ceiling)
+	}
+	return a.holder.Held()
+}
+
 // loadSplits reads what the pool holds of each team's limit.
 func (p *pool) loadSplits(ctx context.Context) error {
 	rows, err := store.Scan[quota.Split](ctx, p.entry.table, store.LimitPrefix)
@@ -21,58 +39,113 @@
 		return err
 	}
 	for _, row := range rows {
-		team := row.Key[len(store.LimitPrefix):]
-		p.setSplit(team, row.Value.Held[p.id])
+		team := strings.TrimPrefix(row.Key, store.LimitPrefix)
+		p.allot(team).holder = quota.NewHolder(row.Value.Held[p.id])
+		p.sawSplit(team, row.Value)
 	}
 	return nil
 }
 
-func (p *pool) setSplit(team string, held fold.Resources) {
-	p.splits[team] = held
+// limitsChanged brings new limits of teams into force in the pool.
+func (p *pool) limitsChanged(rows []owner.Seen[quota.Split]) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, row := range rows {
+		p.sawSplit(strings.TrimPrefix(row.Key, store.LimitPrefix), row.Value)
+	}
+	p.poke()
+}
+
+// sawSplit tells the scheduler what a team may use; p.mu is held, or the pool has not started.
+func (p *pool) sawSplit(team string, s quota.Split) {
+	a := p.allot(team)
+	a.lowered = !s.Sum().Fits(s.Limit)
+	a.ceiling = s.Part(p.id)
+	p.setTeam(team)
+}
+
+func (p *pool) setTeam(team string) {
 	share := 1
 	if t, ok := p.entry.current.Load().manifest.Team(team); ok {
 		share = t.Share
 	}
-	p.sched.SetTeam(sched.Team{Name: team, Share: share, Allotment: held})
+	p.sched.SetTeam(sched.Team{Name: team, Share: share, Allotment: p.allot(team).usable()})
+}
+
+func (p *pool) allot(team string) *allotment {
+	a, ok := p.allotments[team]
+	if !ok {
+		a = &allotment{holder: quota.NewHolder(fold.Resources{})}
+		p.allotments[team] = a
+	}
+	return a
+}
+
+// shortTeams lists the teams that lack allotment in the pool.
+func (p *pool) shortTeams() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var short []string
+	for team, a := range p.allotments {
+		if a.holder.Short() {
+			short = append(short, team)
+		}
+	}
+	return short
+}
+
+// splitChange is an allotment that the pool should ask for.
+type splitChange struct {
+	team string
+	want fold.Resources
+	need fold.Resources
 }
 
 // adjustSplits takes allotment for teams that need more and returns what is not needed.
 func (p *pool) adjustSplits(ctx context.Context) {
+	for _, c := range p.dueSplits() {
+		if err := p.adjustSplit(ctx, c); err != nil {
+			p.log.Debug("Cannot change an allotment.", "team", c.team, "error", err)
+		}
+	}
+}
+
+// dueSplits lowers what is to be returned at once; what is to be taken has to be written first.
+func (p *pool) dueSplits() []splitChange {
+	contended := p.entry.contended()
+	now := p.entry.clock.Now()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	needs := p.sched.Needs()
-	wanted := make(map[string]fold.Resources)
+	var due []splitChange
 	for team, need := range needs {
-		if need != p.splits[team] {
-			wanted[team] = need
+		a := p.allot(team)
+		if a.lowered {
+			need = need.Min(a.ceiling.Max(p.sched.Used(team)))
 		}
-	}
-	p.mu.Unlock()
-	for team, need := range wanted {
-		if err := p.adjustSplit(ctx, team, need); err != nil {
-			p.log.Debug("Cannot change an allotment.", "team", team, "error", err)
+		want, ask := a.holder.Want(now, need, contended[team] || a.lowered)
+		if !ask {
+			continue
 		}
+		a.holder.Lower(want)
+		p.setTeam(team)
+		due = append(due, splitChange{team: team, want: want, need: need})
 	}
+	return due
 }
 
-func (p *pool) adjustSplit(ctx context.Context, team string, need fold.Resources) error {
-	p.mu.Lock()
-	held := p.splits[team]
-	lowered := need.Min(held).Max(p.sched.Used(team))
-	p.setSplit(team, lowered.Min(held))
-	p.mu.Unlock()
+func (p *pool) adjustSplit(ctx context.Context, c splitChange) error {
 	for range splitTries {
-		row, err := store.Get[quota.Split](ctx, p.entry.table, store.LimitPrefix+team)
+		row, err := store.Get[quota.Split](ctx, p.entry.table, store.LimitPrefix+c.team)
 		if err != nil {
 			return err
 		}
-		next := row.Value.WithHeld(p.id, need)
-		if next.Held[p.id] == row.Value.Held[p.id] {
-			p.confirmSplit(team, next.Held[p.id])
-			return nil
+		next := row.Value.WithHeld(p.id, c.want)
+		if next.Held[p.id] != row.Value.Held[p.id] {
+			err = p.commitSplit(ctx, row.Key, row.Version, next)
 		}
-		err = p.commitSplit(ctx, row.Key, row.Version, next)
 		if err == nil {
-			p.confirmSplit(team, next.Held[p.id])
+			p.gotSplit(c, next)
 			return nil
 		}
 		if !errorx.IsOfType(err, fold.Conflict) {
@@ -94,8 +167,43 @@
 	return err
 }
 
-func (p *pool) confirmSplit(team string, held fold.Resources) {
+func (p *pool) gotSplit(c splitChange, s quota.Split) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.setSplit(team, held)
+	p.allot(c.team).holder.Got(p.entry.clock.Now(), s.Held[p.id], c.need)
+	p.sawSplit(c.team, s)
+}
+
+// contended returns the teams that lack allotment in pools of this entry or of peers.
+func (e *Entry) contended() map[string]bool {
+	short := e.ownShort()
+	for _, b := range e.heartbeats() {
+		for _, team := range b.Short {
+			short[team] = true
+		}
+	}
+	return short
+}
+
+// ownShort returns the teams that lack allotment in pools of this entry.
+func (e *Entry) ownShort() map[string]bool {
+	short := make(map[string]bool)
+	for _, p := range e.allPools() {
+		for _, team := range p.shortTeams() {
+			short[team] = true
+		}
+	}
+	return short
+}
+
+// spreadLimits tells the pools of this entry the limits of the revision in force.
+func (e *Entry) spreadLimits(ctx context.Context) error {
+	rows, err := store.Scan[quota.Split](ctx, e.table, store.LimitPrefix)
+	if err != nil {
+		return err
+	}
+	for _, p := range e.allPools() {
+		p.limitsChanged(rows)
+	}
+	return nil
 }
--- /dev/null
+++ b/fold/quota/quota_test.go
@@ -0,0 +1,95 @@
+package quota_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/quota"
+)
+
+func drawResources(t *rapid.T, most int64, label string) fold.Resources {
+	n := rapid.Int64Range(0, most)
+	return fold.Resources{CPU: n.Draw(t, label+" cpu"), Memory: n.Draw(t, label+" memory"), Accel: n.Draw(t, label+" accel")}
+}
+
+// Guards against allotments that add up to more than the limit, however pools ask and operators change the limit.
+func TestSumNeverGrowsBeyondLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		split := quota.Split{Limit: drawResources(t, 1000, "limit")}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			before := split.Sum()
+			if rapid.IntRange(0, 5).Draw(t, "kind") == 0 {
+				split = split.WithLimit(drawResources(t, 1000, "limit"))
+				continue
+			}
+			pool := strconv.Itoa(rapid.IntRange(0, 4).Draw(t, "pool"))
+			split = split.WithHeld(pool, drawResources(t, 1000, "want"))
+			if !split.Sum().Fits(split.Limit.Max(before)) {
+				t.Fatalf("pools hold %s of a limit of %s, %s before", split.Sum(), split.Limit, before)
+			}
+			if !split.Part(pool).Fits(split.Held[pool]) {
+				t.Fatalf("pool %s may keep %s but holds %s", pool, split.Part(pool), split.Held[pool])
+			}
+		}
+	})
+}
+
+// Guards against parts that still exceed a lowered limit after every pool has shrunk to its own.
+func TestPartsMeetLoweredLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		split := quota.Split{Limit: drawResources(t, 1000, "limit")}
+		for pool := range 4 {
+			split = split.WithHeld(strconv.Itoa(pool), drawResources(t, 400, "want"))
+		}
+		split = split.WithLimit(drawResources(t, 1000, "lowered"))
+		var sum fold.Resources
+		for pool := range split.Held {
+			sum = sum.Add(split.Part(pool))
+		}
+		if !sum.Fits(split.Limit) {
+			t.Fatalf("parts add up to %s of %s", sum, split.Limit)
+		}
+	})
+}
+
+// Guards against a write of the table service for every start and end of a task.
+func TestHolderWritesLittleUnderChurn(t *testing.T) {
+	const (
+		steps      = 10_000
+		stepTime   = 10 * time.Millisecond
+		mostWrites = steps / 100
+	)
+	h := quota.NewHolder(fold.Resources{})
+	writes := 0
+	for n := range steps {
+		now := fold.Instant(0).Add(time.Duration(n) * stepTime)
+		need := fold.Resources{CPU: int64(900 + n%100), Memory: 100}
+		if want, due := h.Want(now, need, false); due {
+			writes++
+			h.Got(now, want, need)
+		}
+	}
+	if writes == 0 || writes > mostWrites {
+		t.Errorf("%d writes for %d changes of the need, want 1 to %d", writes, steps, mostWrites)
+	}
+}
+
+// Guards against a pool that sits on allotment which another pool lacks.
+func TestHolderReturnsWhatOthersLack(t *testing.T) {
+	now := fold.Instant(0)
+	h := quota.NewHolder(fold.Resources{CPU: 1000, Memory: 1000})
+	need := fold.Resources{CPU: 100, Memory: 100}
+	if _, due := h.Want(now, need, false); due {
+		t.Error("returned at once without being asked")
+	}
+	if want, due := h.Want(now, need, true); !due || want != need {
+		t.Errorf("asked by others: want %s, due %v; should return all but %s", want, due, need)
+	}
+	if _, due := h.Want(now.Add(quota.IdleTime), need, false); !due {
+		t.Error("idle allotment was not returned")
+	}
+}
--- a/fold/quota/split.go
+++ b/fold/quota/split.go
@@ -1,6 +1,10 @@
 package quota
 
-import "plantainfold.example/fold"
+import (
+	"math/bits"
+
+	"plantainfold.example/fold"
+)
 
 // Split is the division of one team's limit over pools, as a row of the table service holds it.
 type Split struct {
@@ -44,3 +48,24 @@
 	s.Held = held
 	return s
 }
+
+// Part returns what a pool may keep when the limit was lowered below what all pools hold: its part of the limit in
+// proportion to what it holds.
+func (s Split) Part(pool string) fold.Resources {
+	held, sum := s.Held[pool], s.Sum()
+	return fold.Resources{
+		CPU:    proportion(held.CPU, s.Limit.CPU, sum.CPU),
+		Memory: proportion(held.Memory, s.Limit.Memory, sum.Memory),
+		Accel:  proportion(held.Accel, s.Limit.Accel, sum.Accel),
+	}
+}
+
+// proportion returns held scaled by limit/sum, rounded down, or held itself when the sum is within the limit.
+func proportion(held, limit, sum int64) int64 {
+	if sum <= limit {
+		return held
+	}
+	high, low := bits.Mul64(uint64(held), uint64(limit))
+	part, _ := bits.Div64(high, low, uint64(sum))
+	return int64(part)
+}
