Divide jobs over pools and show why the first task waited

Cause: 'make demo' placed the first batch task 968 ms after accept. The pool had been taken but its workers were only told to it by the next membership round, one second later, and an empty pool looked like the best home. A job was also homed whole in one pool, so it could not use more than a few racks. Change: a pool gets its workers when it opens; package spread divides a job by the advertised room, replicas over failure domains; any entry writes the parts under the versions of the pool rows; owners read the rows in their own loop, so that a late announcement cannot bring back an ended part. Waiting time counts from the accept. Conclusion: the wait was an ownership gap, not a decision.

--- a/fold/caller.go
+++ b/fold/caller.go
@@ -1,6 +1,9 @@
 package fold
 
-import "context"
+import (
+	"context"
+	"slices"
+)
 
 // Caller is who sent a request, as far as its key proves.
 type Caller struct {
@@ -42,6 +45,34 @@
 	Places []Placement `json:"places,omitempty"`
 }
 
+// MaxPlaces bounds the placements in a status.
+const MaxPlaces = 64
+
+// precedence orders the states of parts: the first one found is the state of the whole job.
+var precedence = []Outcome{Running, Waiting, Parked, Lost, Failed, Cancelled, Done}
+
+// WithPart returns the status of the work of s and o together.
+func (s JobStatus) WithPart(o JobStatus) JobStatus {
+	s.Waiting += o.Waiting
+	s.Running += o.Running
+	s.Done += o.Done
+	s.Failed += o.Failed
+	s.Unknown += o.Unknown
+	if s.Pool != "" {
+		s.Pool += ","
+	}
+	s.Pool += o.Pool
+	places := append(slices.Clone(s.Places), o.Places...)
+	s.Places = places[:min(len(places), MaxPlaces)]
+	for _, state := range precedence {
+		if s.State == state || o.State == state {
+			s.State = state
+			break
+		}
+	}
+	return s
+}
+
 // Placement says where, when and why one task was started.
 type Placement struct {
 	Task    TaskID `json:"task"`
--- a/fold/entry/entry.go
+++ b/fold/entry/entry.go
@@ -42,6 +42,7 @@
 
 	current   atomic.Pointer[revision]
 	instances atomic.Pointer[[]fold.Instance]
+	layout    atomic.Pointer[layout]
 
 	poolsMu sync.Mutex
 	pools   map[string]*pool
@@ -84,6 +85,7 @@
 	}
 	e.current.Store(&revision{ring: keys.NewRing([]byte(s.Cellkey), []keys.Record{e.rootRecord()})})
 	e.instances.Store(&[]fold.Instance{})
+	e.layout.Store(newLayout(nil, 1))
 	e.handlePeers()
 	return e
 }
--- a/fold/entry/jobs.go
+++ b/fold/entry/jobs.go
@@ -2,25 +2,27 @@
 
 import (
 	"context"
-	"encoding/hex"
-	"strconv"
+	"errors"
+	"slices"
+	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/owner"
 	"plantainfold.example/fold/peer"
+	"plantainfold.example/fold/spread"
 	"plantainfold.example/fold/store"
 )
 
-// Bounds of jobs.
 const (
-	maxCount   = 10_000
-	maxRetries = 100
-	maxID      = 128
 	acceptTime = 3 * time.Second
+	// acceptTries bounds how often a job is homed again because a pool got another owner meanwhile.
+	acceptTries = 3
+	// partCalls bounds the calls to owners of the parts of one job at the same time.
+	partCalls = 8
 )
 
 // Submit accepts a job durably; the same id of the same team always names the same job.
@@ -28,34 +30,67 @@
 	if err := e.requireFresh(); err != nil {
 		return fold.JobStatus{}, err
 	}
+	if err := e.requireStanding(); err != nil {
+		return fold.JobStatus{}, err
+	}
 	j, err := e.checkJob(c, j)
 	if err != nil {
 		return fold.JobStatus{}, err
 	}
-	home, at, err := e.chooseHome(j)
+	ctx, cancel := context.WithTimeout(ctx, acceptTime)
+	defer cancel()
+	for range acceptTries {
+		status, err := e.accept(ctx, j)
+		if !errors.Is(err, store.ErrPoolMoved) {
+			return status, err
+		}
+		if err := e.scanUnits(ctx); err != nil {
+			return fold.JobStatus{}, err
+		}
+	}
+	return fold.JobStatus{}, fold.Refuse(fold.Unavailable, "send the job again", "pools changed owners %d times", acceptTries)
+}
+
+// accept divides a job over pools, makes it durable and tells the owners of the pools.
+func (e *Entry) accept(ctx context.Context, j fold.Job) (fold.JobStatus, error) {
+	rooms := e.rooms()
+	if len(rooms) == 0 {
+		return fold.JobStatus{}, fold.Refuse(fold.Unavailable, "retry in a second", "no pool has an owner yet")
+	}
+	parts := spread.Plan(j, rooms)
+	if len(parts) == 0 {
+		return fold.JobStatus{}, fold.Refuse(fold.NeverFits, "ask for less, or for fewer tasks at once", "no pool can hold the work")
+	}
+	epochs := e.epochsOf(parts)
+	index, fresh, err := store.Accept(ctx, e.table, store.JobIndex{Job: j, Parts: parts}, epochs)
 	if err != nil {
 		return fold.JobStatus{}, err
 	}
-	call := submitCall{Pool: home, Job: j}
-	callCtx, cancel := context.WithTimeout(ctx, acceptTime)
-	defer cancel()
-	if at.ID == e.settings.Name {
-		answer, err := e.acceptHere(callCtx, call)
+	if !fresh {
+		answer, err := e.askParts(ctx, index, kindLookup)
 		return answer.Status, err
 	}
-	answer, err := peer.Call[submitCall, jobAnswer](callCtx, e.node, at.Address, kindSubmit, call)
-	return answer.Status, err
+	status := fold.JobStatus{Job: j, State: fold.Waiting, Waiting: j.Count}
+	for _, part := range parts {
+		call := assignCall{Pool: part.Pool, Epoch: epochs[part.Pool], Job: j.ID}
+		if err := e.assign(ctx, call); err != nil {
+			// The owner finds the part in the table service a little later.
+			e.log.Debug("Cannot tell the owner of a new part.", "pool", part.Pool, "error", err)
+		}
+		status.Pool = strings.TrimPrefix(status.Pool+","+part.Pool, ",")
+	}
+	return status, nil
 }
 
 // Job returns the status of a job of the caller's team.
 func (e *Entry) Job(ctx context.Context, c fold.Caller, id string) (fold.JobStatus, error) {
-	answer, err := e.ask(ctx, c, id, kindLookup, e.lookupHere)
+	answer, err := e.ask(ctx, c, id, kindLookup)
 	return answer.Status, err
 }
 
 // Explain says why a job is in its state.
 func (e *Entry) Explain(ctx context.Context, c fold.Caller, id string) (fold.Explanation, error) {
-	answer, err := e.ask(ctx, c, id, kindLookup, e.lookupHere)
+	answer, err := e.ask(ctx, c, id, kindLookup)
 	return answer.Explanation, err
 }
 
@@ -64,115 +99,28 @@
 	if err := e.requireFresh(); err != nil {
 		return fold.JobStatus{}, err
 	}
-	answer, err := e.ask(ctx, c, id, kindCancel, e.cancelHere)
+	answer, err := e.ask(ctx, c, id, kindCancel)
 	return answer.Status, err
 }
 
-// checkJob completes a job from the caller's key and refuses what can never run.
-func (e *Entry) checkJob(c fold.Caller, j fold.Job) (fold.Job, error) {
-	m := e.current.Load().manifest
-	q, ok := m.Queue(j.Queue)
-	if !ok {
-		return j, fold.Refuse(fold.NotFound, "name a queue of the manifest", "no queue %q", j.Queue)
-	}
-	j.Team = c.Team
-	if q.Open && c.Team == "" {
-		j.Team = q.Team
-	}
-	if !q.Allows(c.Team) || !c.MaySubmit(q.Name) {
-		return j, fold.Refuse(fold.Forbidden, "use a key for this queue", "team %q may not use queue %s", c.Team, q.Name)
-	}
-	team, ok := m.Team(j.Team)
-	if !ok {
-		return j, fold.Refuse(fold.Forbidden, "use a key of a team in the manifest", "no team %q", j.Team)
-	}
-	if err := checkShape(j); err != nil {
-		return j, err
-	}
-	need := j.Resources
-	if j.Kind == fold.Gang {
-		need = need.Times(int64(j.Count))
-	}
-	if !need.Fits(team.Limit) {
-		return j, fold.Refuse(fold.NeverFits, "ask for less, or have the limit raised", "the work needs %s; team %s may hold %s", need, team.Name, team.Limit)
-	}
-	if !e.fitsAnywhere(j.Resources) {
-		return j, fold.Refuse(fold.NeverFits, "ask for less per task", "no worker can hold a task of %s", j.Resources)
-	}
-	j.ID = jobID(j.Team, j.ID)
-	j.Accepted = time.Now().UnixMilli()
-	j.From = 0
-	return j, nil
-}
-
-func checkShape(j fold.Job) error {
-	switch {
-	case j.ID == "" || len(j.ID) > maxID:
-		return fold.Refuse(fold.Invalid, "give an id of 1 to 128 characters and repeat it on retries", "job has no usable id")
-	case j.Kind != fold.Batch && j.Kind != fold.Gang && j.Kind != fold.Service:
-		return fold.Refuse(fold.Invalid, "use batch, gang or service", "kind %q", j.Kind)
-	case j.Count < 1 || j.Count > maxCount:
-		return fold.Refuse(fold.Invalid, "give 1 to 10000 tasks", "count %d", j.Count)
-	case j.Resources.Negative() || j.Resources.CPU == 0 || j.Resources.Memory == 0:
-		return fold.Refuse(fold.Invalid, "give cpu in thousandths of a core and memory in MiB", "resources %s", j.Resources)
-	case j.Duration < 0 || (j.Duration == 0 && j.Kind != fold.Service):
-		return fold.Refuse(fold.Invalid, "give the run time in milliseconds", "duration %d", j.Duration)
-	case j.Retries < 0 || j.Retries > maxRetries:
-		return fold.Refuse(fold.Invalid, "give 0 to 100 retries", "retries %d", j.Retries)
-	default:
-		return nil
-	}
-}
-
-// jobID makes the id of a job from its team and the caller's id, so that a retry through any entry finds it.
-func jobID(team, id string) string {
-	sum := xxhash.New()
-	_, _ = sum.WriteString(strconv.Itoa(len(team)) + team + id)
-	return hex.EncodeToString(sum.Sum(nil))
-}
-
-func (e *Entry) fitsAnywhere(r fold.Resources) bool {
-	for _, in := range *e.instances.Load() {
-		if in.Role == fold.RoleWorker && r.Fits(in.Capacity) {
-			return true
-		}
-	}
-	return false
-}
-
-// chooseHome picks the pool with the shortest queue for the job's size among those with an owner.
-func (e *Entry) chooseHome(j fold.Job) (string, owner.Entry, error) {
-	rooms := e.headroom()
+// rooms returns what the pools of this entry and of peers advertise, as far as their owners are known.
+func (e *Entry) rooms() []spread.Room {
+	all := e.headroom()
 	for _, b := range e.heartbeats() {
-		rooms = append(rooms, b.Pools...)
+		all = append(all, b.Pools...)
 	}
-	best := ""
-	var bestScore float64
-	var bestOwner owner.Entry
-	need := j.Resources.Times(int64(j.Count))
-	for _, room := range rooms {
-		at, ok := e.ownerOf(store.PoolPrefix + room.Pool)
-		if !ok {
-			continue
-		}
-		free := fold.Resources{CPU: room.CPU, Memory: room.Memory, Accel: room.Accel}
-		score := need.Dominant(free) + float64(room.Waiting)
-		if j.Resources.Accel > free.Accel {
-			score += noAccelPenalty
-		}
-		if best == "" || score < bestScore {
-			best, bestScore, bestOwner = room.Pool, score, at
+	seen := make(map[string]bool, len(all))
+	rooms := make([]spread.Room, 0, len(all))
+	for _, r := range all {
+		_, owned := e.ownerOf(store.PoolPrefix + r.Pool)
+		if owned && !seen[r.Pool] {
+			seen[r.Pool] = true
+			rooms = append(rooms, r)
 		}
 	}
-	if best == "" {
-		return "", owner.Entry{}, fold.Refuse(fold.Unavailable, "retry in a second", "no pool has an owner yet")
-	}
-	return best, bestOwner, nil
+	return rooms
 }
 
-// noAccelPenalty keeps work that needs accelerators away from pools that have none free.
-const noAccelPenalty = 1e6
-
 func (e *Entry) heartbeats() []owner.Beat {
 	var beats []owner.Beat
 	e.member(func(m *owner.Machine) { beats = m.Heartbeats(e.clock.Now()) })
@@ -186,32 +134,44 @@
 	return at, ok
 }
 
-// acceptHere makes a job durable in a pool of this entry and schedules it.
-func (e *Entry) acceptHere(ctx context.Context, call submitCall) (jobAnswer, error) {
-	p := e.pool(call.Pool)
-	if p == nil {
-		return jobAnswer{}, fold.Refuse(fold.Unavailable, "retry in a second", "pool %s has another owner", call.Pool)
-	}
-	if err := e.requireStanding(); err != nil {
-		return jobAnswer{}, err
+func (e *Entry) epochsOf(parts []fold.Part) map[string]int64 {
+	epochs := make(map[string]int64, len(parts))
+	e.member(func(m *owner.Machine) {
+		for _, part := range parts {
+			epochs[part.Pool] = m.EpochOf(store.PoolPrefix + part.Pool)
+		}
+	})
+	return epochs
+}
+
+// assign tells the owner of a pool about a part that is durable already.
+func (e *Entry) assign(ctx context.Context, call assignCall) error {
+	at, ok := e.ownerOf(store.PoolPrefix + call.Pool)
+	if !ok {
+		return fold.Refuse(fold.Unavailable, "wait", "pool %s has no owner", call.Pool)
 	}
-	index, fresh, err := store.Accept(ctx, e.table, p.id, p.epoch, call.Job)
-	if err != nil {
-		return jobAnswer{}, err
+	if at.ID == e.settings.Name {
+		_, err := e.assignHere(ctx, at.ID, call)
+		return err
 	}
-	if !fresh {
-		return e.lookupIndex(ctx, index, kindLookup, e.lookupHere)
+	callCtx, cancel := context.WithTimeout(ctx, peerTime)
+	defer cancel()
+	_, err := peer.Call[assignCall, done](callCtx, e.node, at.Address, kindAssign, call)
+	return err
+}
+
+// assignHere announces a part that was accepted under the present epoch of the pool.
+func (e *Entry) assignHere(_ context.Context, _ string, call assignCall) (done, error) {
+	p := e.pool(call.Pool)
+	if p == nil || p.epoch != call.Epoch {
+		return done{}, fold.Refuse(fold.Unavailable, "wait", "pool %s has another owner", call.Pool)
 	}
-	p.mu.Lock()
-	p.sched.Submit(e.clock.Now(), call.Job)
-	status, _ := p.sched.Job(call.Job.ID)
-	p.mu.Unlock()
-	p.poke()
-	return jobAnswer{Status: status}, nil
+	p.announce(call.Job)
+	return done{}, nil
 }
 
-// ask finds the owner of a job by its index row and passes the call on.
-func (e *Entry) ask(ctx context.Context, c fold.Caller, id, kind string, here func(jobCall) (jobAnswer, error)) (jobAnswer, error) {
+// ask finds the parts of a job by its index row and passes the call on to their owners.
+func (e *Entry) ask(ctx context.Context, c fold.Caller, id, kind string) (jobAnswer, error) {
 	row, err := store.Get[store.JobIndex](ctx, e.table, store.IndexPrefix+id)
 	if errorx.IsOfType(err, fold.NotFound) || (err == nil && !mayRead(c, row.Value.Job)) {
 		return jobAnswer{}, fold.Refuse(fold.NotFound, "check the id and the key", "no job %q of this team", id)
@@ -219,29 +179,73 @@
 	if err != nil {
 		return jobAnswer{}, err
 	}
-	return e.lookupIndex(ctx, row.Value, kind, here)
+	return e.askParts(ctx, row.Value, kind)
 }
 
-func (e *Entry) lookupIndex(ctx context.Context, x store.JobIndex, kind string, here func(jobCall) (jobAnswer, error)) (jobAnswer, error) {
-	if x.Ended != "" {
-		return endedAnswer(x), nil
+// askParts collects the answers of the owners of all parts. The outcomes of ended parts are read last, because a part
+// may end between the two.
+func (e *Entry) askParts(ctx context.Context, x store.JobIndex, kind string) (jobAnswer, error) {
+	answers := make([]jobAnswer, len(x.Parts))
+	failed := make([]error, len(x.Parts))
+	var calls errgroup.Group
+	calls.SetLimit(partCalls)
+	for i, part := range x.Parts {
+		calls.Go(func() error {
+			answers[i], failed[i] = e.askPart(ctx, jobCall{Pool: part.Pool, Job: x.Job.ID}, kind)
+			return nil
+		})
+	}
+	_ = calls.Wait()
+	if slices.ContainsFunc(failed, func(err error) bool { return err != nil }) {
+		ended, err := store.Ended(ctx, e.table, x.Job.ID)
+		if err != nil {
+			return jobAnswer{}, err
+		}
+		for i, part := range x.Parts {
+			if status, ok := ended[part.Pool]; ok {
+				answers[i], failed[i] = endedAnswer(status), nil
+			}
+		}
 	}
-	at, ok := e.ownerOf(store.PoolPrefix + x.Pool)
+	if err := errors.Join(failed...); err != nil {
+		return jobAnswer{}, fold.Unavailable.Wrap(err, "ask for job %s", x.Job.ID)
+	}
+	return merge(x.Job, answers), nil
+}
+
+func (e *Entry) askPart(ctx context.Context, call jobCall, kind string) (jobAnswer, error) {
+	at, ok := e.ownerOf(store.PoolPrefix + call.Pool)
 	if !ok {
-		return jobAnswer{}, fold.Refuse(fold.Unavailable, "retry in a second", "pool %s has no owner yet", x.Pool)
+		return jobAnswer{}, fold.Refuse(fold.Unavailable, "retry in a second", "pool %s has no owner yet", call.Pool)
+	}
+	if at.ID == e.settings.Name && kind == kindCancel {
+		return e.cancelHere(call)
 	}
-	call := jobCall{Pool: x.Pool, Job: x.Job.ID}
 	if at.ID == e.settings.Name {
-		return here(call)
+		return e.lookupHere(call)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
 	return peer.Call[jobCall, jobAnswer](callCtx, e.node, at.Address, kind, call)
 }
 
-func endedAnswer(x store.JobIndex) jobAnswer {
-	status := x.Status()
-	return jobAnswer{Status: status, Explanation: fold.Explanation{Job: x.Job.ID, State: x.Ended, Reason: "the job has ended"}}
+// merge joins the answers for the parts of a job.
+func merge(j fold.Job, answers []jobAnswer) jobAnswer {
+	out := jobAnswer{Status: fold.JobStatus{Job: j}, Explanation: fold.Explanation{Job: j.ID}}
+	for _, a := range answers {
+		out.Status = out.Status.WithPart(a.Status)
+		out.Explanation.Evidence = append(out.Explanation.Evidence, a.Explanation.Evidence...)
+		if out.Explanation.Reason == "" || a.Status.State == out.Status.State {
+			out.Explanation.Reason = a.Explanation.Reason
+			out.Explanation.Remedy = a.Explanation.Remedy
+		}
+	}
+	out.Explanation.State = out.Status.State
+	return out
+}
+
+func endedAnswer(s fold.JobStatus) jobAnswer {
+	return jobAnswer{Status: s, Explanation: fold.Explanation{Job: s.Job.ID, State: s.State, Reason: "the work has ended"}}
 }
 
 func mayRead(c fold.Caller, j fold.Job) bool {
@@ -256,8 +260,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	status, ok := p.sched.Job(call.Job)
+	if !ok && p.incoming[call.Job] {
+		return jobAnswer{Status: fold.JobStatus{Pool: call.Pool, State: fold.Waiting}}, nil
+	}
 	if !ok {
-		return jobAnswer{}, fold.Refuse(fold.Unavailable, "retry in a second", "job %s is being moved", call.Job)
+		return jobAnswer{}, fold.Refuse(fold.Unavailable, "retry in a second", "pool %s does not hold job %s", call.Pool, call.Job)
 	}
 	explanation, _ := p.sched.Explain(call.Job)
 	return jobAnswer{Status: status, Explanation: explanation}, nil
--- a/fold/entry/peers.go
+++ b/fold/entry/peers.go
@@ -11,18 +11,22 @@
 // Kinds of calls between entries.
 const (
 	kindBeat   = "beat"
-	kindSubmit = "submit"
+	kindAssign = "assign"
 	kindLookup = "lookup"
 	kindCancel = "cancel"
 	kindClaim  = "claim"
 )
 
-// submitCall asks the owner of a pool to accept a job.
-type submitCall struct {
-	Pool string   `json:"pool"`
-	Job  fold.Job `json:"job"`
+// assignCall tells the owner of a pool about a job part that was accepted under the epoch.
+type assignCall struct {
+	Pool  string `json:"pool"`
+	Epoch int64  `json:"epoch"`
+	Job   string `json:"job"`
 }
 
+// done is an answer without content.
+type done struct{}
+
 // jobCall asks the owner of a pool about a job, or to cancel it.
 type jobCall struct {
 	Pool string `json:"pool"`
@@ -39,9 +43,7 @@
 func (e *Entry) handlePeers() {
 	peer.Handle(e.node, kindBeat, e.answerBeat)
 	peer.Handle(e.node, kindClaim, e.answerClaim)
-	peer.Handle(e.node, kindSubmit, func(ctx context.Context, _ string, call submitCall) (jobAnswer, error) {
-		return e.acceptHere(ctx, call)
-	})
+	peer.Handle(e.node, kindAssign, e.assignHere)
 	peer.Handle(e.node, kindLookup, func(_ context.Context, _ string, call jobCall) (jobAnswer, error) {
 		return e.lookupHere(call)
 	})
--- a/fold/entry/pool.go
+++ b/fold/entry/pool.go
@@ -13,6 +13,7 @@
 	"plantainfold.example/fold/owner"
 	"plantainfold.example/fold/place"
 	"plantainfold.example/fold/sched"
+	"plantainfold.example/fold/spread"
 	"plantainfold.example/fold/store"
 )
 
@@ -38,13 +39,17 @@
 	id    string
 	epoch int64
 	began fold.Instant
-	log   hclog.Logger
+	// searched is when the table service was last searched for parts.
+	searched fold.Instant
+	log      hclog.Logger
 
 	mu         sync.Mutex
 	sched      *sched.Pool
 	links      map[string]*workerLink
 	allotments map[string]*allotment
 	members    map[string]fold.Instance
+	// incoming are parts that entries told of and that are not read yet.
+	incoming map[string]bool
 
 	wake    chan struct{}
 	cancel  context.CancelFunc
@@ -75,9 +80,10 @@
 		links:      make(map[string]*workerLink),
 		allotments: make(map[string]*allotment),
 		members:    make(map[string]fold.Instance),
+		incoming:   make(map[string]bool),
 		wake:       make(chan struct{}, 1),
 	}
-	parts, err := store.Scan[store.JobPart](ctx, e.table, store.JobPrefix+id+"/")
+	parts, err := store.Parts(ctx, e.table, id)
 	if err != nil {
 		return nil, err
 	}
@@ -118,6 +124,7 @@
 	for ctx.Err() == nil {
 		p.beatWorkers(ctx)
 		p.updateHeld()
+		p.takeParts(ctx)
 		p.adjustSplits(ctx)
 		p.decide(ctx)
 		p.flush(ctx)
@@ -131,6 +138,7 @@
 	for {
 		select {
 		case <-p.wake:
+			p.takeParts(ctx)
 			p.adjustSplits(ctx)
 			p.decide(ctx)
 		case <-due:
@@ -385,6 +393,29 @@
 	return s
 }
 
+// room returns what the pool advertises.
+func (p *pool) room() spread.Room {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.sched.Status()
+	return spread.Room{
+		Pool:     p.id,
+		Domain:   p.domain(),
+		Free:     s.Capacity.Sub(s.Used),
+		Capacity: s.Capacity,
+		Largest:  p.sched.Largest(),
+		Waiting:  s.Waiting,
+	}
+}
+
+// domain returns the failure domain of the pool's workers; p.mu is held.
+func (p *pool) domain() string {
+	for _, in := range p.members {
+		return in.Domain
+	}
+	return ""
+}
+
 func nodeOf(in fold.Instance) place.Node {
 	return place.Node{Name: in.Name, Domain: in.Domain, Rack: in.Rack}
 }
--- a/fold/entry/pools.go
+++ b/fold/entry/pools.go
@@ -7,6 +7,7 @@
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/owner"
+	"plantainfold.example/fold/spread"
 	"plantainfold.example/fold/store"
 )
 
@@ -36,6 +37,7 @@
 		e.log.Warn("Cannot load a pool. Trying again.", "pool", id, "error", err)
 		return
 	}
+	p.setMembers(membersOf(e.layout.Load(), *e.instances.Load())[id])
 	p.start()
 	e.poolsMu.Lock()
 	defer e.poolsMu.Unlock()
@@ -87,8 +89,17 @@
 
 // setMembers tells each pool which workers belong to it.
 func (e *Entry) setMembers(l *layout) {
+	e.layout.Store(l)
+	members := membersOf(l, *e.instances.Load())
+	for _, p := range e.allPools() {
+		p.setMembers(members[p.id])
+	}
+}
+
+// membersOf returns the workers of each pool by name.
+func membersOf(l *layout, instances []fold.Instance) map[string]map[string]fold.Instance {
 	members := make(map[string]map[string]fold.Instance)
-	for _, in := range *e.instances.Load() {
+	for _, in := range instances {
 		id := l.poolOf(in)
 		if in.Role != fold.RoleWorker || id == "" {
 			continue
@@ -98,18 +109,14 @@
 		}
 		members[id][in.Name] = in
 	}
-	for _, p := range e.allPools() {
-		p.setMembers(members[p.id])
-	}
+	return members
 }
 
 // headroom returns what the entry's pools advertise.
-func (e *Entry) headroom() []owner.Headroom {
-	var rooms []owner.Headroom
+func (e *Entry) headroom() []spread.Room {
+	var rooms []spread.Room
 	for _, p := range e.allPools() {
-		s := p.status()
-		free := s.Capacity.Sub(s.Used)
-		rooms = append(rooms, owner.Headroom{Pool: p.id, CPU: free.CPU, Memory: free.Memory, Accel: free.Accel, Waiting: s.Waiting})
+		rooms = append(rooms, p.room())
 	}
 	return rooms
 }
--- a/fold/entry/splits.go
+++ b/fold/entry/splits.go
@@ -106,6 +106,7 @@
 	for _, c := range p.dueSplits() {
 		if err := p.adjustSplit(ctx, c); err != nil {
 			p.log.Debug("Cannot change an allotment.", "team", c.team, "error", err)
+			p.failedSplit(c)
 		}
 	}
 }
@@ -152,7 +153,13 @@
 			return err
 		}
 	}
-	return nil
+	return fold.Refuse(fold.Unavailable, "wait", "other pools changed the limit of team %s %d times", c.team, splitTries)
+}
+
+func (p *pool) failedSplit(c splitChange) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.allot(c.team).holder.Failed(p.entry.clock.Now())
 }
 
 func (p *pool) commitSplit(ctx context.Context, key string, version int64, next quota.Split) error {
--- a/fold/job.go
+++ b/fold/job.go
@@ -109,3 +109,10 @@
 		return false
 	}
 }
+
+// Part is the range of a job's tasks that one pool runs.
+type Part struct {
+	Pool  string `json:"pool"`
+	From  int    `json:"from"`
+	Count int    `json:"count"`
+}
--- a/fold/owner/plan.go
+++ b/fold/owner/plan.go
@@ -104,6 +104,11 @@
 	return owned
 }
 
+// EpochOf returns the version of a unit's row by the last scan, or 0.
+func (m *Machine) EpochOf(unit string) int64 {
+	return m.units[unit].Version
+}
+
 // OwnerOf returns the entry that owns a unit by the last scan.
 func (m *Machine) OwnerOf(unit string) (Entry, bool) {
 	row, ok := m.units[unit]
--- a/fold/owner/records.go
+++ b/fold/owner/records.go
@@ -1,5 +1,7 @@
 package owner
 
+import "plantainfold.example/fold/spread"
+
 // State is the state of an entry in its row.
 type State string
 
@@ -73,16 +75,7 @@
 	// Confirmed is the age in milliseconds of the sender's last read of the configuration head; -1 if none.
 	Confirmed int64 `json:"confirmed"`
 	// Pools are the pools that the sender owns.
-	Pools []Headroom `json:"pools,omitempty"`
+	Pools []spread.Room `json:"pools,omitempty"`
 	// Short are teams that lack allotment at the sender.
 	Short []string `json:"short,omitempty"`
 }
-
-// Headroom is the free capacity that a pool advertises.
-type Headroom struct {
-	Pool    string `json:"pool"`
-	CPU     int64  `json:"cpu"`
-	Memory  int64  `json:"memory"`
-	Accel   int64  `json:"accel"`
-	Waiting int    `json:"waiting"`
-}
--- a/fold/quota/holder.go
+++ b/fold/quota/holder.go
@@ -21,6 +21,8 @@
 type Holder struct {
 	held  fold.Resources
 	short bool
+	// dirty says that the table service may still record more than held.
+	dirty bool
 	idle  fold.Instant
 	retry fold.Instant
 	pause time.Duration
@@ -43,7 +45,9 @@
 
 // Lower gives up what exceeds want before the table service is told, so that a lost reply leads to less use, not more.
 func (h *Holder) Lower(want fold.Resources) {
-	h.held = h.held.Min(want)
+	lowered := h.held.Min(want)
+	h.dirty = h.dirty || lowered != h.held
+	h.held = lowered
 }
 
 // Want returns the allotment that the pool should ask for and whether it should ask now. Contended says that another
@@ -54,6 +58,9 @@
 		return withSlack(need).Max(h.held), now >= h.retry
 	}
 	h.short = false
+	if h.dirty {
+		return withSlack(need).Min(h.held), now >= h.retry
+	}
 	keep := need
 	if !contended {
 		keep = withSlack(need)
@@ -68,15 +75,25 @@
 	return keep.Min(h.held), contended || now.Sub(h.idle) >= IdleTime
 }
 
+// Failed records that a change could not be written; it is tried again after a pause.
+func (h *Holder) Failed(now fold.Instant) {
+	h.backOff(now)
+}
+
 // Got records the allotment after a change, and what was needed.
 func (h *Holder) Got(now fold.Instant, held, need fold.Resources) {
 	h.held = held
+	h.dirty = false
 	h.idle = -1
 	h.short = !need.Fits(held)
 	if !h.short {
 		h.pause = 0
 		return
 	}
+	h.backOff(now)
+}
+
+func (h *Holder) backOff(now fold.Instant) {
 	h.pause = min(max(2*h.pause, firstRetry), lastRetry)
 	h.retry = now.Add(h.pause)
 }
--- a/fold/quota/quota_test.go
+++ b/fold/quota/quota_test.go
@@ -78,6 +78,28 @@
 	}
 }
 
+// Guards against allotment that stays recorded for a pool after the write that returns it has failed.
+func TestHolderRepeatsFailedReturn(t *testing.T) {
+	now := fold.Instant(0)
+	h := quota.NewHolder(fold.Resources{CPU: 1000})
+	need := fold.Resources{CPU: 100}
+	want, _ := h.Want(now, need, true)
+	h.Lower(want)
+	h.Failed(now)
+	if _, due := h.Want(now, need, false); due {
+		t.Error("tried again without a pause")
+	}
+	later := now.Add(time.Second)
+	again, due := h.Want(later, need, false)
+	if !due || !again.Fits(h.Held()) {
+		t.Errorf("want %s, due %v after a failed return; should return to at most %s", again, due, h.Held())
+	}
+	h.Got(later, again, need)
+	if _, due := h.Want(later.Add(time.Second), need, false); due {
+		t.Error("returned twice")
+	}
+}
+
 // Guards against a pool that sits on allotment which another pool lacks.
 func TestHolderReturnsWhatOthersLack(t *testing.T) {
 	now := fold.Instant(0)
--- /dev/null
+++ b/fold/spread/doc.go
@@ -0,0 +1,2 @@
+// Package spread divides the tasks of a job over pools.
+package spread
--- a/fold/store/jobs.go
+++ b/fold/store/jobs.go
@@ -2,22 +2,22 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/joomcode/errorx"
 
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/owner"
 	"plantainfold.example/fold/sched"
 )
 
-// JobIndex is the row jobid/<id>: where a job is homed and, once it has ended, how.
+// EndedPrefix is the prefix of the rows ended/<job>/<pool>.
+const EndedPrefix = "ended/"
+
+// JobIndex is the row jobid/<id>: the job and the pools that run its parts.
 type JobIndex struct {
-	Pool   string           `json:"pool"`
-	Job    fold.Job         `json:"job"`
-	Ended  fold.Outcome     `json:"ended,omitempty"`
-	Done   int              `json:"done,omitempty"`
-	Failed int              `json:"failed,omitempty"`
-	Lost   int              `json:"lost,omitempty"`
-	Places []fold.Placement `json:"places,omitempty"`
+	Job   fold.Job    `json:"job"`
+	Parts []fold.Part `json:"parts"`
 }
 
 // JobPart is the row job/<pool>/<id>: the part of a job that the pool runs.
@@ -31,47 +31,65 @@
 	return JobPrefix + pool + "/" + id
 }
 
-// Accept makes a job durable in a pool that the caller owns at the epoch. It returns false with the index of the
-// earlier job if the id is taken.
-func Accept(ctx context.Context, t fold.Table, pool string, epoch int64, j fold.Job) (JobIndex, bool, error) {
-	index := JobIndex{Pool: pool, Job: j}
-	indexPut, err := PutOf(IndexPrefix+j.ID, index)
-	if err != nil {
-		return index, false, err
-	}
-	partPut, err := PutOf(JobKey(pool, j.ID), JobPart{Job: j})
+// EndedKey returns the key of the outcome of a job part.
+func EndedKey(id, pool string) string {
+	return EndedPrefix + id + "/" + pool
+}
+
+// ErrPoolMoved says that a pool got another owner, so that a write for it was refused.
+var ErrPoolMoved = errors.New("pool has another owner")
+
+// Accept makes a job durable in pools whose rows have the given versions. It returns the index of the earlier job and
+// false if the id is taken.
+func Accept(ctx context.Context, t fold.Table, x JobIndex, epochs map[string]int64) (JobIndex, bool, error) {
+	txn, err := acceptTxn(x, epochs)
 	if err != nil {
-		return index, false, err
+		return x, false, err
 	}
-	_, err = t.Commit(ctx, fold.Txn{
-		Checks: []fold.Check{{Key: PoolPrefix + pool, Version: epoch}, {Key: IndexPrefix + j.ID, Version: 0}},
-		Puts:   []fold.Put{indexPut, partPut},
-	})
+	_, err = t.Commit(ctx, txn)
 	if !errorx.IsOfType(err, fold.Conflict) {
-		return index, err == nil, err
+		return x, err == nil, err
 	}
-	earlier, getErr := Get[JobIndex](ctx, t, IndexPrefix+j.ID)
-	if errorx.IsOfType(getErr, fold.NotFound) {
-		return index, false, fold.Refuse(fold.Unavailable, "send the job again", "pool %s has a new owner", pool)
+	earlier, err := Get[JobIndex](ctx, t, IndexPrefix+x.Job.ID)
+	if errorx.IsOfType(err, fold.NotFound) {
+		return x, false, fold.Unavailable.Wrap(ErrPoolMoved, "accept job %s", x.Job.ID)
 	}
-	return earlier.Value, false, getErr
+	return earlier.Value, false, err
 }
 
-// Record writes what changed of the jobs of a pool that the caller owns at the epoch. The part of an ended job is
-// deleted and its outcome moves to the index.
+func acceptTxn(x JobIndex, epochs map[string]int64) (fold.Txn, error) {
+	put, err := PutOf(IndexPrefix+x.Job.ID, x)
+	if err != nil {
+		return fold.Txn{}, err
+	}
+	txn := fold.Txn{Checks: []fold.Check{{Key: IndexPrefix + x.Job.ID}}, Puts: []fold.Put{put}}
+	for _, part := range x.Parts {
+		put, err := PutOf(JobKey(part.Pool, x.Job.ID), JobPart{Job: x.Job.WithPart(part.From, part.Count)})
+		if err != nil {
+			return fold.Txn{}, err
+		}
+		txn.Checks = append(txn.Checks, fold.Check{Key: PoolPrefix + part.Pool, Version: epochs[part.Pool]})
+		txn.Puts = append(txn.Puts, put)
+	}
+	return txn, nil
+}
+
+// Record writes what changed of the jobs of a pool that the caller owns at the epoch. The row of an ended part is
+// replaced by its outcome.
 func Record(ctx context.Context, t fold.Table, pool string, epoch int64, changes []sched.Change) error {
 	txn := fold.Txn{Checks: []fold.Check{{Key: PoolPrefix + pool, Version: epoch}}}
 	for _, c := range changes {
+		id := c.Status.Job.ID
 		if c.Status.State.Ended() {
-			put, err := PutOf(IndexPrefix+c.Status.Job.ID, endedIndex(pool, c.Status))
+			put, err := PutOf(EndedKey(id, pool), c.Status)
 			if err != nil {
 				return err
 			}
 			txn.Puts = append(txn.Puts, put)
-			txn.Deletes = append(txn.Deletes, JobKey(pool, c.Status.Job.ID))
+			txn.Deletes = append(txn.Deletes, JobKey(pool, id))
 			continue
 		}
-		put, err := PutOf(JobKey(pool, c.Status.Job.ID), JobPart{Job: c.Status.Job, Progress: c.Progress})
+		put, err := PutOf(JobKey(pool, id), JobPart{Job: c.Status.Job, Progress: c.Progress})
 		if err != nil {
 			return err
 		}
@@ -81,11 +99,20 @@
 	return err
 }
 
-func endedIndex(pool string, s fold.JobStatus) JobIndex {
-	return JobIndex{Pool: pool, Job: s.Job, Ended: s.State, Done: s.Done, Failed: s.Failed, Lost: s.Unknown, Places: s.Places}
+// Ended returns the outcomes of the parts of a job that have ended, by pool.
+func Ended(ctx context.Context, t fold.Table, id string) (map[string]fold.JobStatus, error) {
+	rows, err := Scan[fold.JobStatus](ctx, t, EndedPrefix+id+"/")
+	if err != nil {
+		return nil, err
+	}
+	ended := make(map[string]fold.JobStatus, len(rows))
+	for _, row := range rows {
+		ended[row.Value.Pool] = row.Value
+	}
+	return ended, nil
 }
 
-// Status returns the status of a job that has ended.
-func (x JobIndex) Status() fold.JobStatus {
-	return fold.JobStatus{Job: x.Job, Pool: x.Pool, State: x.Ended, Done: x.Done, Failed: x.Failed, Unknown: x.Lost, Places: x.Places}
+// Parts reads all job parts of a pool.
+func Parts(ctx context.Context, t fold.Table, pool string) ([]owner.Seen[JobPart], error) {
+	return Scan[JobPart](ctx, t, JobPrefix+pool+"/")
 }
