Switch faults of the platform and the workers while they run

Cause: failure tests need outages, lost replies, lagging lists and broken workers, and the stand-ins always worked. Scans of the in-memory table visited and sorted every row. A worker answered any error as 409, so that its owner took an unreachable worker for a fenced one.

Change: wrappers around fold.Table, fold.Objects, fold.Fleet and fold.Worker take their fault from a switch: down, slow, flapping, only writes failing, reply lost, list lagging or frozen; unreachable by worker or rack, restarted, failing everything, late duplicated starts. POST /v1/faults of pfplat and pfwork sets them. The table has an ordered index (google/btree), and a meter counts arriving calls by second (GET /v1/stats). Workers save a checkpoint on stop (TaskEvent.Saved), throttle (POST /v1/throttle), number sessions from their clock so that a restart cannot repeat a number, and start an attempt once per session even when the call is delivered again after its end.

--- a/cmd/pfplat/internal/app/main.go
+++ b/cmd/pfplat/internal/app/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"plantainfold.example/fold"
 	"plantainfold.example/fold/httpd"
 	"plantainfold.example/fold/plat"
 )
@@ -53,5 +54,5 @@
 		return err
 	}
 	_, _ = fmt.Fprintf(stdout, "platform on %s\n", listener.Addr())
-	return httpd.Serve(ctx, listener, plat.Handler(plat.NewTable(), plat.NewObjects(), plat.NewFleet()))
+	return httpd.Serve(ctx, listener, plat.New(fold.BootClock{}).Handler())
 }
--- a/cmd/pfwork/internal/app/main.go
+++ b/cmd/pfwork/internal/app/main.go
@@ -68,29 +68,30 @@
 	if err != nil {
 		return err
 	}
-	mux := http.NewServeMux()
+	site := worker.NewSite()
 	base := "http://" + listener.Addr().String()
 	for d := range opts.Domains {
 		domain := fmt.Sprintf("%s-%c", opts.Region, 'a'+d)
 		for r := range opts.Racks {
 			for n := range opts.Workers {
-				if err := addWorker(ctx, mux, opts, base, domain, fmt.Sprintf("%s-r%d", domain, r), n); err != nil {
+				if err := addWorker(ctx, site, opts, base, domain, fmt.Sprintf("%s-r%d", domain, r), n); err != nil {
 					return err
 				}
 			}
 		}
 	}
 	_, _ = fmt.Fprintf(stdout, "%d workers on %s\n", opts.Domains*opts.Racks*opts.Workers, base)
-	return httpd.Serve(ctx, listener, mux)
+	return httpd.Serve(ctx, listener, site.Handler())
 }
 
 // addWorker serves one worker and its endpoint and adds both to the instance list.
-func addWorker(ctx context.Context, mux *http.ServeMux, opts options, base, domain, rack string, n int) error {
+func addWorker(ctx context.Context, site *worker.Site, opts options, base, domain, rack string, n int) error {
 	name := fmt.Sprintf("%s-w%d", rack, n)
 	clock := fold.BootClock{}
 	capacity := fold.Resources{CPU: opts.CPU, Memory: opts.Memory, Accel: opts.Accel}
-	handler := worker.Handler(worker.New(name, capacity, clock), worker.NewEndpoint(opts.Slots, opts.Time, clock))
-	mux.Handle("/"+name+"/", http.StripPrefix("/"+name, handler))
+	faults := worker.NewFaults(clock)
+	w := worker.New(name, capacity, clock, worker.WithFailures(faults.Fails))
+	site.Add(name, worker.NewMember(w, worker.NewEndpoint(opts.Slots, opts.Time, clock), rack, faults))
 	in := fold.Instance{
 		Name:     name,
 		Role:     fold.RoleWorker,
--- a/fold/cell/cell.go
+++ b/fold/cell/cell.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"net/http/httptest"
 	"time"
 
@@ -44,9 +43,9 @@
 
 // Cell is a running cell.
 type Cell struct {
-	Table     *plat.Table
-	Objects   *plat.Objects
-	Fleet     *plat.Fleet
+	*plat.Platform
+	// Site serves the workers and switches their faults.
+	Site      *worker.Site
 	Workers   map[string]*worker.Worker
 	Endpoints map[string]*worker.Endpoint
 
@@ -67,16 +66,15 @@
 // New starts a cell; Close must be called. Logs of the entries go to logs.
 func New(shape Shape, logs io.Writer) (*Cell, error) {
 	c := &Cell{
-		Table:     plat.NewTable(),
-		Objects:   plat.NewObjects(),
-		Fleet:     plat.NewFleet(),
+		Platform:  plat.New(fold.BootClock{}),
+		Site:      worker.NewSite(),
 		Workers:   make(map[string]*worker.Worker),
 		Endpoints: make(map[string]*worker.Endpoint),
 		shape:     shape,
 		logs:      logs,
 		members:   make(map[string]*member),
 	}
-	c.platform = httptest.NewServer(plat.Handler(c.Table, c.Objects, c.Fleet))
+	c.platform = httptest.NewServer(c.Platform.Handler())
 	c.startWorkers()
 	for n := range shape.Entries {
 		if err := c.StartEntry(fmt.Sprintf("entry-%d", n), shape.Domains[n%len(shape.Domains)]); err != nil {
@@ -159,25 +157,25 @@
 }
 
 func (c *Cell) startWorkers() {
-	mux := http.NewServeMux()
-	c.machines = httptest.NewServer(mux)
+	c.machines = httptest.NewServer(c.Site.Handler())
 	for _, domain := range c.shape.Domains {
 		for rack := range c.shape.Racks {
 			for n := range c.shape.Workers {
-				c.startWorker(mux, domain, fmt.Sprintf("%s-r%d", domain, rack), n)
+				c.startWorker(domain, fmt.Sprintf("%s-r%d", domain, rack), n)
 			}
 		}
 	}
 }
 
-func (c *Cell) startWorker(mux *http.ServeMux, domain, rack string, n int) {
+func (c *Cell) startWorker(domain, rack string, n int) {
 	name := fmt.Sprintf("%s-w%d", rack, n)
 	clock := fold.BootClock{}
-	w := worker.New(name, c.shape.Capacity, clock)
+	faults := worker.NewFaults(clock)
+	w := worker.New(name, c.shape.Capacity, clock, worker.WithFailures(faults.Fails))
 	e := worker.NewEndpoint(c.shape.Slots, c.shape.Time, clock)
 	c.Workers[name] = w
 	c.Endpoints[name] = e
-	mux.Handle("/"+name+"/", http.StripPrefix("/"+name, worker.Handler(w, e)))
+	c.Site.Add(name, worker.NewMember(w, e, rack, faults))
 	in := fold.Instance{
 		Name:     name,
 		Role:     fold.RoleWorker,
--- a/fold/client/worker.go
+++ b/fold/client/worker.go
@@ -70,6 +70,16 @@
 	return fencedBy(err)
 }
 
+// Throttle limits the processor time of a task, in thousandths of a core.
+func (w *Worker) Throttle(ctx context.Context, epoch int64, task fold.TaskID, cpu int64) error {
+	_, err := send(ctx, w.http, http.MethodPost, w.base+"/v1/throttle", struct {
+		Epoch int64       `json:"epoch"`
+		Task  fold.TaskID `json:"task"`
+		CPU   int64       `json:"cpu"`
+	}{epoch, task, cpu})
+	return fencedBy(err)
+}
+
 // fencedBy turns a worker's 409 into a Fenced error.
 func fencedBy(err error) error {
 	if errorx.IsOfType(err, fold.Conflict) {
--- a/fold/plat/fleet.go
+++ b/fold/plat/fleet.go
@@ -14,7 +14,7 @@
 	instances map[string]fold.Instance
 }
 
-var _ fold.Fleet = &Fleet{}
+var _ Registry = &Fleet{}
 
 // NewFleet returns a list of the given instances.
 func NewFleet(instances ...fold.Instance) *Fleet {
--- a/fold/plat/handler.go
+++ b/fold/plat/handler.go
@@ -18,7 +18,7 @@
 )
 
 // Handler serves the table service, the object store and the instance list over HTTP.
-func Handler(table fold.Table, objects fold.Objects, fleet *Fleet) http.Handler {
+func Handler(table fold.Table, objects fold.Objects, fleet Registry) http.Handler {
 	mux := http.NewServeMux()
 	tableRoutes(mux, table)
 	objectRoutes(mux, objects)
--- a/fold/plat/table.go
+++ b/fold/plat/table.go
@@ -2,62 +2,56 @@
 
 import (
 	"context"
-	"sort"
 	"strings"
 	"sync"
 
+	"github.com/google/btree"
+
 	"plantainfold.example/fold"
 )
 
-// Table is an in-memory table service.
+// degree is the width of the nodes of the ordered index.
+const degree = 32
+
+// Table is an in-memory table service with an ordered index.
 type Table struct {
-	mu      sync.Mutex
-	rows    map[string]fold.Row
+	mu      sync.RWMutex
+	rows    *btree.BTreeG[fold.Row]
 	version int64
-	stats   Stats
-}
-
-// Stats counts calls of a table.
-type Stats struct {
-	Reads   int64 `json:"reads"`
-	Commits int64 `json:"commits"`
-	Rows    int64 `json:"rows"`
 }
 
 var _ fold.Table = &Table{}
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: make(map[string]fold.Row)}
+	return &Table{rows: btree.NewG(degree, func(a, b fold.Row) bool { return a.Key < b.Key })}
 }
 
 // Get returns a row, or a NotFound error.
 func (t *Table) Get(_ context.Context, key string) (fold.Row, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.stats.Reads++
-	row, ok := t.rows[key]
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	row, ok := t.rows.Get(fold.Row{Key: key})
 	if !ok {
 		return fold.Row{}, fold.Refuse(fold.NotFound, "check the key", "no row %q", key)
 	}
 	return row, nil
 }
 
-// Scan returns rows with the prefix after a key, in key order.
+// Scan returns rows with the prefix after a key, in key order; a limit of 0 returns all.
 func (t *Table) Scan(_ context.Context, prefix, after string, limit int) ([]fold.Row, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.stats.Reads++
+	t.mu.RLock()
+	defer t.mu.RUnlock()
 	var found []fold.Row
-	for key, row := range t.rows {
-		if strings.HasPrefix(key, prefix) && key > after {
+	t.rows.AscendGreaterOrEqual(fold.Row{Key: max(prefix, after)}, func(row fold.Row) bool {
+		if !strings.HasPrefix(row.Key, prefix) {
+			return false
+		}
+		if row.Key != after {
 			found = append(found, row)
 		}
-	}
-	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
-	if limit > 0 && len(found) > limit {
-		found = found[:limit]
-	}
+		return limit <= 0 || len(found) < limit
+	})
 	return found, nil
 }
 
@@ -66,25 +60,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, check := range txn.Checks {
-		if t.rows[check.Key].Version != check.Version {
+		row, _ := t.rows.Get(fold.Row{Key: check.Key})
+		if row.Version != check.Version {
 			return 0, fold.Refuse(fold.Conflict, "read the row again and retry", "row %q changed", check.Key)
 		}
 	}
 	t.version++
-	t.stats.Commits++
-	t.stats.Rows += int64(len(txn.Puts) + len(txn.Deletes))
 	for _, put := range txn.Puts {
-		t.rows[put.Key] = fold.Row{Key: put.Key, Value: append([]byte(nil), put.Value...), Version: t.version}
+		t.rows.ReplaceOrInsert(fold.Row{Key: put.Key, Value: append([]byte(nil), put.Value...), Version: t.version})
 	}
 	for _, key := range txn.Deletes {
-		delete(t.rows, key)
+		t.rows.Delete(fold.Row{Key: key})
 	}
 	return t.version, nil
 }
 
-// Stats returns the counts so far.
-func (t *Table) Stats() Stats {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.stats
+// Rows returns the number of rows.
+func (t *Table) Rows() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.rows.Len()
 }
--- a/fold/worker.go
+++ b/fold/worker.go
@@ -24,6 +24,8 @@
 	Usage Resources `json:"usage"`
 	// Ran is the observed run time in milliseconds.
 	Ran int64 `json:"ran"`
+	// Saved is the run time that a checkpoint preserved, in milliseconds; 0 means that there is no checkpoint.
+	Saved int64 `json:"saved,omitempty"`
 }
 
 // Adoption is a worker's answer to a new owner.
--- a/fold/worker/handler.go
+++ b/fold/worker/handler.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"plantainfold.example/fold"
 )
 
@@ -18,7 +20,24 @@
 
 // Handler serves one worker and its endpoint over HTTP; endpoint may be nil.
 func Handler(w *Worker, endpoint *Endpoint) http.Handler {
+	return NewMember(w, endpoint, "", NewFaults(w.clock)).Handler()
+}
+
+// Handler serves the worker and its endpoint, with their faults.
+func (m *Member) Handler() http.Handler {
 	mux := http.NewServeMux()
+	commandRoutes(mux, NewFaulty(m.Worker, m.Faults))
+	mux.HandleFunc("POST /v1/throttle", m.throttle)
+	mux.HandleFunc("GET /v1/runs", func(rw http.ResponseWriter, _ *http.Request) {
+		answer(rw, runsBody{m.Worker.Runs()}, nil)
+	})
+	if m.Endpoint != nil {
+		endpointRoutes(mux, m.Endpoint, m.Faults)
+	}
+	return mux
+}
+
+func commandRoutes(mux *http.ServeMux, w fold.Worker) {
 	mux.HandleFunc("POST /v1/adopt", func(rw http.ResponseWriter, r *http.Request) {
 		var body struct {
 			Owner string `json:"owner"`
@@ -62,19 +81,26 @@
 		}
 		answer(rw, struct{}{}, w.Stop(r.Context(), body.Epoch, body.Tasks))
 	})
-	mux.HandleFunc("GET /v1/runs", func(rw http.ResponseWriter, _ *http.Request) {
-		answer(rw, struct {
-			Runs []Run `json:"runs"`
-		}{w.Runs()}, nil)
-	})
-	if endpoint != nil {
-		endpointRoutes(mux, endpoint)
+}
+
+func (m *Member) throttle(rw http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Epoch int64       `json:"epoch"`
+		Task  fold.TaskID `json:"task"`
+		CPU   int64       `json:"cpu"`
 	}
-	return mux
+	if !read(rw, r, &body) {
+		return
+	}
+	err := m.Faults.reach()
+	if err == nil {
+		err = m.Worker.Throttle(body.Epoch, body.Task, body.CPU)
+	}
+	answer(rw, struct{}{}, err)
 }
 
-func endpointRoutes(mux *http.ServeMux, endpoint *Endpoint) {
-	mux.HandleFunc("POST /v1/serve/{service}", func(rw http.ResponseWriter, r *http.Request) {
+func endpointRoutes(mux *http.ServeMux, endpoint *Endpoint, faults *Faults) {
+	mux.Handle("POST /v1/serve/{service}", faults.reached(func(rw http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxBody))
 		if err != nil {
 			http.Error(rw, err.Error(), http.StatusBadRequest)
@@ -90,11 +116,9 @@
 		rw.Header().Set("Request-Id", reply.ID)
 		rw.Header().Set("Load", fmt.Sprintf("%d/%d", reply.Running, reply.Slots))
 		_, _ = rw.Write(reply.Body)
-	})
+	}))
 	mux.HandleFunc("GET /v1/served", func(rw http.ResponseWriter, _ *http.Request) {
-		answer(rw, struct {
-			Served map[string]int `json:"served"`
-		}{endpoint.Served()}, nil)
+		answer(rw, servedBody{endpoint.Served()}, nil)
 	})
 	mux.HandleFunc("POST /v1/leave", func(rw http.ResponseWriter, _ *http.Request) {
 		endpoint.Leave()
@@ -102,6 +126,16 @@
 	})
 }
 
+// runsBody is the answer to GET /v1/runs.
+type runsBody struct {
+	Runs []Run `json:"runs"`
+}
+
+// servedBody is the answer to GET /v1/served.
+type servedBody struct {
+	Served map[string]int `json:"served"`
+}
+
 func timeoutOf(r *http.Request) time.Duration {
 	ms, err := strconv.ParseInt(r.Header.Get("Timeout-Ms"), 10, 64)
 	if err != nil || ms <= 0 {
@@ -120,9 +154,16 @@
 }
 
 func answer(w http.ResponseWriter, v any, err error) {
-	if err != nil {
+	switch {
+	case errorx.IsOfType(err, fold.Fenced):
 		http.Error(w, err.Error(), http.StatusConflict)
 		return
+	case errorx.IsOfType(err, fold.NotFound):
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
--- a/fold/worker/worker.go
+++ b/fold/worker/worker.go
@@ -12,17 +12,23 @@
 // SessionTime is how long a session lasts without a heartbeat that may start tasks.
 const SessionTime = 3 * time.Second
 
+// maxPast bounds the ended attempts of a session; a new session begins when there are more.
+const maxPast = 1 << 16
+
 // MaxRuns bounds the runs that a worker keeps for checks.
 const MaxRuns = 1 << 20
 
 // Run is one execution of a task, for checks of what ran where and when.
 type Run struct {
-	Worker  string       `json:"worker"`
-	Task    fold.TaskID  `json:"task"`
-	Attempt int          `json:"attempt"`
-	Begin   fold.Instant `json:"begin"`
-	End     fold.Instant `json:"end"`
-	State   fold.Outcome `json:"state"`
+	Worker  string      `json:"worker"`
+	Task    fold.TaskID `json:"task"`
+	Attempt int         `json:"attempt"`
+	// Resources are what the run held.
+	Resources fold.Resources `json:"resources"`
+	Begin     fold.Instant   `json:"begin"`
+	// End is 0 while the task runs.
+	End   fold.Instant `json:"end"`
+	State fold.Outcome `json:"state"`
 }
 
 // running is a task that holds capacity.
@@ -31,6 +37,10 @@
 	begin fold.Instant
 	ends  fold.Instant
 	lapse fold.Instant
+	// cpu is the processor time the task gets, in thousandths of a core.
+	cpu int64
+	// saves says that the task writes a checkpoint before it stops.
+	saves bool
 }
 
 // Worker runs tasks under leases and accepts commands of the newest epoch and session only.
@@ -50,6 +60,8 @@
 	events   []fold.TaskEvent
 	sequence int64
 	runs     []Run
+	// past holds the attempts that ended in this session, so that a start call delivered twice runs once.
+	past map[fold.TaskID]int
 }
 
 var _ fold.Worker = &Worker{}
@@ -70,10 +82,12 @@
 		clock:    clock,
 		fails:    func(fold.TaskID) bool { return false },
 		tasks:    make(map[fold.TaskID]running),
+		past:     make(map[fold.TaskID]int),
 	}
 	for _, opt := range opts {
 		opt(w)
 	}
+	w.session = sessionBase(clock.Now())
 	return w
 }
 
@@ -87,7 +101,7 @@
 	}
 	w.owner = owner
 	w.epoch = epoch
-	w.session++
+	w.openSession()
 	w.renewed = now
 	w.renewLeases(now)
 	adoption := fold.Adoption{Session: w.session, Capacity: w.capacity, Events: slices.Clone(w.events)}
@@ -109,8 +123,8 @@
 		return fold.BeatReply{}, fold.Refuse(fold.Fenced, "adopt the worker first", "worker %s has another owner", w.name)
 	}
 	if r.Starts {
-		if now.Sub(w.renewed) > SessionTime {
-			w.session++
+		if now.Sub(w.renewed) > SessionTime || len(w.past) >= maxPast {
+			w.openSession()
 		}
 		w.renewed = now
 	}
@@ -152,6 +166,7 @@
 		if held.ends == 0 || end < held.ends {
 			held.ends = end
 			held.task.State = fold.Stopped
+			held.saves = stop.Checkpoint
 			w.tasks[stop.Task] = held
 		}
 	}
@@ -166,7 +181,7 @@
 	w.advance()
 	runs := append([]Run(nil), w.runs...)
 	for _, held := range w.tasks {
-		runs = append(runs, Run{Worker: w.name, Task: held.task.Task, Attempt: held.task.Attempt, Begin: held.begin, State: fold.Running})
+		runs = append(runs, w.runOf(held, 0, fold.Running))
 	}
 	return runs
 }
@@ -185,11 +200,16 @@
 		result.Reason = "already runs"
 		return result
 	}
+	if attempt, ended := w.past[task.Task]; ended && attempt >= task.Attempt {
+		result.Started = attempt == task.Attempt
+		result.Reason = "already ran"
+		return result
+	}
 	if !task.Resources.Fits(w.capacity.Sub(w.used)) {
 		result.Reason = "no capacity"
 		return result
 	}
-	held := running{task: task, begin: now, lapse: now.Add(leaseOf(task))}
+	held := running{task: task, begin: now, lapse: now.Add(leaseOf(task)), cpu: task.Resources.CPU}
 	held.task.State = fold.Running
 	if task.Duration > 0 {
 		held.ends = now.Add(time.Duration(task.Duration) * time.Millisecond)
@@ -228,18 +248,46 @@
 
 func (w *Worker) end(id fold.TaskID, held running, at fold.Instant, state fold.Outcome) {
 	delete(w.tasks, id)
+	w.past[id] = held.task.Attempt
 	w.used = w.used.Sub(held.task.Resources)
 	w.sequence++
-	w.events = append(w.events, fold.TaskEvent{
+	event := fold.TaskEvent{
 		Sequence: w.sequence,
 		Task:     id,
 		Attempt:  held.task.Attempt,
 		State:    state,
 		Usage:    held.task.Resources,
 		Ran:      at.Sub(held.begin).Milliseconds(),
-	})
+	}
+	if held.saves && state == fold.Stopped {
+		event.Saved = event.Ran
+	}
+	w.events = append(w.events, event)
+	w.record(held, at, state)
+}
+
+// openSession makes starts of earlier sessions fail.
+func (w *Worker) openSession() {
+	w.session++
+	clear(w.past)
+}
+
+// record keeps a run for checks.
+func (w *Worker) record(held running, at fold.Instant, state fold.Outcome) {
 	if len(w.runs) < MaxRuns {
-		w.runs = append(w.runs, Run{Worker: w.name, Task: id, Attempt: held.task.Attempt, Begin: held.begin, End: at, State: state})
+		w.runs = append(w.runs, w.runOf(held, at, state))
+	}
+}
+
+func (w *Worker) runOf(held running, at fold.Instant, state fold.Outcome) Run {
+	return Run{
+		Worker:    w.name,
+		Task:      held.task.Task,
+		Attempt:   held.task.Attempt,
+		Resources: held.task.Resources,
+		Begin:     held.begin,
+		End:       at,
+		State:     state,
 	}
 }
 
@@ -260,6 +308,11 @@
 	w.events = kept
 }
 
+// sessionBase returns a number that no session before a restart has reached, as sessions last longer than 1 ms.
+func sessionBase(now fold.Instant) int64 {
+	return int64(now) / int64(time.Millisecond)
+}
+
 func leaseOf(task fold.WorkerTask) time.Duration {
 	return time.Duration(task.Lease) * time.Millisecond
 }
