Check recorded histories against the ten invariants

Cause: the failure tests had no common judge of what a cell may do.

Change: fold/audit takes a history of runs, jobs, requests, limits, keys, leaving endpoints, planned stops and revisions, and returns each breach of the invariants of design section 1.2, and accepted jobs that were lost. What was not recorded is not checked. The package does no I/O.

Conclusion: tests over processes can now record and hand over.

--- /dev/null
+++ b/fold/audit/check.go
@@ -0,0 +1,47 @@
+package audit
+
+import "fmt"
+
+// Work is the number of findings about accepted jobs that were lost, which is none of the ten invariants.
+const Work = 0
+
+// maxFindings bounds the findings of each check.
+const maxFindings = 50
+
+// Finding is one breach of an invariant, numbered as in section 1.2 of the design, or of Work.
+type Finding struct {
+	Invariant int
+	Text      string
+}
+
+// String formats the finding for logs.
+func (f Finding) String() string {
+	return fmt.Sprintf("invariant %d: %s", f.Invariant, f.Text)
+}
+
+// report collects the findings of one check.
+type report struct {
+	invariant int
+	findings  []Finding
+}
+
+func (r *report) add(format string, args ...any) {
+	if len(r.findings) < maxFindings {
+		r.findings = append(r.findings, Finding{Invariant: r.invariant, Text: fmt.Sprintf(format, args...)})
+	}
+}
+
+// Check returns the breaches that the history shows.
+func Check(h History) []Finding {
+	checks := []func(*report, History){
+		checkWork, checkCapacity, checkPlaces, checkKeys, checkLimits, checkAnswers,
+		checkRefusals, checkOnce, checkLeaving, checkStops, checkRevisions,
+	}
+	var all []Finding
+	for invariant, check := range checks {
+		r := &report{invariant: invariant}
+		check(r, h)
+		all = append(all, r.findings...)
+	}
+	return all
+}
