Match answers of endpoints to their requests strictly

Cause: a refusal meant for another request counted as proof that this one did not run; the HTTP client followed redirects and so sent a request up to 10 times; an answer over 32 MiB was cut and passed on as whole; Timeout-Ms 0 was sent in the last millisecond; endpoints behind one host and port shared the 4 connections meant for each. The stand-in endpoint repeats Request-Id in refusals (fold/worker/handler.go, one line); fold/daemon/provide.go follows the new constructor. Conclusion: only a refusal that names the request or names none proves that it did not run.

--- a/fold/daemon/provide.go
+++ b/fold/daemon/provide.go
@@ -39,7 +39,7 @@
 		Objects:   client.NewObjects(s.Objects, platform),
 		Fleet:     client.NewFleet(s.Fleet, platform),
 		Workers:   client.NewWorkers(client.NewHTTP(workerConns)),
-		Endpoints: client.NewEndpoints(client.NewHTTP(client.ConnsPerEndpoint)),
+		Endpoints: client.NewEndpoints(),
 	}
 }
 
--- a/fold/worker/handler.go
+++ b/fold/worker/handler.go
@@ -83,6 +83,7 @@
 		request := fold.Request{ID: r.Header.Get("Request-Id"), Service: r.PathValue("service"), Timeout: timeoutOf(r), Body: body}
 		reply, err := endpoint.Serve(r.Context(), request)
 		if err != nil {
+			rw.Header().Set("Request-Id", request.ID)
 			rw.Header().Set("Run", "no")
 			http.Error(rw, err.Error(), http.StatusServiceUnavailable)
 			return
