--- a/fold/spec/manifest.go
+++ b/fold/spec/manifest.go
@@ -1,6 +1,8 @@
 package spec
 
 import (
+	"strings"
+
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/config"
 )
@@ -53,14 +55,17 @@
 
 // Job is work that the system submits by itself, such as a nightly batch.
 type Job struct {
-	Name       string          `json:"name"`
-	Queue      string          `json:"queue"`
-	Team       string          `json:"team"`
-	Kind       fold.Kind       `json:"kind"`
-	Count      int             `json:"count"`
-	Resources  fold.Resources  `json:"resources"`
-	Duration   config.Duration `json:"duration"`
-	Every      config.Duration `json:"every"`
+	Name      string          `json:"name"`
+	Queue     string          `json:"queue"`
+	Team      string          `json:"team"`
+	Kind      fold.Kind       `json:"kind"`
+	Count     int             `json:"count"`
+	Resources fold.Resources  `json:"resources"`
+	Duration  config.Duration `json:"duration"`
+	// Every is the period; periods are counted from the Unix epoch.
+	Every config.Duration `json:"every"`
+	// At shifts the begin of each period.
+	At         config.Duration `json:"at,omitempty"`
 	Priority   int             `json:"priority,omitempty"`
 	Retries    int             `json:"retries,omitempty"`
 	Idempotent bool            `json:"idempotent,omitempty"`
@@ -78,6 +83,13 @@
 	Racks int `json:"racks,omitempty"`
 }
 
+// Kinds of what can be retired.
+const (
+	KindService = "service"
+	KindQueue   = "queue"
+	KindTeam    = "team"
+)
+
 // Retire ends a service, queue or team.
 type Retire struct {
 	Kind string `json:"kind"`
@@ -95,8 +107,20 @@
 	return m, m.Check()
 }
 
-// Queue returns the queue with the name.
+// servicePrefix begins the name of the queue that belongs to a declared service.
+const servicePrefix = "service/"
+
+// ServiceQueue returns the name of the queue through which the system submits a declared service.
+func ServiceQueue(service string) string {
+	return servicePrefix + service
+}
+
+// Queue returns the queue with the name. Each declared service has a queue of its own that only its team may use.
 func (m Manifest) Queue(name string) (Queue, bool) {
+	if service, ok := strings.CutPrefix(name, servicePrefix); ok {
+		s, ok := m.Service(service)
+		return Queue{Name: name, Teams: []string{s.Team}}, ok
+	}
 	for _, q := range m.Queues {
 		if q.Name == name {
 			return q, true
@@ -115,6 +139,36 @@
 	return Team{}, false
 }
 
+// Service returns the service with the name.
+func (m Manifest) Service(name string) (Service, bool) {
+	for _, s := range m.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// Account returns the client account with the name.
+func (m Manifest) Account(name string) (Account, bool) {
+	for _, a := range m.Accounts {
+		if a.Name == name {
+			return a, true
+		}
+	}
+	return Account{}, false
+}
+
+// Retires reports whether the manifest ends the service, queue or team.
+func (m Manifest) Retires(kind, name string) bool {
+	for _, r := range m.Retire {
+		if r.Kind == kind && r.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // RacksPerPool returns the number of racks in one pool.
 func (m Manifest) RacksPerPool() int {
 	return max(m.Pool.Racks, 1)
