--- a/fold/worker/fault_test.go
+++ b/fold/worker/fault_test.go
@@ -168,7 +168,7 @@
 		if (err == nil) != reachable || (err != nil && !errorx.IsOfType(err, fold.Unknown)) {
 			t.Errorf("adopt %s: %v", name, err)
 		}
-		_, err = client.NewEndpoints(server.Client()).Endpoint(base).Serve(context.Background(), fold.Request{ID: "1", Service: "s", Timeout: time.Second})
+		_, err = client.NewEndpoints().Endpoint(base).Serve(context.Background(), fold.Request{ID: "1", Service: "s", Timeout: time.Second})
 		if (err == nil) != reachable || fold.DidNotRun(err) {
 			t.Errorf("request to %s: %v", name, err)
 		}
