Stop renewing leases after keep, and wait for two leases after a fencing

Cause: an owner without standing renewed task leases without an end, although the next owner starts old tasks after a fixed wait; the wait also ignored that a renewal can be sent late by up to one lease by an owner that paused. Change: renewals end keep after standing was last seen; the wait for old tasks is keep + 2 leases + 2 sessions + 2 s.

--- a/fold/entry/pool.go
+++ b/fold/entry/pool.go
@@ -39,6 +39,8 @@
 	id    string
 	epoch int64
 	began fold.Instant
+	// stood is when the entry was last seen to have standing.
+	stood fold.Instant
 	// searched is when the table service was last searched for parts.
 	searched fold.Instant
 	log      hclog.Logger
@@ -75,6 +77,7 @@
 		id:         id,
 		epoch:      epoch,
 		began:      e.clock.Now(),
+		stood:      e.clock.Now(),
 		log:        e.log.Named("pool").With("pool", id, "epoch", epoch),
 		sched:      sched.New(id),
 		links:      make(map[string]*workerLink),
@@ -178,6 +181,9 @@
 	}
 	p.mu.Unlock()
 	starts := p.entry.standing() != owner.ModeNone
+	if !p.mayRenew(starts) {
+		return
+	}
 	var calls errgroup.Group
 	calls.SetLimit(workerCalls)
 	for _, l := range links {
@@ -189,6 +195,15 @@
 	_ = calls.Wait()
 }
 
+// mayRenew reports whether the entry may renew task leases: while it has standing, and for the time keep after.
+func (p *pool) mayRenew(standing bool) bool {
+	now := p.entry.clock.Now()
+	if standing {
+		p.stood = now
+	}
+	return now.Sub(p.stood) <= p.entry.settings.Keep.Std()
+}
+
 func (p *pool) beatWorker(ctx context.Context, l *workerLink, starts bool) {
 	if !l.adopted {
 		if starts {
@@ -267,7 +282,7 @@
 func (p *pool) updateHeld() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	wait := p.entry.settings.Keep.Std() + sched.TaskLease + 2*sessionTime + evidenceTime
+	wait := p.entry.settings.Keep.Std() + 2*sched.TaskLease + 2*sessionTime + evidenceTime
 	held := p.entry.clock.Now().Sub(p.began) < wait
 	if held && len(p.links) > 0 {
 		held = false
