Count majorities over a recorded view of the entries

Cause: majorities were counted over the rows that an entry last read. Entries cut off from the table service with the majority of an outdated reading went on in outage mode while the others fenced them one after another, took their claim ranges and accepted configurations. Heartbeats that waited in a socket counted as heard on arrival, so a paused entry woke with a majority. A hand-over that failed reopened a claim book at the same epoch without its claims, and a fenced entry that joined again had standing before its old books were closed.

Change: a view row names the members. It is replaced by CAS together with the fencing, and whoever acts on it first hears that majorities of the members before and after know its number. Heartbeats count from the instant before the request they answer, and only from entries that have read view and configuration since they joined or were paused. A relayed table contact carries the version it wrote, so relaying does not make it younger. A configuration is answered once a majority knows its revision. Units that are given away stay released at their epoch, the claims travel to the next owner, and a planned stop ends the membership loop first. The owners are read again after each take instead of being assumed.

--- a/fold/entry/claims.go
+++ b/fold/entry/claims.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/once"
 	"plantainfold.example/fold/owner"
@@ -14,10 +16,17 @@
 	"plantainfold.example/fold/store"
 )
 
+// maxHanded bounds the claims of a range that are handed over, so that they fit into one frame.
+const maxHanded = 16_384
+
 // claims holds the books of the claim ranges that the entry owns.
 type claims struct {
 	mu    sync.Mutex
 	books map[string]claimBook
+	// closed holds the last epoch at which a book was dropped; a book opened again at that epoch has forgotten claims.
+	closed map[string]int64
+	// handed holds the claims that earlier owners sent before they handed their ranges over.
+	handed map[string]handedClaims
 }
 
 // claimBook is the book of a range at one epoch.
@@ -26,6 +35,13 @@
 	book  *once.Book
 }
 
+// handedClaims are the claims of a range that an owner granted up to the end of its epoch.
+type handedClaims struct {
+	Unit  string      `json:"unit"`
+	Epoch int64       `json:"epoch"`
+	Book  once.Record `json:"book"`
+}
+
 // claimCall asks the owner of a range for a claim.
 type claimCall struct {
 	Unit   string `json:"unit"`
@@ -39,7 +55,7 @@
 }
 
 func newClaims() *claims {
-	return &claims{books: make(map[string]claimBook)}
+	return &claims{books: make(map[string]claimBook), closed: make(map[string]int64), handed: make(map[string]handedClaims)}
 }
 
 func claimUnit(n int) string {
@@ -52,46 +68,113 @@
 	defer c.mu.Unlock()
 	for unit, holding := range owned {
 		if strings.HasPrefix(unit, store.OncePrefix) && c.books[unit].epoch != holding.Epoch {
-			c.books[unit] = claimBook{epoch: holding.Epoch, book: once.New(sinceOf(holding))}
+			c.books[unit] = claimBook{epoch: holding.Epoch, book: c.open(unit, holding)}
 		}
 	}
-	for unit := range c.books {
+	for unit, held := range c.books {
 		if _, ok := owned[unit]; !ok {
 			delete(c.books, unit)
+			c.closed[unit] = held.epoch
 		}
 	}
 }
 
-// sinceOf returns from when on the owner knows all claims of a range.
-func sinceOf(h owner.Holding) time.Time {
-	if h.First {
-		return time.Time{}
+// open returns the book of a range at a new epoch. After a takeover the earlier owner may still have granted claims
+// for HeardTime, which is the greatest age of the heartbeats that gave it standing.
+func (c *claims) open(unit string, h owner.Holding) *once.Book {
+	handed, ok := c.handed[unit]
+	delete(c.handed, unit)
+	switch {
+	case c.closed[unit] == h.Epoch:
+		return once.New(time.Now().Add(owner.HeardTime))
+	case ok && h.Handed != 0 && handed.Epoch == h.Handed:
+		return once.Restore(handed.Book)
+	case h.First:
+		return once.New(time.Time{})
+	default:
+		return once.New(time.Now().Add(owner.HeardTime))
+	}
+}
+
+// end drops the books of ranges that are given away and returns their claims.
+func (c *claims) end(gives []owner.Give) map[string]handedClaims {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ended := make(map[string]handedClaims)
+	for _, g := range gives {
+		held, ok := c.books[g.Unit]
+		if !ok || held.epoch != g.Version {
+			continue
+		}
+		delete(c.books, g.Unit)
+		c.closed[g.Unit] = held.epoch
+		if record := held.book.Record(); len(record.Claims) <= maxHanded {
+			ended[g.Unit] = handedClaims{Unit: g.Unit, Epoch: held.epoch, Book: record}
+		}
 	}
-	return time.Now()
+	return ended
 }
 
-func (c *claims) drop(unit string) {
+// inherit keeps the claims of ranges until the entry owns them; a range has room for one record.
+func (c *claims) inherit(all []handedClaims) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.books, unit)
+	for _, h := range all {
+		if isClaimUnit(h.Unit) {
+			c.handed[h.Unit] = h
+		}
+	}
 }
 
-func (c *claims) claim(call claimCall) (once.Verdict, error) {
+func isClaimUnit(unit string) bool {
+	for n := range once.Ranges {
+		if unit == claimUnit(n) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *claims) claim(call claimCall, epoch int64) (once.Verdict, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held, ok := c.books[call.Unit]
-	if !ok {
+	if !ok || held.epoch != epoch {
 		return "", fold.Refuse(fold.Unavailable, "retry", "%s has another owner", call.Unit)
 	}
 	return held.book.Claim(time.Now(), call.ID, time.UnixMilli(call.Issued)), nil
 }
 
-// answerClaim grants a claim while the entry has standing.
+// handClaims stops the ranges here and sends their claims to the next owners. When that fails, the next owner answers
+// unsure for ids issued before it took over.
+func (e *Entry) handClaims(ctx context.Context, gives []owner.Give) {
+	ended := e.claims.end(gives)
+	var calls errgroup.Group
+	calls.SetLimit(maxCalls)
+	for _, g := range gives {
+		h, ok := ended[g.Unit]
+		if !ok {
+			continue
+		}
+		calls.Go(func() error {
+			callCtx, cancel := context.WithTimeout(ctx, peerTime)
+			defer cancel()
+			_, err := peer.Call[ownerCall, ownerAnswer](callCtx, e.node, g.To.Address, kindOwner, ownerCall{Claims: []handedClaims{h}})
+			e.report("Cannot hand claims over.", err)
+			return nil
+		})
+	}
+	_ = calls.Wait()
+}
+
+// answerClaim grants a claim while the entry has standing and owns the range at the epoch of its book.
 func (e *Entry) answerClaim(_ context.Context, _ string, call claimCall) (claimAnswer, error) {
 	if err := e.requireStanding(); err != nil {
 		return claimAnswer{}, err
 	}
-	verdict, err := e.claims.claim(call)
+	var epoch int64
+	e.member(func(m *owner.Machine) { epoch = m.EpochOf(call.Unit) })
+	verdict, err := e.claims.claim(call, epoch)
 	return claimAnswer{Verdict: verdict}, err
 }
 
--- a/fold/entry/conf.go
+++ b/fold/entry/conf.go
@@ -186,6 +186,9 @@
 		if err := e.install(ctx, next); err != nil {
 			return fold.Revision{}, err
 		}
+		if err := e.announce(ctx, next.Revision); err != nil {
+			return fold.Revision{}, err
+		}
 		return e.spread(e.current.Load()), nil
 	}
 	return fold.Revision{}, fold.Refuse(fold.Unavailable, "retry", "other changes came in between %d times", applyTries)
--- a/fold/entry/entry.go
+++ b/fold/entry/entry.go
@@ -39,6 +39,9 @@
 
 	memberMu sync.Mutex
 	machine  *owner.Machine
+	// beating names the peers that a heartbeat is under way to.
+	beating map[string]bool
+	nudges  nudges
 
 	current   atomic.Pointer[revision]
 	instances atomic.Pointer[[]fold.Instance]
@@ -78,6 +81,8 @@
 			Domain:      s.Domain,
 			State:       owner.StateLive,
 		}),
+		beating: make(map[string]bool),
+		nudges:  newNudges(),
 		pools:   make(map[string]*pool),
 		claims:  newClaims(),
 		routers: newRouters(s.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
@@ -91,7 +96,11 @@
 // Start begins the loops of the entry.
 func (e *Entry) Start(ctx context.Context) {
 	ctx, e.cancel = context.WithCancel(ctx)
-	e.loop(ctx, memberPeriod, e.memberStep)
+	e.running.Add(1)
+	go func() {
+		defer e.running.Done()
+		e.runMember(ctx)
+	}()
 	e.loop(ctx, beatPeriod, e.beatStep)
 	e.loop(ctx, fleetPeriod, e.fleetStep)
 }
@@ -105,6 +114,7 @@
 func (e *Entry) Close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
+	e.stopMember()
 	e.handOver(ctx)
 	if e.cancel != nil {
 		e.cancel()
--- a/fold/entry/peers.go
+++ b/fold/entry/peers.go
@@ -15,6 +15,7 @@
 	kindLookup = "lookup"
 	kindCancel = "cancel"
 	kindClaim  = "claim"
+	kindOwner  = "owner"
 )
 
 // submitCall asks the owner of a pool to accept a job.
@@ -35,10 +36,26 @@
 	Explanation fold.Explanation `json:"explanation"`
 }
 
+// ownerCall tells an entry that it became the owner of units, and before that which claims of them were granted.
+type ownerCall struct {
+	Claims []handedClaims `json:"claims,omitempty"`
+}
+
+// ownerAnswer is the empty answer to an ownerCall.
+type ownerAnswer struct{}
+
 // handlePeers registers the calls that this entry answers.
 func (e *Entry) handlePeers() {
 	peer.Handle(e.node, kindBeat, e.answerBeat)
 	peer.Handle(e.node, kindClaim, e.answerClaim)
+	peer.Handle(e.node, kindOwner, func(_ context.Context, _ string, call ownerCall) (ownerAnswer, error) {
+		if len(call.Claims) > 0 {
+			e.claims.inherit(call.Claims)
+			return ownerAnswer{}, nil
+		}
+		nudge(e.nudges.units)
+		return ownerAnswer{}, nil
+	})
 	peer.Handle(e.node, kindSubmit, func(ctx context.Context, _ string, call submitCall) (jobAnswer, error) {
 		return e.acceptHere(ctx, call)
 	})
@@ -54,6 +71,7 @@
 	if b.ID != from {
 		return owner.Beat{}, fold.Refuse(fold.Forbidden, "send heartbeats under the own name", "peer %s sent a heartbeat of %s", from, b.ID)
 	}
-	e.member(func(m *owner.Machine) { m.Heard(e.clock.Now(), b) })
+	e.member(func(m *owner.Machine) { m.Told(e.clock.Now(), b) })
+	e.learnRevision(b)
 	return e.heartbeat(), nil
 }
--- a/fold/once/book.go
+++ b/fold/once/book.go
@@ -45,13 +45,46 @@
 	since  time.Time
 	claims map[string]time.Time
 	swept  time.Time
+	// floor is the newest issue time among forgotten claims. Without it a clock that is set back would let a forgotten
+	// claim be granted again.
+	floor time.Time
 }
 
-// New returns a book of a range that was taken over at the given time.
+// Record is what the next owner of a range must know; times are in Unix milliseconds.
+type Record struct {
+	Since  int64            `json:"since"`
+	Floor  int64            `json:"floor"`
+	Claims map[string]int64 `json:"claims"`
+}
+
+// New returns a book that does not know the claims granted before the given time.
 func New(since time.Time) *Book {
 	return &Book{since: since, claims: make(map[string]time.Time), swept: since}
 }
 
+// Restore returns a book that goes on where the record ends.
+func Restore(r Record) *Book {
+	b := New(time.UnixMilli(r.Since))
+	b.floor = time.UnixMilli(r.Floor)
+	for id, issued := range r.Claims {
+		b.claims[id] = time.UnixMilli(issued)
+	}
+	return b
+}
+
+// Record returns what the next owner of the range must know.
+func (b *Book) Record() Record {
+	r := Record{Since: ceilMilli(b.since), Floor: ceilMilli(b.floor), Claims: make(map[string]int64, len(b.claims))}
+	for id, issued := range b.claims {
+		r.Claims[id] = ceilMilli(issued)
+	}
+	return r
+}
+
+func ceilMilli(t time.Time) int64 {
+	return t.Add(time.Millisecond - 1).UnixMilli()
+}
+
 // Claim decides whether the request with the id, first issued at the given time, may run.
 func (b *Book) Claim(now time.Time, id string, issued time.Time) Verdict {
 	b.sweep(now)
@@ -60,6 +93,8 @@
 		return Expired
 	case b.has(id):
 		return Seen
+	case !issued.After(b.floor):
+		return Expired
 	case issued.Before(b.since.Add(Skew)):
 		return Unsure
 	case len(b.claims) >= MaxClaims:
@@ -84,6 +119,9 @@
 	for id, issued := range b.claims {
 		if issued.Before(now.Add(-Window - 2*Skew)) {
 			delete(b.claims, id)
+			if issued.After(b.floor) {
+				b.floor = issued
+			}
 		}
 	}
 }
--- a/fold/owner/machine.go
+++ b/fold/owner/machine.go
@@ -14,6 +14,8 @@
 	HeardTime = 2 * time.Second
 	// UnlistedTime is how long an entry must be absent from the instance list before it stops counting.
 	UnlistedTime = 30 * time.Second
+	// ListGap is the greatest time between two readings of the instance list that show one absence without a gap.
+	ListGap = 10 * time.Second
 	// SettleTime is how long a membership must be unchanged before units move to a preferred entry.
 	SettleTime = 10 * time.Second
 )
@@ -28,12 +30,30 @@
 
 	renewedAt   fold.Instant
 	confirmedAt fold.Instant
-	eligible    fold.Instant
-	changed     fold.Instant
+	viewedAt    fold.Instant
+	listedAt    fold.Instant
+	// floor is when the entry last joined or noticed a pause; what it read before that does not count for its votes.
+	floor   fold.Instant
+	watched fold.Instant
+	steady  fold.Instant
+	changed fold.Instant
 
-	entries map[string]*peer
-	units   map[string]Seen[Unit]
-	specs   map[string]Spec
+	view Seen[View]
+	// newer is the highest view number heard of, and revision the highest configuration heard of.
+	newer    int64
+	revision int64
+	contact  contact
+
+	entries  map[string]*peer
+	units    map[string]Seen[Unit]
+	specs    map[string]Spec
+	released map[string]int64
+}
+
+// contact is the newest renewal that the entry knows of, its own or relayed; at is never too early.
+type contact struct {
+	version int64
+	at      fold.Instant
 }
 
 // peer is what is known of another entry, or of an earlier incarnation of this one.
@@ -43,9 +63,8 @@
 	unlisted  fold.Instant
 	listed    bool
 	beat      Beat
-	heard     fold.Instant
-	contact   fold.Instant
-	confirmed fold.Instant
+	// heard is the instant before the request that the last heartbeat answers.
+	heard fold.Instant
 }
 
 // New returns a machine for an entry that is not registered yet.
@@ -54,10 +73,16 @@
 		self:        self,
 		renewedAt:   never,
 		confirmedAt: never,
-		eligible:    never,
+		viewedAt:    never,
+		listedAt:    never,
+		floor:       never,
+		watched:     never,
+		steady:      never,
+		contact:     contact{at: never},
 		entries:     make(map[string]*peer),
 		units:       make(map[string]Seen[Unit]),
 		specs:       make(map[string]Spec),
+		released:    make(map[string]int64),
 	}
 }
 
@@ -75,9 +100,22 @@
 func (m *Machine) Renewed(sent fold.Instant, row Entry, version int64) {
 	row.State = m.self.State
 	m.self = row
-	m.registered = true
-	m.sawEntry(sent, Seen[Entry]{Value: row, Version: version})
+	if !m.registered {
+		m.registered = true
+		m.floor = max(m.floor, sent)
+	}
+	m.sawEntry(sent, Seen[Entry]{Key: m.keyOf(row.ID), Value: row, Version: version})
 	m.renewedAt = max(m.renewedAt, sent)
+	m.learn(contact{version: version, at: sent})
+}
+
+// Lost reports whether the rows last read show that this incarnation was fenced or replaced.
+func (m *Machine) Lost() bool {
+	if !m.registered {
+		return false
+	}
+	p, ok := m.entries[m.self.ID]
+	return !ok || p.row.Value.Incarnation != m.self.Incarnation || !p.row.Value.Counts()
 }
 
 // LostRow records that another entry fenced this incarnation; the machine starts again with the given one.
@@ -87,7 +125,9 @@
 	m.registered = false
 	m.renewedAt = never
 	m.confirmedAt = never
-	m.eligible = never
+	m.viewedAt = never
+	m.steady = never
+	m.released = make(map[string]int64)
 }
 
 // Confirmed records that the configuration head was read; sent is the instant before the request.
@@ -95,6 +135,15 @@
 	m.confirmedAt = max(m.confirmedAt, sent)
 }
 
+// SawView records a read of the view row; sent is the instant before the request, and Version 0 means no row.
+func (m *Machine) SawView(sent fold.Instant, view Seen[View]) {
+	m.viewedAt = max(m.viewedAt, sent)
+	if view.Version >= m.view.Version {
+		m.view = view
+	}
+	m.newer = max(m.newer, view.Value.Number)
+}
+
 // SawEntries records the entry rows of one scan.
 func (m *Machine) SawEntries(now fold.Instant, rows []Seen[Entry]) {
 	present := make(map[string]bool, len(rows))
@@ -110,12 +159,19 @@
 	}
 }
 
-// SawUnits records the unit rows of one scan.
+// SawUnits records the unit rows of one scan; a row older than the one known is left out.
 func (m *Machine) SawUnits(rows []Seen[Unit]) {
-	m.units = make(map[string]Seen[Unit], len(rows))
+	units := make(map[string]Seen[Unit], len(rows))
 	for _, row := range rows {
-		m.units[row.Key] = row
+		if old := m.units[row.Key]; old.Version > row.Version {
+			row = old
+		}
+		units[row.Key] = row
+		if version, ok := m.released[row.Key]; ok && version < row.Version {
+			delete(m.released, row.Key)
+		}
 	}
+	m.units = units
 }
 
 // SetSpecs sets the units that must have an owner.
@@ -133,59 +189,110 @@
 		listed[name] = true
 	}
 	for id, p := range m.entries {
-		if p.listed && !listed[id] {
+		if p.listed || now.Sub(m.listedAt) > ListGap {
 			p.unlisted = now
 		}
 		p.listed = listed[id]
 	}
+	m.listedAt = now
 }
 
-// Heard records a heartbeat; beats of incarnations other than the registered one are ignored.
-func (m *Machine) Heard(now fold.Instant, b Beat) {
+// Heard records the answer to a heartbeat; sent is the instant before the request. Only answers prove that the peer
+// was reachable after a known instant, because a request may have waited for any time before it was read.
+func (m *Machine) Heard(sent fold.Instant, b Beat) {
+	m.note(sent, b)
 	p, ok := m.entries[b.ID]
-	if !ok || b.ID == m.self.ID || p.row.Value.Incarnation != b.Incarnation || !p.row.Value.Counts() {
+	if !ok || b.ID == m.self.ID || p.row.Value.Incarnation != b.Incarnation || sent < p.heard {
 		return
 	}
 	p.beat = b
-	p.heard = now
-	p.contact = max(p.contact, ago(now, b.Contact))
-	p.confirmed = max(p.confirmed, ago(now, b.Confirmed))
+	p.heard = sent
 }
 
-// Beat returns the heartbeat to send.
+// Told records a heartbeat that arrived as a request. It gives no evidence that the peer is reachable.
+func (m *Machine) Told(now fold.Instant, b Beat) {
+	m.note(now, b)
+}
+
+// Beat returns the heartbeat to send. The age of the confirmation is rounded up and that of the contact down, so that
+// neither gives a receiver more rights.
 func (m *Machine) Beat(now fold.Instant, revision int64) Beat {
+	m.watch(now)
+	m.revision = max(m.revision, revision)
 	return Beat{
 		ID:          m.self.ID,
 		Incarnation: m.self.Incarnation,
-		Contact:     age(now, m.newestContact()),
+		Contact:     age(now, m.contact.at),
+		Proof:       m.contact.version,
 		Revision:    revision,
-		Confirmed:   age(now, m.confirmedAt),
+		Known:       m.revision,
+		Confirmed:   age(now.Add(time.Millisecond), m.confirmedAt),
+		View:        m.newer,
+		Votes:       m.votes(),
+		Eligible:    m.Eligible(now),
+	}
+}
+
+// note learns what holds no matter when the heartbeat was sent.
+func (m *Machine) note(at fold.Instant, b Beat) {
+	m.newer = max(m.newer, b.View)
+	m.revision = max(m.revision, b.Known)
+	m.learn(contact{version: b.Proof, at: ago(at, b.Contact)})
+}
+
+// learn keeps the newest renewal. The estimate of one renewal only falls, so that relaying does not make it younger.
+func (m *Machine) learn(c contact) {
+	switch {
+	case c.at == never:
+	case c.version > m.contact.version:
+		m.contact = c
+	case c.version == m.contact.version:
+		m.contact.at = min(m.contact.at, c.at)
 	}
 }
 
+// watch notices that the entry was paused.
+func (m *Machine) watch(now fold.Instant) {
+	if m.watched != never && now.Sub(m.watched) > HeardTime {
+		m.floor = now
+		m.steady = never
+	}
+	m.watched = max(m.watched, now)
+}
+
+// votes reports whether the entry has read everything that others count on since it joined or was paused.
+func (m *Machine) votes() bool {
+	return m.registered && m.renewedAt >= m.floor && m.confirmedAt >= m.floor && m.viewedAt >= m.floor
+}
+
 func (m *Machine) sawEntry(now fold.Instant, row Seen[Entry]) {
 	p, ok := m.entries[row.Value.ID]
 	if !ok {
-		p = &peer{unchanged: now, unlisted: now, heard: never, contact: never, confirmed: never}
+		p = &peer{unchanged: now, unlisted: now, heard: never}
 		m.entries[row.Value.ID] = p
 		m.changed = now
 	}
+	if row.Version < p.row.Version {
+		return
+	}
 	if p.row.Version != row.Version {
 		p.unchanged = now
 	}
 	if p.row.Value.Incarnation != row.Value.Incarnation || p.row.Value.State != row.Value.State {
 		m.changed = now
+	}
+	if p.row.Value.Incarnation != row.Value.Incarnation {
 		p.heard = never
+		p.unlisted = now
 	}
 	p.row = row
 }
 
-func (m *Machine) newestContact() fold.Instant {
-	newest := m.renewedAt
-	for _, p := range m.entries {
-		newest = max(newest, p.contact)
+func (m *Machine) keyOf(id string) string {
+	if p, ok := m.entries[id]; ok && p.row.Key != "" {
+		return p.row.Key
 	}
-	return newest
+	return EntryPrefix + id
 }
 
 func ago(now fold.Instant, ms int64) fold.Instant {
@@ -215,32 +322,24 @@
 	r := Renewal{Row: m.self.WithBeat()}
 	p, known := m.entries[m.self.ID]
 	if !known {
-		r.Due = true
+		r.Due = !m.registered
 		return r
 	}
 	r.Version = p.row.Version
-	mine := p.row.Value.Incarnation == m.self.Incarnation && p.row.Value.State != StateFenced
+	mine := p.row.Value.Incarnation == m.self.Incarnation && p.row.Value.Counts()
 	free := !p.row.Value.Counts() || now.Sub(p.unchanged) >= TTL
 	r.Due = mine || (!m.registered && free)
-	if m.registered && !mine {
-		// The write fails, which tells the caller that this incarnation was fenced.
-		r.Version = -1
-		r.Due = true
-	}
 	return r
 }
 
-// Took records that this entry became the owner of a unit.
-func (m *Machine) Took(unit string, row Unit, version int64) {
-	m.units[unit] = Seen[Unit]{Key: unit, Version: version, Value: row}
-}
-
-// Gave records that a unit was handed to another entry.
-func (m *Machine) Gave(unit string, next Unit, version int64) {
-	m.units[unit] = Seen[Unit]{Key: unit, Version: version, Value: next}
-}
-
 // Leave makes the entry take no more units.
 func (m *Machine) Leave() {
 	m.self = m.self.WithState(StateLeaving)
 }
+
+// Left ends the entry's standing after its row was marked as left.
+func (m *Machine) Left() {
+	m.registered = false
+	m.renewedAt = never
+	m.confirmedAt = never
+}
--- a/fold/owner/plan.go
+++ b/fold/owner/plan.go
@@ -1,17 +1,17 @@
 package owner
 
 import (
+	"slices"
 	"sort"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"plantainfold.example/fold"
 )
 
-// Fence is a decision to end the incarnation of an entry whose row has not changed for TTL.
-type Fence struct {
-	Row Seen[Entry]
-}
+// maxDrops bounds the rows deleted at once.
+const maxDrops = 16
 
 // Take is a decision to become the owner of a unit; Version is 0 for a unit without a row.
 type Take struct {
@@ -33,32 +33,35 @@
 
 // Plan is what an entry should write now.
 type Plan struct {
-	Fences []Fence
+	// Change replaces the view; nothing else is planned until majorities know the new one.
+	Change *Change
 	Takes  []Take
 	Gives  []Give
+	// Drops are rows of entries that ended long ago.
+	Drops []Seen[Entry]
 }
 
-// Plan decides what to write; an entry that is not eligible writes nothing.
+// Plan decides what to write; an entry without lasting table contact and majority writes nothing.
 func (m *Machine) Plan(now fold.Instant) Plan {
 	var plan Plan
-	if !m.Eligible(now) || m.self.State != StateLive {
+	if !m.lasting(now) || m.self.State != StateLive || !m.hearsMajority(now, m.view.Value.Number) {
 		return plan
 	}
-	for id, p := range m.entries {
-		if id != m.self.ID && p.row.Value.Counts() && now.Sub(p.unchanged) >= TTL {
-			plan.Fences = append(plan.Fences, Fence{Row: p.row})
-		}
+	if plan.Change = m.change(now); plan.Change != nil || !m.current() {
+		return plan
 	}
+	plan.Drops = m.drops()
 	settled := now.Sub(m.changed) > SettleTime
 	live := m.live(now)
 	for _, id := range m.sortedSpecs() {
-		spec := m.specs[id]
 		row := m.units[id]
-		best := preferred(spec, live)
+		best := preferred(m.specs[id], live)
 		switch {
-		case m.ownerless(row.Value) && best.ID == m.self.ID:
-			plan.Takes = append(plan.Takes, Take{Unit: id, Version: row.Version})
-		case m.owns(row.Value) && best.ID != m.self.ID && settled:
+		case m.ownerless(row.Value):
+			if best.ID == m.self.ID {
+				plan.Takes = append(plan.Takes, Take{Unit: id, Version: row.Version})
+			}
+		case m.owns(row.Value) && (m.wasReleased(row) || (best.ID != m.self.ID && settled)):
 			plan.Gives = append(plan.Gives, Give{Unit: id, Version: row.Version, To: best})
 		}
 	}
@@ -86,24 +89,47 @@
 	return gives
 }
 
+// Release ends the use of units before they are given away. A unit stays released at its epoch, because the outcome
+// of the write that gives it away may be unknown.
+func (m *Machine) Release(gives []Give) {
+	for _, g := range gives {
+		m.released[g.Unit] = g.Version
+	}
+}
+
+// RowOf returns the row that names the next owner.
+func (g Give) RowOf() Unit {
+	return Unit{Owner: g.To.ID, Incarnation: g.To.Incarnation, Handed: g.Version}
+}
+
 // Holding is a unit that this incarnation owns.
 type Holding struct {
 	Epoch int64
 	// First says that the unit had no owner before.
 	First bool
+	// Handed is the epoch of the owner that handed the unit over, or 0 after a takeover.
+	Handed int64
 }
 
 // Owned returns the units that this incarnation owns by the last scan.
 func (m *Machine) Owned() map[string]Holding {
 	owned := make(map[string]Holding)
 	for id, row := range m.units {
-		if m.owns(row.Value) {
-			owned[id] = Holding{Epoch: row.Version, First: row.Value.First}
+		if m.owns(row.Value) && !m.wasReleased(row) {
+			owned[id] = Holding{Epoch: row.Version, First: row.Value.First, Handed: row.Value.Handed}
 		}
 	}
 	return owned
 }
 
+// EpochOf returns the epoch at which this incarnation owns the unit, or 0.
+func (m *Machine) EpochOf(unit string) int64 {
+	if row := m.units[unit]; m.owns(row.Value) && !m.wasReleased(row) {
+		return row.Version
+	}
+	return 0
+}
+
 // OwnerOf returns the entry that owns a unit by the last scan.
 func (m *Machine) OwnerOf(unit string) (Entry, bool) {
 	row, ok := m.units[unit]
@@ -124,29 +150,46 @@
 	return m.registered && u.Owner == m.self.ID && u.Incarnation == m.self.Incarnation
 }
 
-// ownerless reports whether a unit's owner is fenced, has left or was replaced by a new incarnation.
+func (m *Machine) wasReleased(row Seen[Unit]) bool {
+	version, ok := m.released[row.Key]
+	return ok && version == row.Version
+}
+
+// ownerless reports whether the incarnation that owns the unit is not in the view.
 func (m *Machine) ownerless(u Unit) bool {
-	if u.Owner == "" {
-		return true
-	}
-	p, ok := m.entries[u.Owner]
-	return !ok || p.row.Value.Incarnation != u.Incarnation || !p.row.Value.Counts()
+	return !m.view.Value.has(Entry{ID: u.Owner, Incarnation: u.Incarnation})
 }
 
-// live returns the entries that may own units: this one and peers with fresh heartbeats that are not leaving.
+// live returns the members of the view that may own units: this one, and peers with fresh heartbeats that are not
+// leaving and could take units themselves. Without the last condition a unit would wait for a peer that cannot take it.
 func (m *Machine) live(now fold.Instant) []Entry {
 	var live []Entry
 	if m.self.State == StateLive {
 		live = append(live, m.self)
 	}
 	for id, p := range m.entries {
-		if id != m.self.ID && p.row.Value.State == StateLive && now.Sub(p.heard) < HeardTime {
-			live = append(live, p.row.Value)
+		row := p.row.Value
+		if id != m.self.ID && row.State == StateLive && m.view.Value.has(row) && now.Sub(p.heard) < HeardTime && p.beat.Eligible {
+			live = append(live, row)
 		}
 	}
 	return live
 }
 
+// drops returns the rows of entries that left or were fenced and whose instance is gone.
+func (m *Machine) drops() []Seen[Entry] {
+	var drops []Seen[Entry]
+	for id, p := range m.entries {
+		_, member := m.view.Value.Members[id]
+		member = member || slices.Contains(m.view.Value.Previous, id)
+		if !member && !p.row.Value.Counts() && m.gone(p) {
+			drops = append(drops, p.row)
+		}
+	}
+	slices.SortFunc(drops, func(a, b Seen[Entry]) int { return strings.Compare(a.Value.ID, b.Value.ID) })
+	return drops[:min(len(drops), maxDrops)]
+}
+
 func (m *Machine) sortedSpecs() []string {
 	ids := make([]string, 0, len(m.specs))
 	for id := range m.specs {
--- a/fold/owner/records.go
+++ b/fold/owner/records.go
@@ -1,5 +1,13 @@
 package owner
 
+// Keys of rows.
+const (
+	// EntryPrefix begins the keys of entry rows.
+	EntryPrefix = "entry/"
+	// ViewKey is the key of the view row.
+	ViewKey = "view"
+)
+
 // State is the state of an entry in its row.
 type State string
 
@@ -46,6 +54,8 @@
 	Incarnation string `json:"incarnation"`
 	// First says that the unit had no owner before, so that nothing of it is unknown to this one.
 	First bool `json:"first,omitempty"`
+	// Handed is the epoch of the owner that handed the unit over, or 0 after a takeover.
+	Handed int64 `json:"handed,omitempty"`
 }
 
 // Spec describes a unit that must have an owner; ID is its table key.
@@ -68,10 +78,20 @@
 	Incarnation string `json:"incarnation"`
 	// Contact is the age in milliseconds of the newest renewal the sender knows of, its own or relayed; -1 if none.
 	Contact int64 `json:"contact"`
+	// Proof is the version that the newest renewal wrote, by which relayed news of one renewal are told from a new one.
+	Proof int64 `json:"proof"`
 	// Revision is the configuration in force at the sender.
 	Revision int64 `json:"revision"`
+	// Known is the highest configuration that the sender has heard of.
+	Known int64 `json:"known"`
 	// Confirmed is the age in milliseconds of the sender's last read of the configuration head; -1 if none.
 	Confirmed int64 `json:"confirmed"`
+	// View is the highest view number that the sender has heard of.
+	View int64 `json:"view"`
+	// Votes says that the sender has read view and configuration since it joined or was paused.
+	Votes bool `json:"votes,omitempty"`
+	// Eligible says that the sender may take units.
+	Eligible bool `json:"eligible,omitempty"`
 	// Pools are the pools that the sender owns.
 	Pools []Headroom `json:"pools,omitempty"`
 	// Short are teams that lack allotment at the sender.
--- a/fold/owner/standing.go
+++ b/fold/owner/standing.go
@@ -24,7 +24,7 @@
 		return ModeNone
 	case now.Sub(m.renewedAt) < TTL:
 		return ModeTable
-	case now.Sub(m.newestContact()) > TTL && m.hearsMajority(now):
+	case now.Sub(m.contact.at) > TTL && m.current() && m.hearsMajority(now, m.view.Value.Number):
 		return ModeOutage
 	default:
 		return ModeNone
@@ -36,38 +36,40 @@
 	if now.Sub(m.confirmedAt) < TTL {
 		return ModeTable
 	}
-	if m.Standing(now) == ModeOutage {
+	if revision >= m.revision && m.Standing(now) == ModeOutage {
 		return ModeOutage
 	}
 	for _, p := range m.entries {
-		if now.Sub(p.confirmed) < TTL && p.beat.Revision <= revision {
+		confirmed := ago(p.heard, p.beat.Confirmed)
+		if p.heard != never && now.Sub(confirmed) < TTL && p.beat.Revision <= revision {
 			return ModePeer
 		}
 	}
 	return ModeNone
 }
 
-// Eligible reports whether the entry may write what changes who may act; call Tick first.
+// Eligible reports whether the entry may write what changes who may act.
 func (m *Machine) Eligible(now fold.Instant) bool {
-	return m.eligible != never && now.Sub(m.eligible) >= TTL
+	return m.lasting(now) && m.current() && m.hearsMajority(now, m.view.Value.Number)
 }
 
-// Tick updates since when the entry has had table contact and a majority without a gap.
+// Tick updates since when the entry has had table contact and a majority without a gap; call it at each heartbeat.
 func (m *Machine) Tick(now fold.Instant) {
-	if m.Standing(now) != ModeTable || now.Sub(m.renewedAt) > HeardTime || !m.hearsMajority(now) {
-		m.eligible = never
+	m.watch(now)
+	if !m.steadyNow(now) {
+		m.steady = never
 		return
 	}
-	if m.eligible == never {
-		m.eligible = now
+	if m.steady == never {
+		m.steady = now
 	}
 }
 
-// Peers returns the rows of the registered entries other than this one.
-func (m *Machine) Peers(now fold.Instant) []Entry {
+// Peers returns the rows of the other entries that may still run.
+func (m *Machine) Peers(fold.Instant) []Entry {
 	var rows []Entry
 	for id, p := range m.entries {
-		if id != m.self.ID && m.counts(now, p) {
+		if id != m.self.ID && p.row.Value.Counts() && !m.gone(p) {
 			rows = append(rows, p.row.Value)
 		}
 	}
@@ -85,26 +87,17 @@
 	return beats
 }
 
-// hearsMajority reports whether fresh heartbeats cover a strict majority of the registered entries, itself included.
-func (m *Machine) hearsMajority(now fold.Instant) bool {
-	registered, heard := 1, 1
-	for id, p := range m.entries {
-		if id == m.self.ID || !m.counts(now, p) {
-			continue
-		}
-		registered++
-		if now.Sub(p.heard) < HeardTime {
-			heard++
-		}
-	}
-	return 2*heard > registered
+// current reports whether this incarnation is in the newest view that it knows of.
+func (m *Machine) current() bool {
+	return m.view.Value.has(m.self) && m.newer <= m.view.Value.Number
 }
 
-// counts reports whether an entry counts as registered.
-func (m *Machine) counts(now fold.Instant, p *peer) bool {
-	if !p.row.Value.Counts() {
-		return false
-	}
-	gone := !p.listed && now.Sub(p.unlisted) > UnlistedTime && now.Sub(p.unchanged) > UnlistedTime
-	return !gone
+// steadyNow reports whether the entry has table contact and a majority now.
+func (m *Machine) steadyNow(now fold.Instant) bool {
+	return m.votes() && now.Sub(m.renewedAt) < TTL && m.hearsMajority(now, 0)
+}
+
+// lasting reports whether the entry has had table contact and a majority for TTL without a gap.
+func (m *Machine) lasting(now fold.Instant) bool {
+	return m.steady != never && now.Sub(m.watched) <= HeardTime && now.Sub(m.steady) >= TTL && m.steadyNow(now)
 }
