--- a/fold/entry/jobs.go
+++ b/fold/entry/jobs.go
@@ -138,7 +138,7 @@
 	epochs := make(map[string]int64, len(parts))
 	e.member(func(m *owner.Machine) {
 		for _, part := range parts {
-			epochs[part.Pool] = m.EpochOf(store.PoolPrefix + part.Pool)
+			epochs[part.Pool] = m.VersionOf(store.PoolPrefix + part.Pool)
 		}
 	})
 	return epochs
