--- a/fold/endpoint.go
+++ b/fold/endpoint.go
@@ -11,6 +11,8 @@
 	Service    string
 	Account    string
 	Idempotent bool
+	// Urgent puts the request before others of its account.
+	Urgent bool
 	// Issued is when the caller first sent the request; retries repeat it.
 	Issued time.Time
 	// Timeout is the time left until the caller's deadline.
--- a/fold/entry/entry.go
+++ b/fold/entry/entry.go
@@ -80,7 +80,7 @@
 		}),
 		pools:   make(map[string]*pool),
 		claims:  newClaims(),
-		routers: newRouters(s.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		routers: newRouters(s.Name, s.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	e.current.Store(&revision{ring: keys.NewRing([]byte(s.Cellkey), []keys.Record{e.rootRecord()})})
 	e.instances.Store(&[]fold.Instance{})
--- a/fold/entry/member.go
+++ b/fold/entry/member.go
@@ -249,7 +249,7 @@
 		}
 	}
 	e.member(func(m *owner.Machine) { m.Listed(e.clock.Now(), names) })
-	e.routers.update(list)
+	e.routers.update(e.clock.Now(), list)
 }
 
 // assignRacks records the pool of each rack that has none yet and tells the membership which units exist.
--- a/fold/httpd/callers.go
+++ b/fold/httpd/callers.go
@@ -104,6 +104,7 @@
 		return out, fold.Refuse(fold.Invalid, "send Idempotent as true or false", "Idempotent %q", r.Header.Get("Idempotent"))
 	}
 	out.Idempotent = idempotent
+	out.Urgent = r.Header.Get("Urgent") == "true"
 	if !idempotent {
 		ms, err := strconv.ParseInt(r.Header.Get("Request-Time"), 10, 64)
 		if err != nil {
--- a/fold/remote/client.go
+++ b/fold/remote/client.go
@@ -122,6 +122,7 @@
 		"Request-Time": {strconv.FormatInt(r.Issued.UnixMilli(), 10)},
 		"Idempotent":   {strconv.FormatBool(r.Idempotent)},
 		"Timeout-Ms":   {strconv.FormatInt(r.Timeout.Milliseconds(), 10)},
+		"Urgent":       {strconv.FormatBool(r.Urgent)},
 	}
 	got, err := c.send(ctx, http.MethodPost, "/v1/queues/"+queue+"/requests", header, r.Body)
 	if err != nil {
--- a/fold/spec/manifest.go
+++ b/fold/spec/manifest.go
@@ -115,6 +115,16 @@
 	return Team{}, false
 }
 
+// ShareOf returns the weight of an account; accounts that are not declared have 1.
+func (m Manifest) ShareOf(account string) int {
+	for _, a := range m.Accounts {
+		if a.Name == account {
+			return max(a.Share, 1)
+		}
+	}
+	return 1
+}
+
 // RacksPerPool returns the number of racks in one pool.
 func (m Manifest) RacksPerPool() int {
 	return max(m.Pool.Racks, 1)
