--- a/fold/spec/manifest.go
+++ b/fold/spec/manifest.go
@@ -169,6 +169,14 @@
 	return false
 }
 
+// ShareOf returns the weight of an account; accounts that are not declared have 1.
+func (m Manifest) ShareOf(account string) int {
+	if a, ok := m.Account(account); ok {
+		return max(a.Share, 1)
+	}
+	return 1
+}
+
 // RacksPerPool returns the number of racks in one pool.
 func (m Manifest) RacksPerPool() int {
 	return max(m.Pool.Racks, 1)
