Record workers before they are used

Cause: a new owner of a pool took the workers of its own reading of the instance list for all there are. The list lags, so a worker that only the earlier owner knew could still run a task which the new owner started elsewhere. Conclusion: the set of workers that hold up old work is agreed in the table service.

--- a/fold/entry/entry.go
+++ b/fold/entry/entry.go
@@ -47,6 +47,10 @@
 	instances atomic.Pointer[[]fold.Instance]
 	layout    atomic.Pointer[layout]
 
+	racksMu sync.Mutex
+	// unlisted says since when recorded workers are absent from the instance list.
+	unlisted map[string]fold.Instant
+
 	poolsMu sync.Mutex
 	pools   map[string]*pool
 
--- a/fold/entry/layout.go
+++ b/fold/entry/layout.go
@@ -2,18 +2,20 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/owner"
 	"plantainfold.example/fold/store"
 )
 
-// rackRow is the row rack/<domain>/<rack>: the pool to which a rack belongs for good.
+// rackRow is the row rack/<domain>/<rack>: the pool to which a rack belongs for good, and its workers.
 type rackRow struct {
-	Region string `json:"region"`
-	Domain string `json:"domain"`
-	Rack   string `json:"rack"`
-	Pool   string `json:"pool"`
+	Region  string   `json:"region"`
+	Domain  string   `json:"domain"`
+	Rack    string   `json:"rack"`
+	Pool    string   `json:"pool"`
+	Workers []string `json:"workers"`
 }
 
 func (r rackRow) key() string {
@@ -24,40 +26,93 @@
 	return store.RackPrefix + domain + "/" + rack
 }
 
-// layout is the assignment of racks to pools.
+// layout is the assignment of racks and workers to pools.
 type layout struct {
 	racksPerPool int
 	racks        map[string]rackRow
+	versions     map[string]int64
 	pools        map[string][]rackRow
 }
 
 func newLayout(rows []owner.Seen[rackRow], racksPerPool int) *layout {
-	l := &layout{racksPerPool: racksPerPool, racks: make(map[string]rackRow), pools: make(map[string][]rackRow)}
+	l := &layout{
+		racksPerPool: racksPerPool,
+		racks:        make(map[string]rackRow),
+		versions:     make(map[string]int64),
+		pools:        make(map[string][]rackRow),
+	}
 	for _, row := range rows {
-		l.add(row.Value)
+		l.add(row.Value, row.Version)
 	}
 	return l
 }
 
-func (l *layout) add(r rackRow) {
+// add adds the row of a rack, or replaces it.
+func (l *layout) add(r rackRow, version int64) {
 	l.racks[r.key()] = r
-	l.pools[r.Pool] = append(l.pools[r.Pool], r)
+	l.versions[r.key()] = version
+	racks := slices.DeleteFunc(l.pools[r.Pool], func(old rackRow) bool { return old.key() == r.key() })
+	l.pools[r.Pool] = append(racks, r)
 }
 
-// poolOf returns the pool of a worker, or "" if its rack has none.
+// poolOf returns the pool in which a worker is recorded, or "".
 func (l *layout) poolOf(in fold.Instance) string {
-	return l.racks[rackKey(in.Domain, in.Rack)].Pool
+	row := l.racks[rackKey(in.Domain, in.Rack)]
+	if !slices.Contains(row.Workers, in.Name) {
+		return ""
+	}
+	return row.Pool
+}
+
+// workersOf returns the names of the workers recorded in a pool.
+func (l *layout) workersOf(pool string) []string {
+	var names []string
+	for _, rack := range l.pools[pool] {
+		names = append(names, rack.Workers...)
+	}
+	return names
+}
+
+// unrecorded returns the rows to write so that all listed workers are recorded. A new rack goes to the first pool of its
+// failure domain with room, or to a new one.
+func (l *layout) unrecorded(instances []fold.Instance) []rackRow {
+	changed := make(map[string]rackRow)
+	var order []string
+	for _, in := range instances {
+		if in.Role != fold.RoleWorker || l.poolOf(in) != "" {
+			continue
+		}
+		key := rackKey(in.Domain, in.Rack)
+		row, ok := changed[key]
+		if !ok {
+			row = l.rowFor(in)
+			order = append(order, key)
+		}
+		row.Workers = append(slices.Clone(row.Workers), in.Name)
+		changed[key] = row
+	}
+	rows := make([]rackRow, 0, len(order))
+	for _, key := range order {
+		rows = append(rows, changed[key])
+	}
+	return rows
 }
 
-// choose returns the row for a new rack: the first pool of its domain with room, or a new one.
-func (l *layout) choose(in fold.Instance) rackRow {
+// rowFor returns the row of a worker's rack, with a pool if the rack is new.
+func (l *layout) rowFor(in fold.Instance) rackRow {
+	if row, ok := l.racks[rackKey(in.Domain, in.Rack)]; ok {
+		return row
+	}
 	row := rackRow{Region: in.Region, Domain: in.Domain, Rack: in.Rack}
-	for n := 0; ; n++ {
-		row.Pool = fmt.Sprintf("%s-%d", in.Domain, n)
-		if len(l.pools[row.Pool]) < l.racksPerPool {
-			return row
+	for n := 0; row.Pool == ""; n++ {
+		pool := fmt.Sprintf("%s-%d", in.Domain, n)
+		if len(l.pools[pool]) < l.racksPerPool {
+			row.Pool = pool
 		}
 	}
+	// Racks of the same round see each other, so that a pool does not get too many.
+	l.pools[row.Pool] = append(l.pools[row.Pool], row)
+	return row
 }
 
 // specs describes the pools that must have an owner.
--- a/fold/entry/member.go
+++ b/fold/entry/member.go
@@ -12,7 +12,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"plantainfold.example/fold"
-	"plantainfold.example/fold/once"
 	"plantainfold.example/fold/owner"
 	"plantainfold.example/fold/peer"
 	"plantainfold.example/fold/store"
@@ -486,43 +485,3 @@
 	e.member(func(m *owner.Machine) { m.Listed(e.clock.Now(), names) })
 	e.routers.update(e.clock.Now(), list)
 }
-
-// assignRacks records the pool of each rack that has none yet and tells the membership which units exist.
-func (e *Entry) assignRacks(ctx context.Context) error {
-	rows, err := store.Scan[rackRow](ctx, e.table, store.RackPrefix)
-	if err != nil {
-		return err
-	}
-	layout := newLayout(rows, e.current.Load().manifest.RacksPerPool())
-	for _, in := range *e.instances.Load() {
-		if in.Role == fold.RoleWorker && layout.poolOf(in) == "" {
-			if err := e.assignRack(ctx, layout, in); err != nil {
-				return err
-			}
-		}
-	}
-	specs := layout.specs()
-	for n := range once.Ranges {
-		specs = append(specs, owner.Spec{ID: claimUnit(n)})
-	}
-	e.member(func(m *owner.Machine) { m.SetSpecs(specs) })
-	e.setMembers(layout)
-	return nil
-}
-
-func (e *Entry) assignRack(ctx context.Context, l *layout, in fold.Instance) error {
-	var eligible bool
-	e.member(func(m *owner.Machine) { eligible = m.Eligible(e.clock.Now()) })
-	if !eligible {
-		return nil
-	}
-	row := l.choose(in)
-	_, err := store.Replace(ctx, e.table, row.key(), 0, row)
-	if errorx.IsOfType(err, fold.Conflict) {
-		return nil
-	}
-	if err == nil {
-		l.add(row)
-	}
-	return err
-}
--- a/fold/entry/pool.go
+++ b/fold/entry/pool.go
@@ -50,6 +50,7 @@
 	links      map[string]*workerLink
 	allotments map[string]*allotment
 	members    map[string]fold.Instance
+	recorded   []string
 	// incoming are parts that entries told of and that are not read yet.
 	incoming map[string]bool
 
@@ -97,6 +98,9 @@
 	if err := p.loadSplits(ctx); err != nil {
 		return nil, err
 	}
+	if err := p.loadMembers(ctx); err != nil {
+		return nil, err
+	}
 	p.log.Info("Owning the pool.", "jobs", len(parts))
 	return p, nil
 }
@@ -284,13 +288,45 @@
 	defer p.mu.Unlock()
 	wait := p.entry.settings.Keep.Std() + 2*sched.TaskLease + 2*sessionTime + evidenceTime
 	held := p.entry.clock.Now().Sub(p.began) < wait
-	if held && len(p.links) > 0 {
-		held = false
-		for _, l := range p.links {
-			held = held || !l.adopted
+	p.sched.SetHeld(held && !p.allAdopted())
+}
+
+// loadMembers reads the workers of the pool. They are read after the pool was taken, so that none is missed which an
+// earlier owner could use.
+func (p *pool) loadMembers(ctx context.Context) error {
+	rows, err := store.Scan[rackRow](ctx, p.entry.table, store.RackPrefix)
+	if err != nil {
+		return err
+	}
+	l := newLayout(rows, 1)
+	p.setMembers(membersOf(l, *p.entry.instances.Load())[p.id])
+	p.setRecorded(l.workersOf(p.id))
+	return nil
+}
+
+// allAdopted reports whether every worker on which an earlier owner may have started tasks is adopted; p.mu is held.
+func (p *pool) allAdopted() bool {
+	for _, name := range p.recorded {
+		if l, ok := p.links[name]; !ok || !l.adopted {
+			return false
 		}
 	}
-	p.sched.SetHeld(held)
+	return len(p.recorded) > 0
+}
+
+// setRecorded sets the workers that must be adopted before work of an earlier owner may start.
+func (p *pool) setRecorded(recorded []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.recorded = recorded
+}
+
+// holds reports whether the pool still counts on a worker.
+func (p *pool) holds(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.links[name]
+	return ok
 }
 
 // decide starts and stops tasks while the entry has standing.
--- a/fold/entry/pools.go
+++ b/fold/entry/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -37,7 +38,6 @@
 		e.log.Warn("Cannot load a pool. Trying again.", "pool", id, "error", err)
 		return
 	}
-	p.setMembers(membersOf(e.layout.Load(), *e.instances.Load())[id])
 	p.start()
 	e.poolsMu.Lock()
 	defer e.poolsMu.Unlock()
@@ -93,6 +93,7 @@
 	members := membersOf(l, *e.instances.Load())
 	for _, p := range e.allPools() {
 		p.setMembers(members[p.id])
+		p.setRecorded(slices.DeleteFunc(l.workersOf(p.id), e.isGone))
 	}
 }
 
