Give decisions, the table service and each worker loops of their own

Cause: one loop of a pool made all calls in turn, so a silent worker or a slow table service held up every decision by up to 1 s a call; ends of tasks were seen only once a second. Reading the code also showed two ways to run a task twice: heartbeats whose answers were lost renewed leases that the owner took as lapsed, and a start that was queued while the worker was being adopted was sent although the scheduler had taken it back.

--- a/fold/entry/parts.go
+++ b/fold/entry/parts.go
@@ -26,11 +26,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.incoming) >= maxIncoming {
-		p.searched = p.searched.Add(-partPeriod)
 		return
 	}
 	p.incoming[id] = true
-	p.poke()
+	nudge(p.records)
 }
 
 // takeParts schedules parts that were accepted for this epoch.
@@ -68,8 +67,6 @@
 	for _, part := range parts {
 		p.submit(now, part)
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.searched = now
 }
 
--- a/fold/entry/pool.go
+++ b/fold/entry/pool.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/joomcode/errorx"
-	"golang.org/x/sync/errgroup"
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/owner"
@@ -18,13 +16,10 @@
 )
 
 const (
-	workerPeriod = time.Second
-	// workerCalls bounds the calls to workers of one pool at the same time.
-	workerCalls = 16
+	// roundPeriod is the longest pause between two rounds of decisions or of reads from the table service.
+	roundPeriod = time.Second
 	// maxStarts bounds the starts of one decision round.
 	maxStarts = 512
-	// maxChanges bounds the records of one write.
-	maxChanges = 64
 	// stopGrace is how long a cancelled task may take to end by itself.
 	stopGrace = 2 * time.Second
 	// sessionTime is how long a worker accepts starts after a heartbeat.
@@ -33,42 +28,36 @@
 	evidenceTime = owner.HeardTime
 )
 
-// pool drives the scheduler of one pool that the entry owns.
+// pool drives the scheduler of one pool that the entry owns. Decisions, the table service and each worker have loops of
+// their own, so that a slow table service or worker does not hold up decisions.
 type pool struct {
 	entry *Entry
 	id    string
 	epoch int64
 	began fold.Instant
-	// stood is when the entry was last seen to have standing.
-	stood fold.Instant
-	// searched is when the table service was last searched for parts.
-	searched fold.Instant
-	log      hclog.Logger
+	log   hclog.Logger
 
 	mu         sync.Mutex
 	sched      *sched.Pool
-	links      map[string]*workerLink
+	links      map[string]*link
 	allotments map[string]*allotment
 	members    map[string]fold.Instance
-	recorded   []string
+	// recorded are the workers on which an earlier owner may have started tasks.
+	recorded []string
 	// incoming are parts that entries told of and that are not read yet.
 	incoming map[string]bool
+	// stood is when the entry was last seen to have standing.
+	stood fold.Instant
 
-	wake    chan struct{}
-	cancel  context.CancelFunc
-	running sync.WaitGroup
-}
+	// searched and flushed belong to the loop of the table service.
+	searched fold.Instant
+	flushed  fold.Instant
 
-// workerLink is the pool's connection to one worker.
-type workerLink struct {
-	instance fold.Instance
-	worker   fold.Worker
-	adopted  bool
-	session  int64
-	seen     int64
-	acked    int64
-	// answered is the instant before the last call that the worker answered.
-	answered fold.Instant
+	decisions chan struct{}
+	records   chan struct{}
+	ctx       context.Context
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
 }
 
 // newPool returns the pool with its durable jobs loaded; nothing starts before workers are adopted.
@@ -81,12 +70,14 @@
 		stood:      e.clock.Now(),
 		log:        e.log.Named("pool").With("pool", id, "epoch", epoch),
 		sched:      sched.New(id),
-		links:      make(map[string]*workerLink),
+		links:      make(map[string]*link),
 		allotments: make(map[string]*allotment),
 		members:    make(map[string]fold.Instance),
 		incoming:   make(map[string]bool),
-		wake:       make(chan struct{}, 1),
+		decisions:  make(chan struct{}, 1),
+		records:    make(chan struct{}, 1),
 	}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
 	parts, err := store.Parts(ctx, e.table, id)
 	if err != nil {
 		return nil, err
@@ -106,204 +97,81 @@
 }
 
 func (p *pool) start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	p.cancel = cancel
+	p.loop(p.decisions, p.decide)
+	p.loop(p.records, p.exchange)
+}
+
+// loop calls step when it is woken and at least once in each period, until the pool is closed.
+func (p *pool) loop(wake chan struct{}, step func(context.Context)) {
 	p.running.Add(1)
 	go func() {
 		defer p.running.Done()
-		p.run(ctx)
+		for p.ctx.Err() == nil {
+			step(p.ctx)
+			select {
+			case <-wake:
+			case <-p.entry.clock.After(roundPeriod):
+			case <-p.ctx.Done():
+			}
+		}
 	}()
 }
 
-// close stops the pool's loop and waits for it.
+// close stops the loops of the pool and waits for them.
 func (p *pool) close() {
 	p.cancel()
 	p.running.Wait()
 }
 
-// finish flushes records before a planned hand-over.
+// finish records the state of jobs before a planned hand-over.
 func (p *pool) finish(ctx context.Context) {
 	p.close()
 	p.flush(ctx)
 }
 
-func (p *pool) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		p.beatWorkers(ctx)
-		p.updateHeld()
-		p.takeParts(ctx)
-		p.adjustSplits(ctx)
-		p.decide(ctx)
-		p.flush(ctx)
-		p.await(ctx)
-	}
-}
-
-// await decides whenever it is woken, until the next round of heartbeats is due.
-func (p *pool) await(ctx context.Context) {
-	due := p.entry.clock.After(workerPeriod)
-	for {
-		select {
-		case <-p.wake:
-			p.takeParts(ctx)
-			p.adjustSplits(ctx)
-			p.decide(ctx)
-		case <-due:
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
+// poke asks for a round of decisions.
 func (p *pool) poke() {
-	select {
-	case p.wake <- struct{}{}:
-	default:
-	}
+	nudge(p.decisions)
 }
 
-// setMembers records which workers belong to the pool by the instance list.
-func (p *pool) setMembers(members map[string]fold.Instance) {
+// decide starts and stops tasks while the entry has standing.
+func (p *pool) decide(context.Context) {
+	standing := p.entry.standing() != owner.ModeNone
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.members = members
-	for name, in := range members {
-		if _, ok := p.links[name]; !ok {
-			p.links[name] = &workerLink{instance: in, worker: p.entry.platform.Workers.Worker(in.Address), answered: p.entry.clock.Now()}
-		}
-		p.sched.SetLeaving(name, in.State == fold.Leaving)
-	}
-}
-
-// beatWorkers adopts or renews every worker.
-func (p *pool) beatWorkers(ctx context.Context) {
-	p.mu.Lock()
-	links := make([]*workerLink, 0, len(p.links))
-	for _, l := range p.links {
-		links = append(links, l)
-	}
-	p.mu.Unlock()
-	starts := p.entry.standing() != owner.ModeNone
-	if !p.mayRenew(starts) {
+	p.updateHeld()
+	if !standing {
 		return
 	}
-	var calls errgroup.Group
-	calls.SetLimit(workerCalls)
-	for _, l := range links {
-		calls.Go(func() error {
-			p.beatWorker(ctx, l, starts)
-			return nil
-		})
-	}
-	_ = calls.Wait()
-}
-
-// mayRenew reports whether the entry may renew task leases: while it has standing, and for the time keep after.
-func (p *pool) mayRenew(standing bool) bool {
 	now := p.entry.clock.Now()
-	if standing {
-		p.stood = now
-	}
-	return now.Sub(p.stood) <= p.entry.settings.Keep.Std()
-}
-
-func (p *pool) beatWorker(ctx context.Context, l *workerLink, starts bool) {
-	if !l.adopted {
-		if starts {
-			p.adopt(ctx, l)
+	starts := p.sched.Decide(now, maxStarts)
+	for _, s := range starts {
+		if l, ok := p.links[s.Worker]; ok {
+			l.addStart(now, s.Task)
 		}
-		p.dropLapsed(l)
-		return
 	}
-	sent := p.entry.clock.Now()
-	reply, err := l.worker.Beat(ctx, fold.BeatRequest{Owner: p.entry.settings.Name, Epoch: p.epoch, Starts: starts, Acked: l.acked})
-	if errorx.IsOfType(err, fold.Fenced) {
-		l.adopted = false
-		p.adopt(ctx, l)
-		return
-	}
-	if err != nil {
-		p.log.Warn("A worker does not answer.", "worker", l.instance.Name, "error", err)
-		p.dropLapsed(l)
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l.answered = sent
-	if reply.Session != l.session {
-		// Starts under way in the old session are refused by the worker; adopting again settles them.
-		l.adopted = false
-		return
-	}
-	p.observe(l, reply.Events)
-}
-
-func (p *pool) adopt(ctx context.Context, l *workerLink) {
-	sent := p.entry.clock.Now()
-	adoption, err := l.worker.Adopt(ctx, p.entry.settings.Name, p.epoch)
-	if err != nil {
-		p.log.Warn("Cannot adopt a worker.", "worker", l.instance.Name, "error", err)
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l.adopted = true
-	l.session = adoption.Session
-	l.answered = sent
-	p.sched.Adopt(sent, nodeOf(l.instance), adoption)
-	p.sched.SetLeaving(l.instance.Name, l.instance.State == fold.Leaving)
-	l.seen = max(l.seen, lastSequence(adoption.Events))
-	p.poke()
-}
-
-func (p *pool) observe(l *workerLink, events []fold.TaskEvent) {
-	if len(events) == 0 {
-		return
+	for _, s := range p.sched.Stops() {
+		if l, ok := p.links[s.Worker]; ok {
+			l.addStop(s)
+		}
 	}
-	p.sched.Observe(p.entry.clock.Now(), l.instance.Name, events)
-	l.seen = max(l.seen, lastSequence(events))
-	p.poke()
-}
-
-// dropLapsed gives up a worker once the leases of its tasks have lapsed without a renewal.
-func (p *pool) dropLapsed(l *workerLink) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.entry.clock.Now().Sub(l.answered) <= sched.TaskLease+sessionTime {
-		return
+	if len(starts) == maxStarts {
+		p.poke()
 	}
-	l.adopted = false
-	l.seen, l.acked = 0, 0
-	p.sched.RemoveWorker(l.instance.Name)
-	if _, member := p.members[l.instance.Name]; !member {
-		delete(p.links, l.instance.Name)
+	if len(starts) > 0 {
+		// Starting changes what a team needs of its limit.
+		nudge(p.records)
 	}
-	p.poke()
 }
 
-// updateHeld lets work accepted under an earlier owner start once that owner can no longer run it anywhere.
+// updateHeld lets work accepted under an earlier owner start once that owner can no longer run it anywhere; p.mu is
+// held.
 func (p *pool) updateHeld() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	wait := p.entry.settings.Keep.Std() + 2*sched.TaskLease + 2*sessionTime + evidenceTime
 	held := p.entry.clock.Now().Sub(p.began) < wait
 	p.sched.SetHeld(held && !p.allAdopted())
 }
 
-// loadMembers reads the workers of the pool. They are read after the pool was taken, so that none is missed which an
-// earlier owner could use.
-func (p *pool) loadMembers(ctx context.Context) error {
-	rows, err := store.Scan[rackRow](ctx, p.entry.table, store.RackPrefix)
-	if err != nil {
-		return err
-	}
-	l := newLayout(rows, 1)
-	p.setMembers(membersOf(l, *p.entry.instances.Load())[p.id])
-	p.setRecorded(l.workersOf(p.id))
-	return nil
-}
-
 // allAdopted reports whether every worker on which an earlier owner may have started tasks is adopted; p.mu is held.
 func (p *pool) allAdopted() bool {
 	for _, name := range p.recorded {
@@ -314,125 +182,15 @@
 	return len(p.recorded) > 0
 }
 
-// setRecorded sets the workers that must be adopted before work of an earlier owner may start.
-func (p *pool) setRecorded(recorded []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.recorded = recorded
-}
-
-// holds reports whether the pool still counts on a worker.
-func (p *pool) holds(name string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_, ok := p.links[name]
-	return ok
-}
-
-// decide starts and stops tasks while the entry has standing.
-func (p *pool) decide(ctx context.Context) {
-	if p.entry.standing() == owner.ModeNone {
-		return
-	}
-	p.mu.Lock()
-	starts := p.sched.Decide(p.entry.clock.Now(), maxStarts)
-	stops := p.sched.Stops()
-	sends := p.group(starts)
-	ends := p.groupStops(stops)
-	p.mu.Unlock()
-	var calls errgroup.Group
-	calls.SetLimit(workerCalls)
-	for l, tasks := range sends {
-		calls.Go(func() error {
-			p.send(ctx, l, tasks)
-			return nil
-		})
-	}
-	for l, tasks := range ends {
-		calls.Go(func() error {
-			if err := l.worker.Stop(ctx, p.epoch, tasks); err != nil {
-				p.log.Warn("Cannot stop tasks.", "worker", l.instance.Name, "error", err)
-			}
-			return nil
-		})
-	}
-	_ = calls.Wait()
-}
-
-func (p *pool) group(starts []sched.Start) map[*workerLink][]fold.WorkerTask {
-	sends := make(map[*workerLink][]fold.WorkerTask)
-	for _, s := range starts {
-		l := p.links[s.Worker]
-		sends[l] = append(sends[l], s.Task)
-	}
-	return sends
-}
-
-func (p *pool) groupStops(stops []sched.Stop) map[*workerLink][]fold.StopRequest {
-	ends := make(map[*workerLink][]fold.StopRequest)
-	for _, s := range stops {
-		l, ok := p.links[s.Worker]
-		if !ok {
-			continue
-		}
-		ends[l] = append(ends[l], fold.StopRequest{Task: s.Task, Checkpoint: s.Checkpoint, Grace: stopGrace.Milliseconds()})
-	}
-	return ends
-}
-
-// send starts tasks on a worker. When the outcome is not known, the worker is adopted again, which settles it.
-func (p *pool) send(ctx context.Context, l *workerLink, tasks []fold.WorkerTask) {
-	results, err := l.worker.Start(ctx, p.epoch, l.session, tasks)
-	if err != nil {
-		p.log.Warn("A start has no certain outcome. Adopting the worker again.", "worker", l.instance.Name, "error", err)
-		p.mu.Lock()
-		l.adopted = false
-		p.mu.Unlock()
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.sched.Confirm(l.instance.Name, results)
-}
-
-// flush records changed jobs, then lets workers forget the events behind them.
-func (p *pool) flush(ctx context.Context) {
-	p.mu.Lock()
-	changes := p.sched.Changes(maxChanges)
-	seen := make(map[*workerLink]int64, len(p.links))
-	for _, l := range p.links {
-		seen[l] = l.seen
-	}
-	p.mu.Unlock()
-	if len(changes) == 0 {
-		p.acknowledge(seen)
-		return
-	}
-	err := store.Record(ctx, p.entry.table, p.id, p.epoch, changes)
-	p.mu.Lock()
-	for _, c := range changes {
-		if err != nil {
-			p.sched.Touch(c.Status.Job.ID)
-			continue
-		}
-		p.sched.Forget(c.Status.Job.ID)
-	}
-	p.mu.Unlock()
-	if err != nil {
-		p.log.Warn("Cannot record the state of jobs.", "error", err)
-		return
-	}
-	if len(changes) < maxChanges {
-		p.acknowledge(seen)
-	}
-}
-
-func (p *pool) acknowledge(seen map[*workerLink]int64) {
+// mayRenew reports whether the entry may renew task leases: while it has standing, and for the time keep after.
+func (p *pool) mayRenew(standing bool) bool {
+	now := p.entry.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for l, sequence := range seen {
-		l.acked = max(l.acked, sequence)
+	if standing {
+		p.stood = now
 	}
+	return now.Sub(p.stood) <= p.entry.settings.Keep.Std()
 }
 
 func (p *pool) status() fold.PoolStatus {
@@ -470,11 +228,3 @@
 func nodeOf(in fold.Instance) place.Node {
 	return place.Node{Name: in.Name, Domain: in.Domain, Rack: in.Rack}
 }
-
-func lastSequence(events []fold.TaskEvent) int64 {
-	var last int64
-	for _, e := range events {
-		last = max(last, e.Sequence)
-	}
-	return last
-}
--- a/fold/worker.go
+++ b/fold/worker.go
@@ -71,7 +71,7 @@
 // Worker is one worker of the platform; a Fenced error names a newer epoch or session.
 type Worker interface {
 	// Adopt makes the caller the owner if the epoch is not older than the last one seen. It opens a new session,
-	// so that starts still under way in an older session are refused, and returns all that runs.
+	// so that starts still under way in an older session are refused, and returns all that runs. It renews no lease.
 	Adopt(ctx context.Context, owner string, epoch int64) (Adoption, error)
 	// Beat renews session and leases and returns events.
 	Beat(ctx context.Context, r BeatRequest) (BeatReply, error)
--- a/fold/worker/worker.go
+++ b/fold/worker/worker.go
@@ -103,7 +103,6 @@
 	w.epoch = epoch
 	w.openSession()
 	w.renewed = now
-	w.renewLeases(now)
 	adoption := fold.Adoption{Session: w.session, Capacity: w.capacity, Events: slices.Clone(w.events)}
 	for _, held := range w.tasks {
 		adoption.Tasks = append(adoption.Tasks, held.task)
