Prove where work may have run, and adopt silent workers again

Cause: a new test loses calls and answers of workers, restarts workers and fails the table service in virtual time. Change: acknowledgements belong to a session; a worker is dropped before it is adopted, not after; workers tell a boot id, the row of a rack records it, and without the same boot a start counts as having run. Conclusion: a task without a trace is started again only when the worker proves that it never ran.

--- a/cmd/pfcap/internal/app/costs.go
+++ b/cmd/pfcap/internal/app/costs.go
@@ -33,6 +33,13 @@
 	boundWrites = 400.0 / 3
 )
 
+// Units and roles that several figures share.
+const (
+	commitsSecond = "commits/s"
+	bytesSecond   = "bytes/s"
+	tableService  = "table service"
+)
+
 // cost is a figure at the two-year size.
 type cost struct {
 	role   string
@@ -58,12 +65,12 @@
 	rows := jobsDay * s[jobCommits].line.slope / daySeconds
 	return []cost{
 		{"worker", "processor time of control", beatTime / 2 / 1e9, boundCPU, "cores"},
-		{"worker", "control traffic, both directions", nodeBytes, boundBytes, "bytes/s"},
+		{"worker", "control traffic, both directions", nodeBytes, boundBytes, bytesSecond},
 		{"entry", "processor time of heartbeats, starts at peak and keys", entryCPU / 1e9, boundCPU, "cores"},
 		{"entry", "heap of pools, tasks, claims and keys", heap, boundMemory, "bytes"},
-		{"entry", "heartbeats to and from peers, regional mesh", peerSends * s[peerBytes].line.at(owned), boundBytes, "bytes/s"},
-		{"table service", "renewals", entries / renewals, boundWrites, "commits/s"},
-		{"table service", "renewals and job rows at peak, one row a commit", entries/renewals + peakFactor*rows, boundWrites, "commits/s"},
-		{"table service", "configuration changes", float64(changesDay) / daySeconds, boundWrites, "commits/s"},
+		{"entry", "heartbeats to and from peers, regional mesh", peerSends * s[peerBytes].line.at(owned), boundBytes, bytesSecond},
+		{tableService, "renewals", entries / renewals, boundWrites, commitsSecond},
+		{tableService, "renewals and job rows at peak, one row a commit", entries/renewals + peakFactor*rows, boundWrites, commitsSecond},
+		{tableService, "configuration changes", float64(changesDay) / daySeconds, boundWrites, commitsSecond},
 	}
 }
--- a/cmd/pfcap/internal/app/slope.go
+++ b/cmd/pfcap/internal/app/slope.go
@@ -39,15 +39,6 @@
 	return line{base: (sumY - slope*sumX) / n, slope: slope}
 }
 
-// measure takes one value for each size.
-func measure(sizes []int, value func(size int) float64) []point {
-	points := make([]point, 0, len(sizes))
-	for _, size := range sizes {
-		points = append(points, point{size: size, value: value(size)})
-	}
-	return points
-}
-
 // heapOf returns the bytes of heap that the result of build keeps alive.
 func heapOf(build func() any) float64 {
 	before := heap()
--- a/cmd/pfcap/internal/app/slopes.go
+++ b/cmd/pfcap/internal/app/slopes.go
@@ -37,6 +37,9 @@
 	jobCommits   = "table service: rows written by jobs"
 )
 
+// unitBytes is the unit of state and messages.
+const unitBytes = "bytes"
+
 var slopeNames = []string{poolWorkers, poolTasks, starts, beats, beatBytes, peerBytes, claimHeap, keyHeap, identifyTime, jobCommits}
 
 // slope is a measured line.
@@ -63,27 +66,33 @@
 }
 
 var probes = []probe{
-	{poolWorkers, "bytes", []int{64, 640, 6400}, func(n int) (float64, error) {
+	{poolWorkers, unitBytes, []int{64, 640, 6400}, func(n int) (float64, error) {
 		return heapOf(func() any { return poolOf(n, 0) }), nil
 	}},
-	{poolTasks, "bytes", []int{1000, 10_000, 50_000}, func(n int) (float64, error) {
+	{poolTasks, unitBytes, []int{1000, 10_000, 50_000}, func(n int) (float64, error) {
 		empty := heapOf(func() any { return poolOf(poolOfTasks, 0) })
 		return heapOf(func() any { return poolOf(poolOfTasks, n) }) - empty, nil
 	}},
 	{starts, "ns", []int{1000, 10_000, 50_000}, timeOfStarts},
 	{beats, "ns", []int{500, 2000, 8000}, timeOfBeats},
-	{beatBytes, "bytes", []int{0, 10, 100}, bytesOfBeat},
-	{peerBytes, "bytes", []int{1, 3, 30}, bytesOfPeerBeat},
-	{claimHeap, "bytes", []int{1000, 10_000, 100_000}, func(n int) (float64, error) {
+	{beatBytes, unitBytes, []int{0, 10, 100}, bytesOfBeat},
+	{peerBytes, unitBytes, []int{1, 3, 30}, bytesOfPeerBeat},
+	{claimHeap, unitBytes, []int{1000, 10_000, 100_000}, func(n int) (float64, error) {
 		return heapOf(func() any { return bookOf(n) }), nil
 	}},
-	{keyHeap, "bytes", []int{100, 1000, 10_000}, func(n int) (float64, error) {
+	{keyHeap, unitBytes, []int{100, 1000, 10_000}, func(n int) (float64, error) {
 		return heapOf(func() any { ring, _ := ringOf(n); return ring }), nil
 	}},
 	{identifyTime, "ns", []int{1000, 10_000, 100_000}, timeOfIdentify},
 	{jobCommits, "rows", []int{10, 100, 1000}, rowsOfJobs},
 }
 
+// Names that the measured records carry.
+const (
+	probeEntry = "entry"
+	probePool  = "pool"
+)
+
 // poolOfTasks is the number of workers of pools whose tasks are measured.
 const poolOfTasks = 640
 
@@ -111,7 +120,7 @@
 // poolOf returns a pool with workers and running tasks, in jobs of 100 tasks.
 func poolOf(workers, tasks int) *sched.Pool {
 	const perJob = 100
-	p := sched.New("pool")
+	p := sched.New(probePool)
 	for n := range workers {
 		node := place.Node{Name: fmt.Sprintf("worker-%05d", n), Domain: "domain", Rack: fmt.Sprintf("rack-%04d", n/8)}
 		p.Adopt(0, node, fold.Adoption{Session: 1, Capacity: workerSize})
@@ -136,19 +145,17 @@
 	}
 }
 
-// startAll decides and confirms starts until nothing more can start, and returns their number.
-func startAll(p *sched.Pool) int {
+// startAll decides and confirms starts until nothing more can start.
+func startAll(p *sched.Pool) {
 	const round = 512
-	total := 0
 	for {
 		decided := p.Decide(0, round)
 		if len(decided) == 0 {
-			return total
+			return
 		}
 		for _, s := range decided {
 			p.Confirm(s.Worker, []fold.StartResult{{Task: s.Task.Task, Started: true}})
 		}
-		total += len(decided)
 	}
 }
 
@@ -167,13 +174,13 @@
 	defer server.Close()
 	remote := client.NewWorkers(client.NewHTTP(1)).Worker(server.URL)
 	ctx := context.Background()
-	if _, err := remote.Adopt(ctx, "entry", 1); err != nil {
+	if _, err := remote.Adopt(ctx, probeEntry, 1); err != nil {
 		return 0, err
 	}
 	var failed error
 	spent := processorTime(func() {
 		for range n {
-			if _, err := remote.Beat(ctx, fold.BeatRequest{Owner: "entry", Epoch: 1, Starts: true}); err != nil {
+			if _, err := remote.Beat(ctx, fold.BeatRequest{Owner: probeEntry, Epoch: 1, Starts: true}); err != nil {
 				failed = err
 			}
 		}
@@ -246,20 +253,20 @@
 func rowsOfJobs(n int) (float64, error) {
 	ctx := context.Background()
 	table := plat.NewMeter(plat.NewTable(), fold.BootClock{})
-	epoch, err := store.Replace(ctx, table, store.PoolPrefix+"pool", 0, owner.Unit{Owner: "entry"})
+	epoch, err := store.Replace(ctx, table, store.PoolPrefix+probePool, 0, owner.Unit{Owner: probeEntry})
 	if err != nil {
 		return 0, err
 	}
 	before := table.Stats().Total.Rows
 	for i := range n {
 		job := jobOf(i, 1)
-		index := store.JobIndex{Job: job, Parts: []fold.Part{{Pool: "pool", Count: 1}}}
-		if _, _, err := store.Accept(ctx, table, index, map[string]int64{"pool": epoch}); err != nil {
+		index := store.JobIndex{Job: job, Parts: []fold.Part{{Pool: probePool, Count: 1}}}
+		if _, _, err := store.Accept(ctx, table, index, map[string]int64{probePool: epoch}); err != nil {
 			return 0, err
 		}
 		for _, state := range []fold.Outcome{fold.Running, fold.Done} {
-			change := sched.Change{Status: fold.JobStatus{Job: job, Pool: "pool", State: state}}
-			if err := store.Record(ctx, table, "pool", epoch, []sched.Change{change}); err != nil {
+			change := sched.Change{Status: fold.JobStatus{Job: job, Pool: probePool, State: state}}
+			if err := store.Record(ctx, table, probePool, epoch, []sched.Change{change}); err != nil {
 				return 0, err
 			}
 		}
--- /dev/null
+++ b/fold/entry/fault_test.go
@@ -0,0 +1,269 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/audit"
+	"plantainfold.example/fold/plat"
+	"plantainfold.example/fold/worker"
+)
+
+// testClock follows the virtual time of a synctest bubble.
+type testClock struct{}
+
+func (testClock) Now() fold.Instant                      { return fold.Instant(time.Now().UnixNano()) }
+func (testClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// flakyWorker loses calls before or after they take effect, or holds them back.
+type flakyWorker struct {
+	fold.Worker
+
+	mu     sync.Mutex
+	random *rand.Rand
+	// lossy is the probability that a call is lost.
+	lossy float64
+}
+
+const callTime = time.Second
+
+// call passes a call on unless it is lost; a lost call takes the caller callTime.
+func call[T any](w *flakyWorker, fn func() (T, error)) (T, error) {
+	w.mu.Lock()
+	lost := w.random.Float64() < w.lossy
+	before := w.random.IntN(2) == 0
+	held := time.Duration(w.random.Int64N(int64(delayTime)))
+	w.mu.Unlock()
+	if !lost {
+		return fn()
+	}
+	if before {
+		// The call may still arrive after the caller has given up.
+		go func() {
+			time.Sleep(held)
+			_, _ = fn()
+		}()
+	} else {
+		_, _ = fn()
+	}
+	time.Sleep(callTime)
+	var zero T
+	return zero, fold.Unknown.New("lost call")
+}
+
+func (w *flakyWorker) setLossy(p float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lossy = p
+}
+
+func (w *flakyWorker) Adopt(ctx context.Context, owner string, epoch int64) (fold.Adoption, error) {
+	return call(w, func() (fold.Adoption, error) { return w.Worker.Adopt(ctx, owner, epoch) })
+}
+
+func (w *flakyWorker) Beat(ctx context.Context, r fold.BeatRequest) (fold.BeatReply, error) {
+	return call(w, func() (fold.BeatReply, error) { return w.Worker.Beat(ctx, r) })
+}
+
+func (w *flakyWorker) Start(ctx context.Context, epoch, session int64, tasks []fold.WorkerTask) ([]fold.StartResult, error) {
+	return call(w, func() ([]fold.StartResult, error) { return w.Worker.Start(ctx, epoch, session, tasks) })
+}
+
+func (w *flakyWorker) Stop(ctx context.Context, epoch int64, tasks []fold.StopRequest) error {
+	_, err := call(w, func() (struct{}, error) { return struct{}{}, w.Worker.Stop(ctx, epoch, tasks) })
+	return err
+}
+
+// testCell is one entry with workers in memory and in virtual time.
+type testCell struct {
+	entry   *Entry
+	table   *plat.Switch
+	real    map[string]*worker.Worker
+	flaky   map[string]*flakyWorker
+	history audit.History
+}
+
+var _ fold.Workers = &testCell{}
+
+// Worker returns the worker with the name; names serve as addresses.
+func (c *testCell) Worker(address string) fold.Worker {
+	return c.flaky[address]
+}
+
+var testCapacity = fold.Resources{CPU: 4000, Memory: 4096}
+
+func newTestCell(t *testing.T, random *rand.Rand) *testCell {
+	t.Helper()
+	clock := testClock{}
+	c := &testCell{table: plat.NewSwitch(clock), real: make(map[string]*worker.Worker), flaky: make(map[string]*flakyWorker)}
+	c.history.Capacity = make(map[string]fold.Resources)
+	fleet := plat.NewFleet()
+	for n := range 6 {
+		name := fmt.Sprintf("w%d", n)
+		c.real[name] = worker.New(name, testCapacity, clock)
+		c.flaky[name] = &flakyWorker{Worker: c.real[name], random: rand.New(rand.NewPCG(random.Uint64(), 0))}
+		c.history.Capacity[name] = testCapacity
+		fleet.Set(fold.Instance{
+			Name: name, Role: fold.RoleWorker, Address: name, Region: "r", Domain: "d",
+			Rack: fmt.Sprintf("rack%d", n/3), State: fold.Live, Capacity: testCapacity,
+		})
+	}
+	settings := Settings{Name: "e", Region: "r", Domain: "x", Listen: "127.0.0.1:1", Cellkey: "0123456789abcdef", Rootkey: "0123456789abcdef"}
+	c.entry = New(settings.WithDefaults(), Platform{
+		Table:   plat.NewFaultyTable(plat.NewTable(), c.table),
+		Objects: plat.NewObjects(),
+		Fleet:   fleet,
+		Workers: c,
+	}, clock, hclog.New(&hclog.LoggerOptions{Output: io.Discard}))
+	c.entry.Start(context.Background())
+	t.Cleanup(func() {
+		if err := c.entry.Close(); err != nil {
+			t.Error(err)
+		}
+		// Calls that are held back still arrive.
+		time.Sleep(delayTime)
+	})
+	return c
+}
+
+const testManifest = `{
+	"teams": [{"name": "crews", "share": 1, "limit": {"cpu": 16000, "memory": 16384}}],
+	"queues": [{"name": "nightly", "teams": ["crews"]}],
+	"pool": {"racks": 1},
+}`
+
+var (
+	testOperator = fold.Caller{KeyID: "root", Operator: true}
+	testCaller   = fold.Caller{KeyID: "k", Team: "crews"}
+)
+
+// await repeats fn once a second of virtual time until it succeeds.
+func await(t *testing.T, most time.Duration, fn func() error) {
+	t.Helper()
+	var err error
+	for range int(most / time.Second) {
+		if err = fn(); err == nil {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	t.Fatalf("not reached within %s of virtual time: %v", most, err)
+}
+
+func (c *testCell) apply(t *testing.T) {
+	t.Helper()
+	await(t, time.Minute, func() error {
+		_, err := c.entry.Apply(context.Background(), testOperator, 0, []byte(testManifest))
+		return err
+	})
+	c.history.Limits = append(c.history.Limits, audit.Limit{Team: "crews", Limit: fold.Resources{CPU: 16_000, Memory: 16_384}})
+}
+
+// submit submits a job until it is accepted, with other faults after each refusal, and records it.
+func (c *testCell) submit(t *testing.T, random *rand.Rand, j fold.Job) {
+	t.Helper()
+	var status fold.JobStatus
+	await(t, 10*time.Minute, func() error {
+		accepted, err := c.entry.Submit(context.Background(), testCaller, j)
+		status = accepted
+		if err != nil {
+			c.disturb(random)
+		}
+		return err
+	})
+	c.history.Jobs = append(c.history.Jobs, audit.Job{Job: status.Job, KeyTeam: "crews", At: testClock{}.Now(), Accepted: true})
+}
+
+// finish waits until all jobs have ended and checks the history.
+func (c *testCell) finish(t *testing.T) {
+	t.Helper()
+	for i, j := range c.history.Jobs {
+		await(t, 10*time.Minute, func() error {
+			s, err := c.entry.Job(context.Background(), testCaller, j.Job.ID)
+			if err == nil && !s.State.Ended() {
+				e, _ := c.entry.Explain(context.Background(), testCaller, j.Job.ID)
+				err = fold.Unavailable.New("job %s is %s: %d waiting, %d running: %s", j.Job.ID, s.State, s.Waiting, s.Running, e.Reason)
+			}
+			c.history.Jobs[i].Unknown = s.Unknown
+			return err
+		})
+	}
+	resources := make(map[string]fold.Resources)
+	for _, j := range c.history.Jobs {
+		resources[j.Job.ID] = j.Job.Resources
+	}
+	for _, w := range c.real {
+		for _, run := range w.Runs() {
+			c.history.Runs = append(c.history.Runs, audit.Run{
+				Worker: run.Worker, Task: run.Task, Resources: resources[run.Task.Job],
+				Begin: run.Begin, End: run.End, State: run.State,
+			})
+		}
+	}
+	c.history.Ended = true
+	for _, finding := range audit.Check(c.history) {
+		t.Error(finding)
+	}
+}
+
+// Guards against tasks that run in two places, are lost or exceed capacity or limit while answers of workers are lost,
+// calls arrive late, workers restart and the table service fails, alone and together.
+func TestWorkersAndTableFail(t *testing.T) {
+	const seeds = 40
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				c := newTestCell(t, random)
+				c.apply(t)
+				for n := range 12 {
+					c.submit(t, random, fold.Job{
+						ID: fmt.Sprint(n), Queue: "nightly", Kind: fold.Batch, Count: 4 + random.IntN(8),
+						Resources:  fold.Resources{CPU: 500 + random.Int64N(1500), Memory: 256},
+						Duration:   1000 + random.Int64N(40_000),
+						Retries:    3,
+						Idempotent: random.IntN(4) > 0,
+					})
+					c.disturb(random)
+					time.Sleep(time.Duration(random.Int64N(int64(15 * time.Second))))
+				}
+				c.heal()
+				c.finish(t)
+			})
+		})
+	}
+}
+
+// disturb sets random faults.
+func (c *testCell) disturb(random *rand.Rand) {
+	for n := range len(c.flaky) {
+		name := fmt.Sprintf("w%d", n)
+		switch random.IntN(6) {
+		case 0:
+			c.flaky[name].setLossy(1)
+		case 1:
+			c.flaky[name].setLossy(0.3)
+		case 2:
+			c.real[name].Restart()
+		default:
+			c.flaky[name].setLossy(0)
+		}
+	}
+	c.table.Set(plat.Fault{Down: random.IntN(8) == 0, Lost: random.IntN(8) == 0, Writes: random.IntN(8) == 0})
+}
+
+func (c *testCell) heal() {
+	for _, w := range c.flaky {
+		w.setLossy(0)
+	}
+	c.table.Set(plat.Fault{})
+}
--- a/fold/entry/layout.go
+++ b/fold/entry/layout.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"plantainfold.example/fold"
@@ -11,17 +12,37 @@
 
 // rackRow is the row rack/<domain>/<rack>: the pool to which a rack belongs for good, and its workers.
 type rackRow struct {
-	Region  string   `json:"region"`
-	Domain  string   `json:"domain"`
-	Rack    string   `json:"rack"`
-	Pool    string   `json:"pool"`
-	Workers []string `json:"workers"`
+	Region string `json:"region"`
+	Domain string `json:"domain"`
+	Rack   string `json:"rack"`
+	Pool   string `json:"pool"`
+	// Workers has the last known boot of each worker by name.
+	Workers map[string]string `json:"workers"`
 }
 
 func (r rackRow) key() string {
 	return rackKey(r.Domain, r.Rack)
 }
 
+// withWorker returns the row with the boot of a worker.
+func (r rackRow) withWorker(name, boot string) rackRow {
+	workers := maps.Clone(r.Workers)
+	if workers == nil {
+		workers = make(map[string]string)
+	}
+	workers[name] = boot
+	r.Workers = workers
+	return r
+}
+
+// withoutWorker returns the row without a worker.
+func (r rackRow) withoutWorker(name string) rackRow {
+	workers := maps.Clone(r.Workers)
+	delete(workers, name)
+	r.Workers = workers
+	return r
+}
+
 func rackKey(domain, rack string) string {
 	return store.RackPrefix + domain + "/" + rack
 }
@@ -58,19 +79,19 @@
 // poolOf returns the pool in which a worker is recorded, or "".
 func (l *layout) poolOf(in fold.Instance) string {
 	row := l.racks[rackKey(in.Domain, in.Rack)]
-	if !slices.Contains(row.Workers, in.Name) {
+	if _, recorded := row.Workers[in.Name]; !recorded {
 		return ""
 	}
 	return row.Pool
 }
 
-// workersOf returns the names of the workers recorded in a pool.
-func (l *layout) workersOf(pool string) []string {
-	var names []string
+// workersOf returns the workers recorded in a pool with their boots.
+func (l *layout) workersOf(pool string) map[string]string {
+	workers := make(map[string]string)
 	for _, rack := range l.pools[pool] {
-		names = append(names, rack.Workers...)
+		maps.Copy(workers, rack.Workers)
 	}
-	return names
+	return workers
 }
 
 // unrecorded returns the rows to write so that all listed workers are recorded. A new rack goes to the first pool of its
@@ -88,7 +109,7 @@
 			row = l.rowFor(in)
 			order = append(order, key)
 		}
-		row.Workers = append(slices.Clone(row.Workers), in.Name)
+		row = row.withWorker(in.Name, "")
 		changed[key] = row
 	}
 	rows := make([]rackRow, 0, len(order))
--- a/fold/entry/link.go
+++ b/fold/entry/link.go
@@ -32,6 +32,8 @@
 	removed  bool
 
 	adopted bool
+	// boot is what the worker told when it was adopted last in this epoch.
+	boot    string
 	session int64
 	// seen is the highest event that the scheduler has taken, acked the highest whose effect is recorded.
 	seen  int64
@@ -113,10 +115,10 @@
 		return
 	}
 	if !l.isAdopted() {
+		l.dropLapsed()
 		if standing {
 			l.adopt(ctx)
 		}
-		l.dropLapsed()
 		return
 	}
 	if l.pause() == 0 {
@@ -188,15 +190,30 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.adopted = true
+	l.renewed = p.entry.clock.Now()
 	l.session = adoption.Session
+	// A worker that was restarted counts its events from the start again.
+	l.seen, l.acked = 0, 0
 	// The scheduler takes starts that are still queued as not run.
 	l.starts = nil
+	p.doubt(l, adoption)
 	p.sched.Adopt(p.entry.clock.Now(), nodeOf(l.instance), adoption)
 	p.sched.SetLeaving(l.instance.Name, l.instance.State == fold.Leaving)
 	l.observe(adoption.Events)
 	p.poke()
 }
 
+// doubt tells the scheduler which tasks may have run without a trace; p.mu is held.
+func (p *pool) doubt(l *link, a fold.Adoption) {
+	if a.Boot == "" || a.Boot != l.boot {
+		p.sched.DoubtStarts(l.instance.Name)
+	}
+	if recorded, known := p.recorded[l.instance.Name]; l.boot == "" && known && (a.Boot == "" || a.Boot != recorded) {
+		p.sched.DoubtOld()
+	}
+	l.boot = a.Boot
+}
+
 // sendStarts starts the queued tasks. When the outcome is not known, the worker is adopted again, which settles it.
 func (l *link) sendStarts(ctx context.Context) {
 	p := l.pool
--- a/fold/entry/pool.go
+++ b/fold/entry/pool.go
@@ -42,8 +42,8 @@
 	links      map[string]*link
 	allotments map[string]*allotment
 	members    map[string]fold.Instance
-	// recorded are the workers on which an earlier owner may have started tasks.
-	recorded []string
+	// recorded are the workers on which an earlier owner may have started tasks, with the last boot that was recorded.
+	recorded map[string]string
 	// incoming are parts that entries told of and that are not read yet.
 	incoming map[string]bool
 	// stood is when the entry was last seen to have standing.
@@ -127,6 +127,9 @@
 func (p *pool) finish(ctx context.Context) {
 	p.close()
 	p.flush(ctx)
+	if err := p.entry.recordBoots(ctx, p); err != nil {
+		p.log.Warn("Cannot record the workers. The next owner may report work as unknown.", "error", err)
+	}
 }
 
 // poke asks for a round of decisions.
@@ -169,12 +172,16 @@
 func (p *pool) updateHeld() {
 	wait := p.entry.settings.Keep.Std() + 2*sched.TaskLease + 2*sessionTime + evidenceTime
 	held := p.entry.clock.Now().Sub(p.began) < wait
-	p.sched.SetHeld(held && !p.allAdopted())
+	adopted := p.allAdopted()
+	if !held && !adopted {
+		p.sched.DoubtOld()
+	}
+	p.sched.SetHeld(held && !adopted)
 }
 
 // allAdopted reports whether every worker on which an earlier owner may have started tasks is adopted; p.mu is held.
 func (p *pool) allAdopted() bool {
-	for _, name := range p.recorded {
+	for name := range p.recorded {
 		if l, ok := p.links[name]; !ok || !l.adopted {
 			return false
 		}
--- a/fold/entry/pools.go
+++ b/fold/entry/pools.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"slices"
+	"maps"
 	"strings"
 	"time"
 
@@ -93,7 +93,9 @@
 	members := membersOf(l, *e.instances.Load())
 	for _, p := range e.allPools() {
 		p.setMembers(members[p.id])
-		p.setRecorded(slices.DeleteFunc(l.workersOf(p.id), e.isGone))
+		recorded := l.workersOf(p.id)
+		maps.DeleteFunc(recorded, func(name, _ string) bool { return e.isGone(name) })
+		p.setRecorded(recorded)
 	}
 }
 
--- a/fold/entry/racks.go
+++ b/fold/entry/racks.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"slices"
+	"maps"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -29,7 +29,7 @@
 	if err := e.recordWorkers(ctx, layout); err != nil {
 		return err
 	}
-	if err := e.pruneWorkers(ctx, layout); err != nil {
+	if err := e.reviewWorkers(ctx, layout); err != nil {
 		return err
 	}
 	specs := layout.specs()
@@ -57,26 +57,56 @@
 	return nil
 }
 
-// pruneWorkers removes workers that are gone from the rows of pools that this entry owns.
-func (e *Entry) pruneWorkers(ctx context.Context, l *layout) error {
+// reviewWorkers brings the rows of pools that this entry owns up to date.
+func (e *Entry) reviewWorkers(ctx context.Context, l *layout) error {
 	e.noteUnlisted(l)
 	for _, p := range e.allPools() {
-		for _, rack := range l.pools[p.id] {
-			kept := slices.DeleteFunc(slices.Clone(rack.Workers), func(name string) bool {
-				return e.isGone(name) && !p.holds(name)
-			})
-			if len(kept) == len(rack.Workers) {
-				continue
-			}
-			rack.Workers = kept
-			if err := e.writeRack(ctx, l, rack); err != nil {
-				return err
-			}
+		if err := e.reviewPool(ctx, l, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *Entry) reviewPool(ctx context.Context, l *layout, p *pool) error {
+	for _, rack := range l.pools[p.id] {
+		next := e.reviewRack(p, rack)
+		if maps.Equal(next.Workers, rack.Workers) {
+			continue
+		}
+		if err := e.writeRack(ctx, l, next); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// recordBoots writes what the pool knows of its workers, so that the next owner does not doubt work of this one.
+func (e *Entry) recordBoots(ctx context.Context, p *pool) error {
+	e.racksMu.Lock()
+	defer e.racksMu.Unlock()
+	rows, err := store.Scan[rackRow](ctx, e.table, store.RackPrefix)
+	if err != nil {
+		return err
+	}
+	return e.reviewPool(ctx, newLayout(rows, 1), p)
+}
+
+// reviewRack returns the row of a rack without workers that are gone and with the boots of those that are adopted.
+func (e *Entry) reviewRack(p *pool, rack rackRow) rackRow {
+	next := rack
+	for name, recorded := range rack.Workers {
+		boot, held := p.boot(name)
+		switch {
+		case e.isGone(name) && !held:
+			next = next.withoutWorker(name)
+		case boot != "" && boot != recorded:
+			next = next.withWorker(name, boot)
+		}
+	}
+	return next
+}
+
 // writeRack replaces the row of a rack; a row that another entry has changed is left to the next round.
 func (e *Entry) writeRack(ctx context.Context, l *layout, row rackRow) error {
 	version, err := store.Replace(ctx, e.table, row.key(), l.versions[row.key()], row)
@@ -98,7 +128,7 @@
 	}
 	unlisted := make(map[string]fold.Instant)
 	for _, rack := range l.racks {
-		for _, name := range rack.Workers {
+		for name := range rack.Workers {
 			if listed[name] {
 				continue
 			}
--- a/fold/entry/records.go
+++ b/fold/entry/records.go
@@ -30,10 +30,7 @@
 func (p *pool) flush(ctx context.Context) {
 	p.mu.Lock()
 	changes := p.sched.Changes(maxChanges)
-	seen := make(map[*link]int64, len(p.links))
-	for _, l := range p.links {
-		seen[l] = l.seen
-	}
+	seen := p.seenEvents()
 	p.mu.Unlock()
 	if len(changes) == 0 {
 		p.acknowledge(seen)
@@ -60,11 +57,30 @@
 	}
 }
 
-func (p *pool) acknowledge(seen map[*link]int64) {
+// seenEvent is the last event that was taken from a worker in a session.
+type seenEvent struct {
+	link     *link
+	session  int64
+	sequence int64
+}
+
+// seenEvents returns the last events taken from each worker; p.mu is held.
+func (p *pool) seenEvents() []seenEvent {
+	seen := make([]seenEvent, 0, len(p.links))
+	for _, l := range p.links {
+		seen = append(seen, seenEvent{link: l, session: l.session, sequence: l.seen})
+	}
+	return seen
+}
+
+// acknowledge lets workers forget events, unless they were adopted again since, which may have renumbered them.
+func (p *pool) acknowledge(seen []seenEvent) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for l, sequence := range seen {
-		l.acked = max(l.acked, sequence)
+	for _, s := range seen {
+		if s.link.session == s.session {
+			s.link.acked = max(s.link.acked, s.sequence)
+		}
 	}
 }
 
@@ -96,16 +112,19 @@
 }
 
 // setRecorded sets the workers that must be adopted before work of an earlier owner may start.
-func (p *pool) setRecorded(recorded []string) {
+func (p *pool) setRecorded(recorded map[string]string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.recorded = recorded
 }
 
-// holds reports whether the pool still counts on a worker.
-func (p *pool) holds(name string) bool {
+// boot returns what a worker told when it was adopted, and whether the pool still counts on the worker.
+func (p *pool) boot(name string) (string, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, ok := p.links[name]
-	return ok
+	l, ok := p.links[name]
+	if !ok {
+		return "", false
+	}
+	return l.boot, true
 }
--- a/fold/worker.go
+++ b/fold/worker.go
@@ -30,7 +30,10 @@
 
 // Adoption is a worker's answer to a new owner.
 type Adoption struct {
-	Session  int64        `json:"session"`
+	Session int64 `json:"session"`
+	// Boot is a new value after each restart of the worker. While it stays the same, a task that the worker neither runs
+	// nor reports as ended was never started there. Empty proves nothing.
+	Boot     string       `json:"boot"`
 	Capacity Resources    `json:"capacity"`
 	Tasks    []WorkerTask `json:"tasks"`
 	// Events are the ends of tasks that no owner has acknowledged.
--- a/fold/worker/control.go
+++ b/fold/worker/control.go
@@ -1,6 +1,8 @@
 package worker
 
 import (
+	"github.com/google/uuid"
+
 	"plantainfold.example/fold"
 )
 
@@ -39,6 +41,7 @@
 	w.events = nil
 	w.sequence = 0
 	w.owner = ""
+	w.boot = uuid.NewString()
 	w.epoch = 0
 	clear(w.past)
 	w.session = max(w.session+1, sessionBase(now))
--- a/fold/worker/worker.go
+++ b/fold/worker/worker.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"plantainfold.example/fold"
 )
 
@@ -54,6 +56,7 @@
 	used     fold.Resources
 	owner    string
 	epoch    int64
+	boot     string
 	session  int64
 	renewed  fold.Instant
 	tasks    map[fold.TaskID]running
@@ -80,6 +83,7 @@
 		name:     name,
 		capacity: capacity,
 		clock:    clock,
+		boot:     uuid.NewString(),
 		fails:    func(fold.TaskID) bool { return false },
 		tasks:    make(map[fold.TaskID]running),
 		past:     make(map[fold.TaskID]int),
@@ -103,7 +107,7 @@
 	w.epoch = epoch
 	w.openSession()
 	w.renewed = now
-	adoption := fold.Adoption{Session: w.session, Capacity: w.capacity, Events: slices.Clone(w.events)}
+	adoption := fold.Adoption{Session: w.session, Boot: w.boot, Capacity: w.capacity, Events: slices.Clone(w.events)}
 	for _, held := range w.tasks {
 		adoption.Tasks = append(adoption.Tasks, held.task)
 	}
