Settle lost and late commits by a row of the writer

Cause: faults found in group commit and settling. - A lost reply was read back by the first row only, so a key grant that lost the race for config/head with an equal manifest was reported as done although its key row was absent. - After a lost reply, a later refusal of the full queue was passed on as not run although the first try may have been applied. - A commit that the table service held back could land after a later one of the same entry and bring back the part of an ended job. - A transaction was still sent after its caller was told that its deadline had passed; Close cancelled the commit under way. - A failed check made each transaction of the batch a commit of its own, outside the budget; a burst of 10 beside 20/s allowed 30 in a second. - Accept called a retried submit not run when the index was unreadable.

Change: each commit checks and writes writer/<name> {incarnation, sequence}, one commit at a time, so one read settles a lost reply and late commits fail their check. The settling moves below the group. Waiting transactions are withdrawn at their deadline. A breaker around the table judges reads and writes apart and sends one probe after 0.25 to 1 s with jitter.

Conclusion: acknowledged transactions are applied once, refused ones not.

--- a/fold/client/call.go
+++ b/fold/client/call.go
@@ -80,7 +80,7 @@
 	case http.StatusNotFound:
 		return fold.Refuse(fold.NotFound, "check the key", "%s", text)
 	case http.StatusConflict:
-		return fold.Refuse(fold.Conflict, "read again and retry", "%s", text)
+		return conflictOn(body)
 	default:
 		return fold.Unknown.New("%s %s: status %d: %s", method, url, status, text)
 	}
--- a/fold/client/table.go
+++ b/fold/client/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -44,3 +45,14 @@
 	}](ctx, t.http, http.MethodPost, t.base+"/v1/table/commit", txn)
 	return out.Version, err
 }
+
+// conflictOn returns the conflict that the body of a 409 names.
+func conflictOn(body []byte) error {
+	var refused struct {
+		Key string `json:"key"`
+	}
+	if json.Unmarshal(body, &refused) != nil || refused.Key == "" {
+		return fold.Refuse(fold.Conflict, "read again and retry", "%s", body[:min(len(body), maxErrorText)])
+	}
+	return fold.ConflictOn(refused.Key)
+}
--- a/fold/entry/entry.go
+++ b/fold/entry/entry.go
@@ -60,12 +60,13 @@
 
 // New returns an entry that does nothing until Start.
 func New(s Settings, p Platform, clock fold.Clock, log hclog.Logger) *Entry {
-	group := store.NewGroup(p.Table)
 	incarnation := uuid.NewString()
+	breaker := store.NewBreaker(p.Table, clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	group := store.NewGroup(store.NewSettled(breaker, s.Name, incarnation))
 	e := &Entry{
 		settings: s,
 		platform: p,
-		table:    store.NewSettled(group),
+		table:    group,
 		group:    group,
 		clock:    clock,
 		log:      log,
--- a/fold/plat/handler.go
+++ b/fold/plat/handler.go
@@ -113,6 +113,11 @@
 	return false
 }
 
+// conflict is the body of a refused commit.
+type conflict struct {
+	Key string `json:"key"`
+}
+
 func answer(w http.ResponseWriter, v any, err error) {
 	switch {
 	case err == nil:
@@ -121,7 +126,9 @@
 	case errorx.IsOfType(err, fold.NotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
 	case errorx.IsOfType(err, fold.Conflict):
-		http.Error(w, err.Error(), http.StatusConflict)
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusConflict)
+		_ = json.NewEncoder(w).Encode(conflict{fold.ConflictKey(err)})
 	default:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	}
--- a/fold/plat/table.go
+++ b/fold/plat/table.go
@@ -62,7 +62,7 @@
 	for _, check := range txn.Checks {
 		row, _ := t.rows.Get(fold.Row{Key: check.Key})
 		if row.Version != check.Version {
-			return 0, fold.Refuse(fold.Conflict, "read the row again and retry", "row %q changed", check.Key)
+			return 0, fold.ConflictOn(check.Key)
 		}
 	}
 	t.version++
--- a/fold/store/group.go
+++ b/fold/store/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -13,18 +14,19 @@
 
 // Limits of group commit.
 const (
-	// CommitsPerSecond is an entry's write budget.
-	CommitsPerSecond = 20
-	// CommitBurst is how many commits may follow each other without waiting.
-	CommitBurst = 10
+	// CommitsPerSecond is an entry's write budget: no second has more commits. A token bucket lets its burst and one
+	// second's refill through within a second, so the two add up to the budget.
+	CommitsPerSecond = commitRate + commitBurst
+	commitRate       = 16
+	commitBurst      = 4
 	// maxRows bounds the rows of one merged commit.
 	maxRows = 128
 	// maxQueued bounds the transactions that wait.
 	maxQueued  = 4096
-	commitTime = 2 * time.Second
+	commitTime = 3 * time.Second
 )
 
-// Group is a Table that merges transactions which wait at the same time into one commit.
+// Group is a Table that merges transactions which wait at the same time into one commit. It sends one commit at a time.
 type Group struct {
 	fold.Table
 	limiter *rate.Limiter
@@ -39,17 +41,29 @@
 // pending is a transaction that waits for its commit.
 type pending struct {
 	txn     fold.Txn
+	ctx     context.Context
+	claimed atomic.Bool
 	version int64
 	err     error
 	done    chan struct{}
 }
 
+// claim decides once whether the transaction is sent or given up; it returns false if that was decided before.
+func (p *pending) claim() bool {
+	return p.claimed.CompareAndSwap(false, true)
+}
+
+func (p *pending) finish(version int64, err error) {
+	p.version, p.err = version, err
+	close(p.done)
+}
+
 // NewGroup returns a Table that commits through t in groups; Close must be called.
 func NewGroup(t fold.Table) *Group {
 	stop, cancel := context.WithCancel(context.Background())
 	g := &Group{
 		Table:   t,
-		limiter: rate.NewLimiter(CommitsPerSecond, CommitBurst),
+		limiter: rate.NewLimiter(commitRate, commitBurst),
 		queue:   make(chan *pending, maxQueued),
 		stop:    stop,
 		cancel:  cancel,
@@ -59,9 +73,10 @@
 	return g
 }
 
-// Commit applies t together with others; the outcome is that of its own checks.
+// Commit applies t together with others; the outcome is that of its own checks. An Unavailable error means that t was
+// not sent.
 func (g *Group) Commit(ctx context.Context, t fold.Txn) (int64, error) {
-	p := &pending{txn: t, done: make(chan struct{})}
+	p := &pending{txn: t, ctx: ctx, done: make(chan struct{})}
 	select {
 	case g.queue <- p:
 	default:
@@ -71,13 +86,31 @@
 	case <-p.done:
 		return p.version, p.err
 	case <-ctx.Done():
-		return 0, fold.Unknown.Wrap(ctx.Err(), "commit")
+		return p.giveUp(ctx)
 	case <-g.stop.Done():
-		return 0, fold.Unknown.New("commit: entry is stopping")
+		return p.giveUp(ctx)
+	}
+}
+
+// giveUp withdraws a transaction that was not sent yet. One under way is waited for until ctx ends.
+func (p *pending) giveUp(ctx context.Context) (int64, error) {
+	if p.claim() {
+		return 0, fold.Refuse(fold.Unavailable, "retry later", "the transaction was not sent in time")
+	}
+	select {
+	case <-p.done:
+		return p.version, p.err
+	default:
+	}
+	select {
+	case <-p.done:
+		return p.version, p.err
+	case <-ctx.Done():
+		return 0, fold.Unknown.Wrap(ctx.Err(), "commit")
 	}
 }
 
-// Close stops the commits and waits for the one under way.
+// Close stops the commits and waits for the one under way; transactions that wait are not sent.
 func (g *Group) Close() error {
 	g.cancel()
 	g.done.Wait()
@@ -98,100 +131,89 @@
 		if g.limiter.Wait(g.stop) != nil {
 			return
 		}
-		batch := []*pending{next}
-		batch, next = g.fill(batch)
+		var batch []*pending
+		batch, next = g.fill(next)
 		g.commit(batch)
 	}
 }
 
-// fill adds waiting transactions that touch other rows; the first that does not fit begins the next batch.
-func (g *Group) fill(batch []*pending) ([]*pending, *pending) {
+// fill claims waiting transactions that touch other rows; the first that does not fit begins the next batch.
+func (g *Group) fill(first *pending) ([]*pending, *pending) {
 	merged := newMerge()
-	merged.add(batch[0].txn)
-	for {
-		select {
-		case p := <-g.queue:
-			if !merged.add(p.txn) {
-				return batch, p
-			}
+	var batch []*pending
+	for p := first; ; {
+		if p.ctx.Err() == nil && !merged.fits(p.txn) {
+			return batch, p
+		}
+		if p.ctx.Err() == nil && p.claim() {
+			merged.add(p.txn)
 			batch = append(batch, p)
+		}
+		select {
+		case p = <-g.queue:
 		default:
 			return batch, nil
 		}
 	}
 }
 
+// commit sends a batch. A failed check refuses the whole commit; then the transactions with that check are refused and
+// the rest is sent again within the budget.
 func (g *Group) commit(batch []*pending) {
-	var txn fold.Txn
-	for _, p := range batch {
-		txn.Checks = append(txn.Checks, p.txn.Checks...)
-		txn.Puts = append(txn.Puts, p.txn.Puts...)
-		txn.Deletes = append(txn.Deletes, p.txn.Deletes...)
-	}
-	version, err := g.send(txn)
-	if errorx.IsOfType(err, fold.Conflict) && len(batch) > 1 {
-		// One failed check refuses the whole commit, so each transaction is tried by itself.
+	for len(batch) > 0 {
+		version, err := g.send(batch)
+		if !errorx.IsOfType(err, fold.Conflict) || len(batch) == 1 {
+			for _, p := range batch {
+				p.finish(version, err)
+			}
+			return
+		}
+		var rest []*pending
 		for _, p := range batch {
-			p.version, p.err = g.send(p.txn)
-			close(p.done)
+			if checks(p.txn, fold.ConflictKey(err)) {
+				p.finish(0, err)
+				continue
+			}
+			rest = append(rest, p)
+		}
+		if len(rest) == len(batch) {
+			g.commitEach(batch)
+			return
 		}
-		return
+		batch = rest
+		_ = g.limiter.Wait(context.Background())
 	}
+}
+
+// commitEach sends transactions one by one, for a conflict that does not name the row.
+func (g *Group) commitEach(batch []*pending) {
 	for _, p := range batch {
-		p.version, p.err = version, err
-		close(p.done)
+		_ = g.limiter.Wait(context.Background())
+		p.finish(g.send([]*pending{p}))
 	}
 }
 
-func (g *Group) send(txn fold.Txn) (int64, error) {
-	ctx, cancel := context.WithTimeout(g.stop, commitTime)
+// send commits a batch even while the group is closing, because its outcome would not be known otherwise.
+func (g *Group) send(batch []*pending) (int64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), commitTime)
 	defer cancel()
+	if len(batch) == 1 {
+		return g.Table.Commit(ctx, batch[0].txn)
+	}
+	var txn fold.Txn
+	for _, p := range batch {
+		txn.Checks = append(txn.Checks, p.txn.Checks...)
+		txn.Puts = append(txn.Puts, p.txn.Puts...)
+		txn.Deletes = append(txn.Deletes, p.txn.Deletes...)
+	}
 	return g.Table.Commit(ctx, txn)
 }
 
-// merge tracks the rows of transactions that are to form one commit.
-type merge struct {
-	written map[string]bool
-	checked map[string]int64
-	rows    int
-}
-
-func newMerge() *merge {
-	return &merge{written: make(map[string]bool), checked: make(map[string]int64)}
-}
-
-// add reports whether the transaction is independent of those added before and fits the size of a commit.
-func (m *merge) add(t fold.Txn) bool {
-	rows := len(t.Puts) + len(t.Deletes)
-	if m.rows > 0 && m.rows+rows > maxRows {
-		return false
-	}
+func checks(t fold.Txn, key string) bool {
 	for _, c := range t.Checks {
-		version, seen := m.checked[c.Key]
-		if m.written[c.Key] || (seen && version != c.Version) {
-			return false
-		}
-	}
-	writes := keysOf(t)
-	for _, key := range writes {
-		if _, checked := m.checked[key]; m.written[key] || checked {
-			return false
+		if c.Key == key {
+			return true
 		}
 	}
-	for _, c := range t.Checks {
-		m.checked[c.Key] = c.Version
-	}
-	for _, key := range writes {
-		m.written[key] = true
-	}
-	m.rows += rows
-	return true
-}
-
-func keysOf(t fold.Txn) []string {
-	keys := make([]string, 0, len(t.Puts)+len(t.Deletes))
-	for _, p := range t.Puts {
-		keys = append(keys, p.Key)
-	}
-	return append(keys, t.Deletes...)
+	return false
 }
--- a/fold/store/jobs.go
+++ b/fold/store/jobs.go
@@ -54,7 +54,11 @@
 	if errorx.IsOfType(getErr, fold.NotFound) {
 		return index, false, fold.Refuse(fold.Unavailable, "send the job again", "pool %s has a new owner", pool)
 	}
-	return earlier.Value, false, getErr
+	if getErr != nil {
+		// The conflict may come from the same job, accepted before, so the refusal must not say that it does not run.
+		return index, false, fold.Unknown.Wrap(getErr, "read the earlier job %s", j.ID)
+	}
+	return earlier.Value, false, nil
 }
 
 // Record writes what changed of the jobs of a pool that the caller owns at the epoch. The part of an ended job is
