--- a/fold/store/jobs.go
+++ b/fold/store/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -18,6 +19,8 @@
 	Failed int              `json:"failed,omitempty"`
 	Lost   int              `json:"lost,omitempty"`
 	Places []fold.Placement `json:"places,omitempty"`
+	// EndedAt is when the end was recorded, in milliseconds since the Unix epoch.
+	EndedAt int64 `json:"endedat,omitempty"`
 }
 
 // JobPart is the row job/<pool>/<id>: the part of a job that the pool runs.
@@ -64,14 +67,15 @@
 // Record writes what changed of the jobs of a pool that the caller owns at the epoch. The part of an ended job is
 // deleted and its outcome moves to the index.
 func Record(ctx context.Context, t fold.Table, pool string, epoch int64, changes []sched.Change) error {
+	now := time.Now()
 	txn := fold.Txn{Checks: []fold.Check{{Key: PoolPrefix + pool, Version: epoch}}}
 	for _, c := range changes {
 		if c.Status.State.Ended() {
-			put, err := PutOf(IndexPrefix+c.Status.Job.ID, endedIndex(pool, c.Status))
+			puts, err := endedRows(pool, c.Status, now)
 			if err != nil {
 				return err
 			}
-			txn.Puts = append(txn.Puts, put)
+			txn.Puts = append(txn.Puts, puts...)
 			txn.Deletes = append(txn.Deletes, JobKey(pool, c.Status.Job.ID))
 			continue
 		}
@@ -85,8 +89,16 @@
 	return err
 }
 
-func endedIndex(pool string, s fold.JobStatus) JobIndex {
-	return JobIndex{Pool: pool, Job: s.Job, Ended: s.State, Done: s.Done, Failed: s.Failed, Lost: s.Unknown, Places: s.Places}
+// endedRows returns the index row of an ended job and the row by which it is cleaned up later.
+func endedRows(pool string, s fold.JobStatus, now time.Time) ([]fold.Put, error) {
+	index, err := PutOf(IndexPrefix+s.Job.ID, JobIndex{
+		Pool: pool, Job: s.Job, Ended: s.State, Done: s.Done, Failed: s.Failed, Lost: s.Unknown, Places: s.Places, EndedAt: now.UnixMilli(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	old, err := PutOf(endedKey(pool, now.UnixMilli(), s.Job.ID), endedRow{ID: s.Job.ID, EndedAt: now.UnixMilli()})
+	return []fold.Put{index, old}, err
 }
 
 // Status returns the status of a job that has ended.
