--- a/fold/entry/jobs.go
+++ b/fold/entry/jobs.go
@@ -197,7 +197,7 @@
 	}
 	_ = calls.Wait()
 	if slices.ContainsFunc(failed, func(err error) bool { return err != nil }) {
-		ended, err := store.Ended(ctx, e.table, x.Job.ID)
+		ended, err := store.Ended(ctx, e.table, x.Job)
 		if err != nil {
 			return jobAnswer{}, err
 		}
--- a/fold/entry/pool.go
+++ b/fold/entry/pool.go
@@ -49,9 +49,10 @@
 	// stood is when the entry was last seen to have standing.
 	stood fold.Instant
 
-	// searched and flushed belong to the loop of the table service.
+	// These belong to the loop of the table service.
 	searched fold.Instant
 	flushed  fold.Instant
+	cleaned  fold.Instant
 
 	decisions chan struct{}
 	records   chan struct{}
--- a/fold/entry/records.go
+++ b/fold/entry/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/store"
@@ -24,6 +25,17 @@
 		p.flushed = now
 		p.flush(ctx)
 	}
+	if now := p.entry.clock.Now(); now.Sub(p.cleaned) >= store.CleanPeriod {
+		p.cleaned = now
+		p.clean(ctx)
+	}
+}
+
+// clean removes the rows of jobs that ended long ago.
+func (p *pool) clean(ctx context.Context) {
+	if _, err := store.CleanEnded(ctx, p.entry.table, p.id, p.epoch, time.Now()); err != nil {
+		p.log.Warn("Cannot remove the rows of ended jobs. Trying again later.", "error", err)
+	}
 }
 
 // flush records changed jobs, then lets workers forget the events behind them.
--- a/fold/store/jobs.go
+++ b/fold/store/jobs.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -11,8 +13,8 @@
 	"plantainfold.example/fold/sched"
 )
 
-// EndedPrefix is the prefix of the rows ended/<job>/<pool>.
-const EndedPrefix = "ended/"
+// OutcomePrefix is the prefix of the rows outcome/<job>/<accepted>/<pool>.
+const OutcomePrefix = "outcome/"
 
 // JobIndex is the row jobid/<id>: the job and the pools that run its parts.
 type JobIndex struct {
@@ -31,9 +33,20 @@
 	return JobPrefix + pool + "/" + id
 }
 
-// EndedKey returns the key of the outcome of a job part.
-func EndedKey(id, pool string) string {
-	return EndedPrefix + id + "/" + pool
+// JobOutcome is the row outcome/<id>/<accepted>/<pool>: how the part of a job ended.
+type JobOutcome struct {
+	Status fold.JobStatus `json:"status"`
+	// EndedAt is when the end was recorded, in milliseconds since the Unix epoch.
+	EndedAt int64 `json:"endedat"`
+}
+
+// OutcomeKey returns the key of the outcome of a job part. The time of accept tells apart jobs of the same id.
+func OutcomeKey(j fold.Job, pool string) string {
+	return outcomesOf(j.ID, j.Accepted) + pool
+}
+
+func outcomesOf(id string, accepted int64) string {
+	return fmt.Sprintf("%s%s/%016x/", OutcomePrefix, id, accepted)
 }
 
 // ErrPoolMoved says that a pool got another owner, so that a write for it was refused.
@@ -51,10 +64,15 @@
 		return x, err == nil, err
 	}
 	earlier, err := Get[JobIndex](ctx, t, IndexPrefix+x.Job.ID)
-	if errorx.IsOfType(err, fold.NotFound) {
+	switch {
+	case errorx.IsOfType(err, fold.NotFound):
 		return x, false, fold.Unavailable.Wrap(ErrPoolMoved, "accept job %s", x.Job.ID)
+	case err != nil:
+		// The conflict may come from the same job, accepted before, so the refusal must not say that it does not run.
+		return x, false, fold.Unknown.Wrap(err, "read the earlier job %s", x.Job.ID)
+	default:
+		return earlier.Value, false, nil
 	}
-	return earlier.Value, false, err
 }
 
 func acceptTxn(x JobIndex, epochs map[string]int64) (fold.Txn, error) {
@@ -77,15 +95,16 @@
 // Record writes what changed of the jobs of a pool that the caller owns at the epoch. The row of an ended part is
 // replaced by its outcome.
 func Record(ctx context.Context, t fold.Table, pool string, epoch int64, changes []sched.Change) error {
+	now := time.Now().UnixMilli()
 	txn := fold.Txn{Checks: []fold.Check{{Key: PoolPrefix + pool, Version: epoch}}}
 	for _, c := range changes {
 		id := c.Status.Job.ID
 		if c.Status.State.Ended() {
-			put, err := PutOf(EndedKey(id, pool), c.Status)
+			puts, err := endedRows(pool, c.Status, now)
 			if err != nil {
 				return err
 			}
-			txn.Puts = append(txn.Puts, put)
+			txn.Puts = append(txn.Puts, puts...)
 			txn.Deletes = append(txn.Deletes, JobKey(pool, id))
 			continue
 		}
@@ -99,15 +118,25 @@
 	return err
 }
 
+// endedRows returns the outcome of an ended part and the row by which it is cleaned up later.
+func endedRows(pool string, s fold.JobStatus, now int64) ([]fold.Put, error) {
+	outcome, err := PutOf(OutcomeKey(s.Job, pool), JobOutcome{Status: s, EndedAt: now})
+	if err != nil {
+		return nil, err
+	}
+	listed, err := PutOf(endedKey(pool, now, s.Job.ID), endedRow{ID: s.Job.ID, Accepted: s.Job.Accepted, EndedAt: now})
+	return []fold.Put{outcome, listed}, err
+}
+
 // Ended returns the outcomes of the parts of a job that have ended, by pool.
-func Ended(ctx context.Context, t fold.Table, id string) (map[string]fold.JobStatus, error) {
-	rows, err := Scan[fold.JobStatus](ctx, t, EndedPrefix+id+"/")
+func Ended(ctx context.Context, t fold.Table, j fold.Job) (map[string]fold.JobStatus, error) {
+	rows, err := Scan[JobOutcome](ctx, t, outcomesOf(j.ID, j.Accepted))
 	if err != nil {
 		return nil, err
 	}
 	ended := make(map[string]fold.JobStatus, len(rows))
 	for _, row := range rows {
-		ended[row.Value.Pool] = row.Value
+		ended[row.Value.Status.Pool] = row.Value.Status
 	}
 	return ended, nil
 }
