Bound the queues of overloaded accounts and test overload in virtual time

Cause: nothing measured overload. The first model run showed three faults of the new router: one retry budget for everything refused 2.8% of requests at 0.8x load, although a refusal by an endpoint costs no run; a standing queue added up to 440 ms of waiting without goodput; pauses of up to 1 s after refusals left some entries without their part of the slots, so small accounts were refused 2 to 4%.

--- a/fold/admit/queue.go
+++ b/fold/admit/queue.go
@@ -24,15 +24,6 @@
 	spot   *list.Element
 }
 
-// lane holds the waiting requests of one account.
-type lane struct {
-	account string
-	share   float64
-	// used is the account's turns divided by its share; the lane with the least has the next turn.
-	used           float64
-	urgent, normal list.List
-}
-
 // Queue gives turns to accounts in proportion to their shares. It is not safe for concurrent use.
 type Queue[T any] struct {
 	lanes  map[string]*lane
@@ -55,7 +46,7 @@
 
 // Push adds a request of an account with a share, or returns an Overload error when too many of the account wait.
 // Urgent requests go before others of their account, so that no account gains turns by calling its requests urgent.
-func (q *Queue[T]) Push(account string, share float64, urgent bool, value T) (*Ticket[T], error) {
+func (q *Queue[T]) Push(now fold.Instant, account string, share float64, urgent bool, value T) (*Ticket[T], error) {
 	l := q.lane(account, share)
 	if l == nil {
 		return nil, fold.Refuse(fold.Overload, "retry later", "requests of %d accounts wait", maxLanes)
@@ -64,15 +55,15 @@
 		return nil, fold.Refuse(fold.Overload, "retry later", "%d requests of account %s wait", waiting, account)
 	}
 	t := &Ticket[T]{Value: value, urgent: urgent, lane: l}
-	q.activate(l)
+	q.activate(now, l)
 	t.spot = l.of(urgent).PushBack(t)
 	q.length++
 	return t, nil
 }
 
 // Return puts a request whose turn came to nothing before all others of its account and gives the turn back.
-func (q *Queue[T]) Return(t *Ticket[T]) {
-	q.activate(t.lane)
+func (q *Queue[T]) Return(now fold.Instant, t *Ticket[T]) {
+	q.activate(now, t.lane)
 	t.lane.used -= 1 / t.lane.share
 	t.spot = t.lane.of(t.urgent).PushFront(t)
 	q.length++
@@ -126,6 +117,19 @@
 	return min(own*(active+share)/share, float64(q.length+1))
 }
 
+// Overloaded reports whether more requests of the account have come for some time than had a turn.
+func (q *Queue[T]) Overloaded(now fold.Instant, account string) bool {
+	l, ok := q.lanes[account]
+	return ok && l.overloaded(now)
+}
+
+// Refused takes note that a request of the account was refused for its expected wait.
+func (q *Queue[T]) Refused(now fold.Instant, account string) {
+	if l, ok := q.lanes[account]; ok {
+		l.refused = now
+	}
+}
+
 // lane returns the lane of an account, new if need be, or nil when there are too many.
 func (q *Queue[T]) lane(account string, share float64) *lane {
 	l, ok := q.lanes[account]
@@ -155,10 +159,11 @@
 	}
 }
 
-func (q *Queue[T]) activate(l *lane) {
+func (q *Queue[T]) activate(now fold.Instant, l *lane) {
 	if l.length() > 0 {
 		return
 	}
+	l.since = now
 	l.used = max(l.used, q.used)
 	q.active = append(q.active, l)
 	q.shares += l.share
@@ -182,14 +187,3 @@
 	}
 	return max(int(MaxWaiting*l.share/active), minWaiting)
 }
-
-func (l *lane) length() int {
-	return l.urgent.Len() + l.normal.Len()
-}
-
-func (l *lane) of(urgent bool) *list.List {
-	if urgent {
-		return &l.urgent
-	}
-	return &l.normal
-}
--- a/fold/entry/dispatch.go
+++ b/fold/entry/dispatch.go
@@ -14,7 +14,7 @@
 
 const (
 	// maxTries bounds how often one request is sent, whatever the retry budget allows.
-	maxTries = 8
+	maxTries = 16
 	// firstBackoff is the mean pause before the first retry of a request of unknown outcome; it doubles each time.
 	firstBackoff = 5 * time.Millisecond
 )
@@ -155,7 +155,7 @@
 		d.backoff(ctx, t, try)
 	}
 	now := d.clock.Now()
-	return now < t.want.deadline && d.router.retry(now, t)
+	return now < t.want.deadline && d.router.retry(now, t, notRun)
 }
 
 // backoff pauses before a retry, so that retries after a common cause do not come together.
--- /dev/null
+++ b/fold/entry/model_test.go
@@ -0,0 +1,305 @@
+package entry
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/route"
+)
+
+// The size of the model: the entries of today, and fewer endpoints so that the tests are short. What matters is that the
+// 8 slots of an endpoint are shared by as many entries.
+const (
+	modelEntries   = 8
+	modelEndpoints = 8
+	modelSlots     = 8
+	modelService   = 20 * time.Millisecond
+	// modelHop is the time from an entry to an endpoint, or back; domains are about 1 ms apart there and back.
+	modelHop     = 500 * time.Microsecond
+	modelTimeout = 500 * time.Millisecond
+)
+
+// modelCapacity is the greatest number of answers a second.
+var modelCapacity = float64(modelEndpoints*modelSlots) / modelService.Seconds()
+
+// event is something that happens at an instant of virtual time.
+type event struct {
+	at    fold.Instant
+	order int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].order < e[j].order)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// call is one request in the model.
+type call struct {
+	account  string
+	entry    *modelEntry
+	came     fold.Instant
+	deadline fold.Instant
+	tries    int
+}
+
+// tally counts the calls that came in a stretch of time.
+type tally struct {
+	offered, answered, late, refused int
+	// waits are the times from arrival to answer, in seconds.
+	waits []float64
+}
+
+func (t tally) p(q float64) float64 {
+	if len(t.waits) == 0 {
+		return math.NaN()
+	}
+	slices.Sort(t.waits)
+	return t.waits[int(q*float64(len(t.waits)-1))]
+}
+
+// model runs callers, entries and endpoints in virtual time.
+type model struct {
+	now       fold.Instant
+	agenda    events
+	order     int
+	random    *rand.Rand
+	endpoints map[string]*modelEndpoint
+	entries   []*modelEntry
+	// sends and full count requests sent to endpoints and refused there.
+	sends, full int
+	byAccount   map[string]*tally
+	// byTenth counts by the tenth of a second in which the calls came.
+	byTenth map[int]*tally
+	// service draws the time that a request runs.
+	service func() time.Duration
+}
+
+// modelEndpoint runs up to modelSlots requests at once, whether or not their callers still wait.
+type modelEndpoint struct {
+	running int
+}
+
+// modelEntry is an entry; plain is set for the baselines.
+type modelEntry struct {
+	model  *model
+	router *router
+	calls  map[*turn]*call
+	plain  *plainEntry
+}
+
+func newModel(p policy) *model {
+	m := &model{
+		random:    rand.New(rand.NewPCG(seed, 1)),
+		endpoints: make(map[string]*modelEndpoint),
+		byAccount: make(map[string]*tally),
+		byTenth:   make(map[int]*tally),
+	}
+	m.service = func() time.Duration {
+		return time.Duration((0.9 + 0.2*m.random.Float64()) * float64(modelService))
+	}
+	var list []fold.Instance
+	for n := range modelEndpoints {
+		in := fold.Instance{Name: "endpoint-" + strconv.Itoa(n), State: fold.Live, Slots: modelSlots, Domain: strconv.Itoa(n % 3)}
+		list = append(list, in)
+		m.endpoints[in.Name] = &modelEndpoint{}
+	}
+	for n := range modelEntries {
+		e := &modelEntry{model: m, calls: make(map[*turn]*call)}
+		if p.tries > 0 {
+			e.plain = newPlainEntry(e, p)
+		}
+		e.router = newRouter(strconv.Itoa(n%3), rand.New(rand.NewPCG(seed, uint64(100+n))))
+		e.router.decided = e.decided
+		e.router.update(0, list)
+		m.entries = append(m.entries, e)
+	}
+	return m
+}
+
+func (m *model) after(d time.Duration, do func()) {
+	m.order++
+	heap.Push(&m.agenda, event{at: m.now.Add(d), order: m.order, do: do})
+}
+
+// offer makes calls of an account come at a rate a second, at random instants from one time to another.
+func (m *model) offer(account string, rate float64, from, to time.Duration) {
+	gap := func() time.Duration { return time.Duration(m.random.ExpFloat64() / rate * float64(time.Second)) }
+	var next func()
+	next = func() {
+		if time.Duration(m.now) >= to {
+			return
+		}
+		m.come(account)
+		m.after(gap(), next)
+	}
+	m.after(from+gap(), next)
+}
+
+// run goes on until no event is left.
+func (m *model) run() {
+	for len(m.agenda) > 0 {
+		e := heap.Pop(&m.agenda).(event)
+		m.now = e.at
+		e.do()
+	}
+}
+
+func (m *model) come(account string) {
+	e := m.entries[m.random.IntN(len(m.entries))]
+	c := &call{account: account, entry: e, came: m.now, deadline: m.now.Add(modelTimeout)}
+	for _, t := range m.tallies(c) {
+		t.offered++
+	}
+	if e.plain != nil {
+		e.plain.come(c)
+		return
+	}
+	t, err := e.router.enter(m.now, want{account: account, share: 1, deadline: c.deadline})
+	if err != nil {
+		m.refused(c)
+		return
+	}
+	if t.decided {
+		e.start(t, c)
+		return
+	}
+	e.wait(t, c)
+}
+
+func (m *model) tallies(c *call) []*tally {
+	tenth := int(time.Duration(c.came) / (100 * time.Millisecond))
+	if m.byTenth[tenth] == nil {
+		m.byTenth[tenth] = &tally{}
+	}
+	if m.byAccount[c.account] == nil {
+		m.byAccount[c.account] = &tally{}
+	}
+	return []*tally{m.byTenth[tenth], m.byAccount[c.account]}
+}
+
+func (m *model) refused(c *call) {
+	for _, t := range m.tallies(c) {
+		t.refused++
+	}
+}
+
+func (m *model) answered(c *call) {
+	for _, t := range m.tallies(c) {
+		if m.now > c.deadline {
+			t.late++
+			continue
+		}
+		t.answered++
+		t.waits = append(t.waits, m.now.Sub(c.came).Seconds())
+	}
+}
+
+// sum adds up the calls that came from one time to another.
+func (m *model) sum(from, to time.Duration) tally {
+	var all tally
+	for tenth, t := range m.byTenth {
+		if at := time.Duration(tenth) * 100 * time.Millisecond; at >= from && at < to {
+			all.offered += t.offered
+			all.answered += t.answered
+			all.late += t.late
+			all.refused += t.refused
+			all.waits = append(all.waits, t.waits...)
+		}
+	}
+	return all
+}
+
+func (e *modelEntry) wait(t *turn, c *call) {
+	e.calls[t] = c
+	e.model.after(c.deadline.Sub(e.model.now), func() {
+		if e.calls[t] == c && !t.decided {
+			e.router.quit(e.model.now, t)
+		}
+	})
+	e.arm()
+}
+
+// decided is called by the router; a turn that is decided within enter or retry is not among the calls yet.
+func (e *modelEntry) decided(t *turn) {
+	if c, ok := e.calls[t]; ok {
+		delete(e.calls, t)
+		e.model.after(0, func() { e.start(t, c) })
+	}
+}
+
+func (e *modelEntry) arm() {
+	nap, needed := e.router.nap(e.model.now)
+	if !needed {
+		return
+	}
+	e.model.after(nap, func() {
+		e.router.wake(e.model.now)
+		e.arm()
+	})
+}
+
+func (e *modelEntry) start(t *turn, c *call) {
+	if t.err != nil {
+		e.model.refused(c)
+		return
+	}
+	sent := e.model.now
+	e.model.send(t.place.Name, func(report route.Report) {
+		report.Took = e.model.now.Sub(sent)
+		e.router.release(e.model.now, t.place.Name, report)
+		e.arm()
+		if report.Outcome == route.Served {
+			e.model.answered(c)
+			return
+		}
+		e.again(t, c)
+	})
+}
+
+func (e *modelEntry) again(t *turn, c *call) {
+	c.tries++
+	t.avoid[t.place.Name] = true
+	if c.tries >= maxTries || e.model.now >= c.deadline || !e.router.retry(e.model.now, t, true) {
+		e.model.refused(c)
+		return
+	}
+	if t.decided {
+		e.start(t, c)
+		return
+	}
+	e.wait(t, c)
+}
+
+// send takes a request to an endpoint and its report back.
+func (m *model) send(name string, back func(route.Report)) {
+	m.sends++
+	at := m.endpoints[name]
+	m.after(modelHop, func() {
+		if at.running >= modelSlots {
+			m.full++
+			m.after(modelHop, func() { back(route.Report{Outcome: route.Refused}) })
+			return
+		}
+		at.running++
+		m.after(m.service(), func() {
+			at.running--
+			report := route.Report{Outcome: route.Served, Running: at.running, Slots: modelSlots}
+			m.after(modelHop, func() { back(report) })
+		})
+	})
+}
--- /dev/null
+++ b/fold/entry/plain_test.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"strconv"
+
+	"plantainfold.example/fold/route"
+)
+
+// policy is how the entries of a model decide.
+type policy struct {
+	name string
+	// tries is how often a baseline sends one request, or 0 for the router under test.
+	tries int
+	// window is how many requests a baseline entry has in flight at one endpoint.
+	window int
+}
+
+var (
+	underTest = policy{name: "router"}
+	// random gives up after three endpoints; it never has a long queue, but sends much that is refused.
+	random = policy{name: "random", tries: 3, window: route.Window}
+	// fifo divides the slots among the entries and queues without bound, whether or not the caller still waits.
+	fifo = policy{name: "fifo", tries: 1, window: modelSlots / modelEntries}
+)
+
+// plainEntry is an entry of a baseline: requests go in order of arrival to random endpoints with a free connection, and
+// none is refused before it has been tried or held back because it cannot end in time.
+type plainEntry struct {
+	entry    *modelEntry
+	policy   policy
+	inflight []int
+	queue    []*call
+}
+
+func newPlainEntry(e *modelEntry, p policy) *plainEntry {
+	return &plainEntry{entry: e, policy: p, inflight: make([]int, modelEndpoints)}
+}
+
+func (p *plainEntry) come(c *call) {
+	p.queue = append(p.queue, c)
+	p.pump()
+}
+
+func (p *plainEntry) pump() {
+	for len(p.queue) > 0 {
+		at, ok := p.pick()
+		if !ok {
+			return
+		}
+		c := p.queue[0]
+		p.queue = p.queue[1:]
+		p.send(at, c)
+	}
+}
+
+func (p *plainEntry) pick() (int, bool) {
+	first := p.entry.model.random.IntN(modelEndpoints)
+	for n := range modelEndpoints {
+		if at := (first + n) % modelEndpoints; p.inflight[at] < p.policy.window {
+			return at, true
+		}
+	}
+	return 0, false
+}
+
+func (p *plainEntry) send(at int, c *call) {
+	p.inflight[at]++
+	p.entry.model.send("endpoint-"+strconv.Itoa(at), func(report route.Report) {
+		p.inflight[at]--
+		c.tries++
+		switch {
+		case report.Outcome == route.Served:
+			p.entry.model.answered(c)
+		case c.tries < p.policy.tries:
+			p.queue = append(p.queue, c)
+		default:
+			p.entry.model.refused(c)
+		}
+		p.pump()
+	})
+}
--- a/fold/entry/router.go
+++ b/fold/entry/router.go
@@ -11,10 +11,16 @@
 )
 
 const (
-	// retryFraction is how many retries each request allows on average.
-	retryFraction = 0.2
-	// retryBurst is how many retries may be saved up.
+	// retryFraction is how many retries after an unknown outcome each request allows on average.
+	retryFraction = 0.1
+	// resendFraction is how many further tries after a refusal by an endpoint each request allows on average. A refusal
+	// costs one exchange and no run; entries that share 8 slots without knowing each other's load meet 0.3 to 0.6 of
+	// them for each request at 0.8 to 1.0 of the capacity.
+	resendFraction = 0.75
+	// retryBurst is how many retries of either kind may be saved up.
 	retryBurst = 50
+	// overloadWaits is how many runs a request of an overloaded account may wait; a longer queue only adds waiting.
+	overloadWaits = 2
 	// maxNap bounds the time that a waker sleeps, so that none outlives the entry by more than this.
 	maxNap = 100 * time.Millisecond
 )
@@ -45,19 +51,24 @@
 
 // router sends the requests of one service to its endpoints.
 type router struct {
-	mu     sync.Mutex
-	table  *route.Table
-	queue  *admit.Queue[*turn]
-	budget *route.Budget
+	mu    sync.Mutex
+	table *route.Table
+	queue *admit.Queue[*turn]
+	// retries and resends bound the tries after unknown outcomes and after refusals.
+	retries, resends *route.Budget
+	// decided is called under the lock with each turn that is granted or refused.
+	decided func(*turn)
 	// waker is when the next waker tries the paused endpoints again, or 0.
 	waker fold.Instant
 }
 
 func newRouter(domain string, random *rand.Rand) *router {
 	return &router{
-		table:  route.New(domain, random),
-		queue:  admit.New[*turn](),
-		budget: route.NewBudget(retryFraction, retryBurst),
+		table:   route.New(domain, random),
+		queue:   admit.New[*turn](),
+		retries: route.NewBudget(retryFraction, retryBurst),
+		resends: route.NewBudget(resendFraction, retryBurst),
+		decided: func(t *turn) { close(t.ready) },
 	}
 }
 
@@ -72,7 +83,7 @@
 		if !ok {
 			return
 		}
-		ticket.Value.refuse(noEndpoint())
+		r.refuse(ticket.Value, noEndpoint())
 	}
 }
 
@@ -90,12 +101,13 @@
 			return nil, err
 		}
 	}
-	ticket, err := r.queue.Push(w.account, w.share, w.urgent, t)
+	ticket, err := r.queue.Push(now, w.account, w.share, w.urgent, t)
 	if err != nil {
 		return nil, err
 	}
 	t.ticket = ticket
-	r.budget.Earn()
+	r.retries.Earn()
+	r.resends.Earn()
 	r.pump(now)
 	return t, nil
 }
@@ -107,7 +119,9 @@
 		return nil
 	}
 	wait := time.Duration(r.queue.Ahead(w.account, w.share, w.urgent) / rate * float64(time.Second))
-	if left := w.deadline.Sub(now); wait+r.table.Likely() > left {
+	left := w.deadline.Sub(now)
+	if wait+r.table.Likely() > left || (r.queue.Overloaded(now, w.account) && wait > overloadWaits*r.table.Likely()) {
+		r.queue.Refused(now, w.account)
 		return fold.Refuse(fold.Overload, "retry later, or with a later deadline",
 			"the expected wait of %s and run of %s exceed the %s left", wait.Round(time.Millisecond), r.table.Mean().Round(time.Millisecond), left)
 	}
@@ -115,14 +129,18 @@
 }
 
 // retry queues a request again after the endpoint refused or failed it, if the budget allows.
-func (r *router) retry(now fold.Instant, t *turn) bool {
+func (r *router) retry(now fold.Instant, t *turn, notRun bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.table.Live() == 0 || !r.budget.Spend() {
+	budget := r.retries
+	if notRun {
+		budget = r.resends
+	}
+	if r.table.Live() == 0 || !budget.Spend() {
 		return false
 	}
 	t.ready, t.decided, t.place, t.err = make(chan struct{}), false, fold.Instance{}, nil
-	r.queue.Return(t.ticket)
+	r.queue.Return(now, t.ticket)
 	r.pump(now)
 	return true
 }
@@ -133,7 +151,7 @@
 	defer r.mu.Unlock()
 	if !t.decided {
 		r.queue.Remove(t.ticket)
-		t.refuse(fold.Refuse(fold.Overload, "retry with a later deadline", "no endpoint was free in time"))
+		r.refuse(t, fold.Refuse(fold.Overload, "retry with a later deadline", "no endpoint was free in time"))
 		return
 	}
 	if t.err == nil {
@@ -156,11 +174,12 @@
 		ticket, _ := r.queue.Pop()
 		t := ticket.Value
 		if !t.alone && t.want.deadline.Sub(now) < r.table.Likely() {
-			t.refuse(fold.Refuse(fold.Overload, "retry later, or with a later deadline", "the time left is too short to run"))
+			r.refuse(t, fold.Refuse(fold.Overload, "retry later, or with a later deadline", "the time left is too short to run"))
 			continue
 		}
 		place, _ := r.table.Acquire(now, t.avoid)
-		t.grant(place)
+		t.place, t.decided = place, true
+		r.decided(t)
 	}
 }
 
@@ -186,14 +205,9 @@
 	r.pump(now)
 }
 
-func (t *turn) grant(place fold.Instance) {
-	t.place, t.decided = place, true
-	close(t.ready)
-}
-
-func (t *turn) refuse(err error) {
+func (r *router) refuse(t *turn, err error) {
 	t.err, t.decided = err, true
-	close(t.ready)
+	r.decided(t)
 }
 
 func noEndpoint() error {
--- a/fold/route/report.go
+++ b/fold/route/report.go
@@ -55,7 +55,7 @@
 
 // Likely returns the time within which most requests end, or 0 if it is unknown.
 func (t *times) Likely() time.Duration {
-	return time.Duration(t.mean + 2*t.deviation)
+	return time.Duration(t.mean + 4*t.deviation)
 }
 
 // expired takes note of a request that ran for d without an end. It counts at most double, because one endpoint that
--- a/fold/route/table.go
+++ b/fold/route/table.go
@@ -8,6 +8,9 @@
 	"plantainfold.example/fold"
 )
 
+// choices is how many random endpoints are compared for each request.
+const choices = 2
+
 // Table holds the endpoints of one service. It is not safe for concurrent use.
 type Table struct {
 	domain  string
@@ -20,6 +23,8 @@
 	ejected   int
 	inflight  int
 	times     times
+	// usual is the mean load by other entries that endpoints report.
+	usual float64
 }
 
 // New returns a table without endpoints for an entry in the failure domain.
@@ -99,7 +104,7 @@
 		}
 		return near
 	}
-	if far.load(now)+farCost < near.load(now) {
+	if far.load(now, t.usual)+farCost < near.load(now, t.usual) {
 		return far
 	}
 	return near
@@ -111,9 +116,9 @@
 		return nil
 	}
 	var best *target
-	for range 2 {
+	for range choices {
 		c := list[t.random.IntN(len(list))]
-		if !avoid[c.instance.Name] && (best == nil || c.load(now) < best.load(now)) {
+		if !avoid[c.instance.Name] && (best == nil || c.load(now, t.usual) < best.load(now, t.usual)) {
 			best = c
 		}
 	}
@@ -146,6 +151,9 @@
 	case Served:
 		t.times.add(r.Took)
 		done.observe(now, r.Running, r.Slots)
+		if r.Slots > 0 {
+			t.usual += weight * (done.others - t.usual)
+		}
 		t.heal(now, done)
 	case Refused:
 		done.refuse(now, t.pause(done.refusals))
@@ -193,10 +201,12 @@
 	return max(t.live/maxEjectedShare, 1)
 }
 
-// pause returns how long an endpoint is left alone after refusals in a row, while no request is in flight there.
+// pause returns how long an endpoint is left alone after refusals in a row, while no request is in flight there. The
+// longest pause is two runs: with pauses up to 1 s, entries without a slot at full endpoints tried too seldom to get
+// their part of the slots.
 func (t *Table) pause(refusals int) time.Duration {
 	base := max(t.times.Mean()/4, time.Millisecond)
-	return t.jitter(min(base<<min(refusals, 10), time.Second))
+	return t.jitter(base << min(refusals, 3))
 }
 
 // jitter spreads d over half to one and a half of it.
--- a/fold/route/target.go
+++ b/fold/route/target.go
@@ -11,8 +11,9 @@
 	Window = 4
 	// startLimit is the first limit of an unknown endpoint; several entries may learn of it at once.
 	startLimit = 2
-	// loadHalf is the age at which a reported load counts half, because other entries have changed it since.
-	loadHalf = 50 * time.Millisecond
+	// loadHalf is the age at which a reported load counts half, because other entries have changed it since; it is half
+	// the usual run of 20 ms.
+	loadHalf = 10 * time.Millisecond
 	// farCost is how many more requests of 8 slots a near endpoint may hold before a far one is chosen instead.
 	farCost = 2
 )
@@ -42,10 +43,10 @@
 	return !t.gone && now >= t.until && t.inflight < t.health.bound(t.limit)
 }
 
-// load estimates how many requests the endpoint runs.
-func (t *target) load(now fold.Instant) float64 {
+// load estimates how many requests the endpoint runs; a report that grows old tends to the usual load by others.
+func (t *target) load(now fold.Instant, usual float64) float64 {
 	age := float64(now.Sub(t.reported)) / float64(loadHalf)
-	return float64(t.inflight) + t.others/(1+age)
+	return float64(t.inflight) + usual + (t.others-usual)/(1+age)
 }
 
 // observe adapts the limit to the load that came with an answer; inflight no longer counts the answered request.
