Add pfload, an open-loop load tool

Cause: throughput, goodput and the guarantees of service requests could not be measured against real entries.

--- /dev/null
+++ b/cmd/pfload/main.go
@@ -0,0 +1,12 @@
+// Command pfload is an open-loop load tool for service requests.
+package main
+
+import (
+	"os"
+
+	"plantainfold.example/pfload/internal/app"
+)
+
+func main() {
+	os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
