--- a/fold/entry/fault_test.go
+++ b/fold/entry/fault_test.go
@@ -36,8 +36,8 @@
 
 const callTime = time.Second
 
-// call passes a call on unless it is lost; a lost call takes the caller callTime.
-func call[T any](w *flakyWorker, fn func() (T, error)) (T, error) {
+// deliver passes a call on unless it is lost; a lost call takes the caller callTime.
+func deliver[T any](w *flakyWorker, fn func() (T, error)) (T, error) {
 	w.mu.Lock()
 	lost := w.random.Float64() < w.lossy
 	before := w.random.IntN(2) == 0
@@ -67,19 +67,19 @@
 }
 
 func (w *flakyWorker) Adopt(ctx context.Context, owner string, epoch int64) (fold.Adoption, error) {
-	return call(w, func() (fold.Adoption, error) { return w.Worker.Adopt(ctx, owner, epoch) })
+	return deliver(w, func() (fold.Adoption, error) { return w.Worker.Adopt(ctx, owner, epoch) })
 }
 
 func (w *flakyWorker) Beat(ctx context.Context, r fold.BeatRequest) (fold.BeatReply, error) {
-	return call(w, func() (fold.BeatReply, error) { return w.Worker.Beat(ctx, r) })
+	return deliver(w, func() (fold.BeatReply, error) { return w.Worker.Beat(ctx, r) })
 }
 
 func (w *flakyWorker) Start(ctx context.Context, epoch, session int64, tasks []fold.WorkerTask) ([]fold.StartResult, error) {
-	return call(w, func() ([]fold.StartResult, error) { return w.Worker.Start(ctx, epoch, session, tasks) })
+	return deliver(w, func() ([]fold.StartResult, error) { return w.Worker.Start(ctx, epoch, session, tasks) })
 }
 
 func (w *flakyWorker) Stop(ctx context.Context, epoch int64, tasks []fold.StopRequest) error {
-	_, err := call(w, func() (struct{}, error) { return struct{}{}, w.Worker.Stop(ctx, epoch, tasks) })
+	_, err := deliver(w, func() (struct{}, error) { return struct{}{}, w.Worker.Stop(ctx, epoch, tasks) })
 	return err
 }
 
