Push configuration to peers, tell losing operators what changed, submit declared work

Cause: entries learned of a change by polling each second, a 412 named only the newest revision, the head row carried the whole manifest, and declared services and jobs were not submitted. Change: a committed change is pushed to peers as a delta (kind config) and answered with the entries that took it; the last 1000 changes stand in config/rev/<n>; manifests over 64 KiB go to the object store and are fetched from peers when it is down; grants are checked; rows declared/<kind>/<name> hold the submission id before the submission, so that each service revision and each period of a job gives one job. Drains of workers, endpoints, services, queues, teams and entries are rows of the configuration with progress in drained/<kind>/<name>; readyz fails while an entry leaves. A comment on the last line of a settings file or manifest without newline was refused; it is accepted now.

--- a/fold/caller.go
+++ b/fold/caller.go
@@ -125,9 +125,11 @@
 
 // Status describes one entry and its view of the cell.
 type Status struct {
-	Entry    string       `json:"entry"`
-	Domain   string       `json:"domain"`
-	Standing bool         `json:"standing"`
+	Entry    string `json:"entry"`
+	Domain   string `json:"domain"`
+	Standing bool   `json:"standing"`
+	// Leaving says that callers should use another entry.
+	Leaving  bool         `json:"leaving,omitempty"`
 	Mode     string       `json:"mode"`
 	Revision int64        `json:"revision"`
 	Entries  []string     `json:"entries"`
--- a/fold/config/load.go
+++ b/fold/config/load.go
@@ -35,7 +35,8 @@
 // Parse decodes JSON with comments; unknown fields and wrong types are errors that name the line.
 func Parse[T any](name string, text []byte) (T, error) {
 	var v T
-	plain, err := hujson.Standardize(bytes.Clone(text))
+	// A comment on the last line ends with the file, which the parser takes for an unfinished comment.
+	plain, err := hujson.Standardize(append(bytes.Clone(text), '\n'))
 	if err != nil {
 		return v, fold.Refuse(fold.Invalid, "correct the JSON syntax", "%s: %v", name, err)
 	}
--- a/fold/daemon/daemon.go
+++ b/fold/daemon/daemon.go
@@ -26,6 +26,7 @@
 
 // newDaemon puts the parts together.
 func newDaemon(s entry.Settings, e *entry.Entry, api *httpd.API, t *telem.Telemetry, log hclog.Logger) *Daemon {
+	e.CountRequests(api.Unfinished)
 	return &Daemon{settings: s, entry: e, api: api, telemetry: t, log: log}
 }
 
@@ -38,8 +39,8 @@
 func (d *Daemon) Run(ctx context.Context, listener net.Listener) error {
 	d.entry.Start(context.Background())
 	d.log.Info("Serving.", "address", listener.Addr().String(), "domain", d.settings.Domain)
-	err := httpd.Serve(ctx, listener, d.Handler())
-	d.log.Info("Stopping. Handing over pools.")
+	err := httpd.Serve(ctx, listener, d.Handler(), httpd.WithNotice(d.settings.Notice.Std(), d.leave))
+	d.log.Info("Handing over pools.")
 	if closeErr := d.entry.Close(); err == nil {
 		err = closeErr
 	}
@@ -51,6 +52,13 @@
 	return err
 }
 
+// leave tells balancer and callers that the entry is about to stop.
+func (d *Daemon) leave() {
+	d.log.Info("Stopping. Answering the requests under way.", "requests", d.api.Unfinished())
+	d.entry.Leave()
+	d.api.Leave()
+}
+
 // Handler returns the HTTP routes of the entry.
 func (d *Daemon) Handler() http.Handler {
 	return d.api.Handler(d.entry.PeerHandler(), d.telemetry.Handler())
--- a/fold/daemon/provide.go
+++ b/fold/daemon/provide.go
@@ -48,5 +48,5 @@
 }
 
 func provideAPI(s entry.Settings, e *entry.Entry, log hclog.Logger) *httpd.API {
-	return httpd.New(e, e, s.Body, log)
+	return httpd.New(e, e, s.Body, log, httpd.WithOperations(e))
 }
--- /dev/null
+++ b/fold/entry/apply.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/owner"
+	"plantainfold.example/fold/quota"
+	"plantainfold.example/fold/spec"
+	"plantainfold.example/fold/store"
+)
+
+// Apply replaces the manifest if the revision is still the given one.
+func (e *Entry) Apply(ctx context.Context, c fold.Caller, expected int64, text []byte) (fold.Revision, error) {
+	if err := requireOperator(c); err != nil {
+		return fold.Revision{}, err
+	}
+	manifest, err := spec.Parse("manifest", text)
+	if err != nil {
+		return fold.Revision{}, err
+	}
+	return e.change(ctx, c, func(head headRow) (edit, error) {
+		if head.Revision != expected {
+			return edit{}, e.outdated(ctx, expected, head)
+		}
+		return e.applyEdit(ctx, c, head, manifest, text)
+	})
+}
+
+func (e *Entry) applyEdit(ctx context.Context, c fold.Caller, head headRow, manifest spec.Manifest, text []byte) (edit, error) {
+	if e.current.Load().number < head.Revision {
+		if err := e.readHead(ctx); err != nil {
+			return edit{}, err
+		}
+	}
+	now := e.current.Load()
+	if err := manifest.CheckChange(now.manifest); err != nil {
+		return edit{}, err
+	}
+	changes, err := spec.Diff(now.manifest, manifest)
+	if err != nil {
+		return edit{}, err
+	}
+	limits, err := e.limitWrites(ctx, manifest)
+	if err != nil {
+		return edit{}, err
+	}
+	one := edit{delta: delta{Text: text}, summary: spec.Summary(changes, maxSummary), writes: []fold.Txn{limits}}
+	return one, retireWrites(&one, c, now, manifest)
+}
+
+// limitWrites sets the limits of all teams; teams that are no longer declared get none.
+func (e *Entry) limitWrites(ctx context.Context, m spec.Manifest) (fold.Txn, error) {
+	rows, err := store.Scan[quota.Split](ctx, e.table, store.LimitPrefix)
+	if err != nil {
+		return fold.Txn{}, err
+	}
+	old := make(map[string]owner.Seen[quota.Split], len(rows))
+	for _, row := range rows {
+		old[row.Key] = row
+	}
+	var txn fold.Txn
+	write := func(key string, limit fold.Resources) error {
+		row := old[key]
+		delete(old, key)
+		if row.Version != 0 && row.Value.Limit == limit {
+			return nil
+		}
+		put, err := store.PutOf(key, row.Value.WithLimit(limit))
+		txn.Checks = append(txn.Checks, fold.Check{Key: key, Version: row.Version})
+		txn.Puts = append(txn.Puts, put)
+		return err
+	}
+	for _, t := range m.Teams {
+		if err := write(store.LimitPrefix+t.Name, t.Limit); err != nil {
+			return fold.Txn{}, err
+		}
+	}
+	for key := range old {
+		if err := write(key, fold.Resources{}); err != nil {
+			return fold.Txn{}, err
+		}
+	}
+	return txn, nil
+}
--- a/fold/entry/entry.go
+++ b/fold/entry/entry.go
@@ -16,6 +16,7 @@
 	"plantainfold.example/fold/owner"
 	"plantainfold.example/fold/peer"
 	"plantainfold.example/fold/store"
+	"plantainfold.example/fold/telem"
 )
 
 // Platform is what an entry needs of the platform.
@@ -48,14 +49,25 @@
 
 	claims  *claims
 	routers *routers
+	told    *told
+	events  *telem.Events
+	// listed is the instance list as the platform told it, before drains.
+	listed atomic.Pointer[[]fold.Instance]
+	// requests counts the callers' requests under way.
+	requests atomic.Pointer[func() int]
+	began    time.Time
+	leaving  atomic.Bool
+	// stored is the number of the newest event in the object store.
+	stored atomic.Int64
 
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 }
 
 var (
-	_ fold.Commands = &Entry{}
-	_ fold.Queries  = &Entry{}
+	_ fold.Commands   = &Entry{}
+	_ fold.Queries    = &Entry{}
+	_ fold.Operations = &Entry{}
 )
 
 // New returns an entry that does nothing until Start.
@@ -80,11 +92,17 @@
 		}),
 		pools:   make(map[string]*pool),
 		claims:  newClaims(),
+		told:    &told{newer: make(map[string]int64)},
+		events:  telem.NewEvents(s.Name),
+		began:   time.Now(),
 		routers: newRouters(s.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	e.current.Store(&revision{ring: keys.NewRing([]byte(s.Cellkey), []keys.Record{e.rootRecord()})})
 	e.instances.Store(&[]fold.Instance{})
+	e.listed.Store(&[]fold.Instance{})
+	e.events.Follow(log)
 	e.handlePeers()
+	e.handleOperators()
 	return e
 }
 
@@ -94,6 +112,9 @@
 	e.loop(ctx, memberPeriod, e.memberStep)
 	e.loop(ctx, beatPeriod, e.beatStep)
 	e.loop(ctx, fleetPeriod, e.fleetStep)
+	e.loop(ctx, drainPeriod, e.drainStep)
+	e.loop(ctx, declarePeriod, e.declareStep)
+	e.loop(ctx, snapshotPeriod, e.snapshotStep)
 }
 
 // PeerHandler serves the connections of peers.
--- /dev/null
+++ b/fold/entry/events.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/peer"
+)
+
+const (
+	kindEvents = "events"
+	// snapshotPeriod is how often new events go to the object store.
+	snapshotPeriod = time.Minute
+	// maxSnapshots bounds the snapshots of one entry in the object store.
+	maxSnapshots = 64
+	// maxListed bounds the events of one answer.
+	maxListed = 4096
+)
+
+// eventsCall asks a peer for its events.
+type eventsCall struct{}
+
+// eventsAnswer holds the events that a peer remembers.
+type eventsAnswer struct {
+	Events []fold.Event `json:"events"`
+}
+
+// handleOperators registers the calls between entries that serve operators.
+func (e *Entry) handleOperators() {
+	peer.Handle(e.node, kindConfig, e.answerConfig)
+	peer.Handle(e.node, kindBody, e.answerBody)
+	peer.Handle(e.node, kindDrains, e.answerDrains)
+	peer.Handle(e.node, kindEvents, func(context.Context, string, eventsCall) (eventsAnswer, error) {
+		return eventsAnswer{Events: e.events.List()}, nil
+	})
+}
+
+// Events lists what the system did by itself, newest last, at all entries that answer.
+func (e *Entry) Events(ctx context.Context, c fold.Caller) ([]fold.Event, error) {
+	if err := requireOperator(c); err != nil {
+		return nil, err
+	}
+	all := e.events.List()
+	for _, p := range e.registeredPeers() {
+		callCtx, cancel := context.WithTimeout(ctx, peerTime)
+		answer, err := peer.Call[eventsCall, eventsAnswer](callCtx, e.node, p.Address, kindEvents, eventsCall{})
+		cancel()
+		if err == nil {
+			all = append(all, answer.Events...)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b fold.Event) int { return int(a.Time - b.Time) })
+	return all[max(0, len(all)-maxListed):], nil
+}
+
+// snapshotStep writes the events to the object store if there are new ones, and removes the oldest snapshot.
+func (e *Entry) snapshotStep(ctx context.Context) {
+	events := e.events.List()
+	if len(events) == 0 || events[len(events)-1].Number == e.stored.Load() {
+		return
+	}
+	body, err := json.Marshal(events)
+	if err != nil {
+		return
+	}
+	prefix := "events/" + e.settings.Name + "/"
+	last := events[len(events)-1]
+	key := fmt.Sprintf("%s%016d", prefix, last.Time)
+	if err := e.platform.Objects.Put(ctx, key, body); err != nil {
+		e.log.Debug("Cannot store the events. Trying again.", "error", err)
+		return
+	}
+	e.stored.Store(last.Number)
+	keys, err := e.platform.Objects.List(ctx, prefix)
+	if err != nil {
+		return
+	}
+	for _, old := range keys[:max(0, len(keys)-maxSnapshots)] {
+		if err := e.platform.Objects.Delete(ctx, old); err != nil {
+			return
+		}
+	}
+}
--- a/fold/entry/jobs.go
+++ b/fold/entry/jobs.go
@@ -86,6 +86,9 @@
 	if !ok {
 		return j, fold.Refuse(fold.Forbidden, "use a key of a team in the manifest", "no team %q", j.Team)
 	}
+	if err := e.refuseDrained(q, j.Team); err != nil {
+		return j, err
+	}
 	if err := checkShape(j); err != nil {
 		return j, err
 	}
--- a/fold/entry/member.go
+++ b/fold/entry/member.go
@@ -241,7 +241,7 @@
 		e.log.Warn("Cannot read the instance list. Using the last one.", "error", err)
 		return
 	}
-	e.instances.Store(&list)
+	e.listed.Store(&list)
 	var names []string
 	for _, in := range list {
 		if in.Role == fold.RoleEntry {
@@ -249,7 +249,7 @@
 		}
 	}
 	e.member(func(m *owner.Machine) { m.Listed(e.clock.Now(), names) })
-	e.routers.update(list)
+	e.applyDrains()
 }
 
 // assignRacks records the pool of each rack that has none yet and tells the membership which units exist.
--- a/fold/entry/pool.go
+++ b/fold/entry/pool.go
@@ -225,7 +225,7 @@
 	l.session = adoption.Session
 	l.answered = sent
 	p.sched.Adopt(sent, nodeOf(l.instance), adoption)
-	p.sched.SetLeaving(l.instance.Name, l.instance.State == fold.Leaving)
+	p.sched.SetLeaving(l.instance.Name, p.members[l.instance.Name].State == fold.Leaving)
 	l.seen = max(l.seen, lastSequence(adoption.Events))
 	p.poke()
 }
--- a/fold/entry/serve.go
+++ b/fold/entry/serve.go
@@ -127,6 +127,9 @@
 	if !q.Allows(c.Team) || !c.MaySubmit(queue) {
 		return fold.Reply{}, fold.Refuse(fold.Forbidden, "use a key for this queue", "team %q may not use queue %s", c.Team, queue)
 	}
+	if err := e.refuseDrained(q, c.Team); err != nil {
+		return fold.Reply{}, err
+	}
 	one, ok := e.routers.of(q.Service)
 	if !ok {
 		return fold.Reply{}, fold.Refuse(fold.Unavailable, "retry later", "service %s has no endpoint", q.Service)
--- a/fold/entry/settings.go
+++ b/fold/entry/settings.go
@@ -16,6 +16,9 @@
 	defaultBody = 1 << 20
 	maxBody     = 16 << 20
 	defaultKeep = 20 * time.Second
+	// defaultNotice exceeds the period at which balancers usually look at readyz.
+	defaultNotice = 2 * time.Second
+	maxNotice     = time.Minute
 )
 
 // Settings are what an entry learns before it starts.
@@ -39,6 +42,8 @@
 	Body int64 `json:"body,omitempty"`
 	// Keep is how long an entry without standing goes on renewing task leases.
 	Keep config.Duration `json:"keep,omitempty"`
+	// Notice is how long a stopping entry goes on accepting requests while readyz tells the balancer to move on.
+	Notice config.Duration `json:"notice,omitempty"`
 }
 
 // LoadSettings reads, completes and checks a settings file.
@@ -65,6 +70,9 @@
 	if s.Keep == 0 {
 		s.Keep = config.Duration(defaultKeep)
 	}
+	if s.Notice == 0 {
+		s.Notice = config.Duration(defaultNotice)
+	}
 	return s
 }
 
@@ -83,6 +91,8 @@
 		return wrong("rootkey", "give at least 16 characters without a dot")
 	case s.Body < 0 || s.Body > maxBody:
 		return wrong("body", "give at most 16777216 bytes")
+	case s.Notice < 0 || s.Notice.Std() > maxNotice:
+		return wrong("notice", `give a time of at most a minute, such as "2s"`)
 	case s.Keep < 0:
 		return wrong("keep", `give a positive time such as "20s"`)
 	}
--- a/fold/httpd/callers.go
+++ b/fold/httpd/callers.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"plantainfold.example/fold"
@@ -14,6 +15,8 @@
 const (
 	maxRequestID   = 128
 	defaultTimeout = 30 * time.Second
+	// systemPrefix begins the ids of jobs that the system submits by itself.
+	systemPrefix = "system/"
 )
 
 func (a *API) callerRoutes(mux *http.ServeMux) {
@@ -49,6 +52,9 @@
 }
 
 func (a *API) submit(ctx context.Context, c fold.Caller, _ *http.Request, in submission) (fold.JobStatus, error) {
+	if strings.HasPrefix(in.ID, systemPrefix) {
+		return fold.JobStatus{}, fold.Refuse(fold.Invalid, "choose another id", "ids that begin with %s belong to declared work", systemPrefix)
+	}
 	return a.commands.Submit(ctx, c, fold.Job{
 		ID:         in.ID,
 		Queue:      in.Queue,
@@ -150,6 +156,9 @@
 		case <-ticker.C:
 		case <-r.Context().Done():
 			return
+		case <-a.left:
+			// The caller watches again at another entry; a line without an end state tells it to.
+			return
 		}
 		if next, err := a.queries.Job(r.Context(), c, r.PathValue("job")); err == nil {
 			status = next
--- a/fold/keys/ring.go
+++ b/fold/keys/ring.go
@@ -1,6 +1,9 @@
 package keys
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"plantainfold.example/fold"
@@ -14,11 +17,20 @@
 
 // NewRing returns a ring of the records.
 func NewRing(cellKey []byte, records []Record) Ring {
-	byID := make(map[string]Record, len(records))
-	for _, r := range records {
-		byID[r.Grant.ID] = r
+	return Ring{cellKey: cellKey}.With(records)
+}
+
+// With returns the ring with the records added or replaced.
+func (r Ring) With(records []Record) Ring {
+	if len(records) == 0 {
+		return r
+	}
+	byID := make(map[string]Record, len(r.records)+len(records))
+	maps.Copy(byID, r.records)
+	for _, record := range records {
+		byID[record.Grant.ID] = record
 	}
-	return Ring{cellKey: cellKey, records: byID}
+	return Ring{cellKey: r.cellKey, records: byID}
 }
 
 // Identify returns the caller of a key, or an Unauthorized error.
@@ -41,11 +53,12 @@
 	return fold.Caller{KeyID: id, Team: g.Team, Account: g.Account, Operator: g.Operator, Queues: g.Queues}, nil
 }
 
-// Grants lists the keys without their hashes.
+// Grants lists the keys without their hashes, in order of id.
 func (r Ring) Grants() []fold.KeyGrant {
 	grants := make([]fold.KeyGrant, 0, len(r.records))
 	for _, record := range r.records {
 		grants = append(grants, record.Grant)
 	}
+	slices.SortFunc(grants, func(a, b fold.KeyGrant) int { return strings.Compare(a.ID, b.ID) })
 	return grants
 }
--- a/fold/sched/decide.go
+++ b/fold/sched/decide.go
@@ -133,6 +133,7 @@
 	t.worker = name
 	t.attempt++
 	t.stopped = false
+	t.evicted = false
 	t.job.move(t, phaseStarting)
 	p.workers[name].tasks[t.id] = t
 	node, _ := p.index.Node(name)
--- a/fold/sched/events.go
+++ b/fold/sched/events.go
@@ -111,7 +111,7 @@
 			return phaseFailed
 		}
 		return phaseWaiting
-	case state == fold.Stopped && !t.job.cancelled && !spec.Idempotent && spec.Kind != fold.Service:
+	case state == fold.Stopped && !t.evicted && !t.job.cancelled && !spec.Idempotent && spec.Kind != fold.Service:
 		return phaseUnknown
 	default:
 		return phaseWaiting
--- a/fold/sched/job.go
+++ b/fold/sched/job.go
@@ -29,6 +29,8 @@
 	worker  string
 	fails   int
 	stopped bool
+	// evicted says that the task was told to save its state and stop, so that it goes on elsewhere.
+	evicted bool
 }
 
 // job is the state of one job part.
--- a/fold/telem/telem.go
+++ b/fold/telem/telem.go
@@ -70,7 +70,7 @@
 	return t.meters.Shutdown(ctx)
 }
 
-// NewLogger returns a logger with the name as prefix.
+// NewLogger returns a logger with the name as prefix, whose lines an Events can follow.
 func NewLogger(name, level string, out io.Writer) hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.LevelFromString(level), Output: out})
+	return hclog.NewInterceptLogger(&hclog.LoggerOptions{Name: name, Level: hclog.LevelFromString(level), Output: out})
 }
