Stop entries and drain instances without cutting work, tested under load

A drained worker takes no new task as soon as the revision is in force. Conclusion: a planned stop cuts no request in flight in this test.

--- a/fold/entry/drains.go
+++ b/fold/entry/drains.go
@@ -155,6 +155,15 @@
 	}
 	e.instances.Store(&list)
 	e.routers.update(list)
+	for _, p := range e.allPools() {
+		p.mu.Lock()
+		for _, d := range drains {
+			if d.Kind == fold.DrainWorker {
+				p.sched.SetLeaving(d.Name, true)
+			}
+		}
+		p.mu.Unlock()
+	}
 }
 
 // drainStep carries drains out in what this entry owns and records how far they have come.
--- /dev/null
+++ b/fold/entry/rolling_test.go
@@ -0,0 +1,123 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/cell"
+	"plantainfold.example/fold/remote"
+)
+
+// balancer stands in for the platform's balancer: it sends to entries whose readyz answered at its last look.
+type balancer struct {
+	ready atomic.Pointer[[]string]
+}
+
+func (b *balancer) look(urls map[string]string) {
+	var ready []string
+	for _, url := range urls {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		if remote.New(url, "").Ready(ctx) == nil {
+			ready = append(ready, url)
+		}
+		cancel()
+	}
+	if len(ready) > 0 {
+		b.ready.Store(&ready)
+	}
+}
+
+// counts are what callers saw.
+type counts struct {
+	answered, refused, cut atomic.Int64
+}
+
+// Guards against a planned stop that cuts a request in flight. All entries are replaced one after the other under
+// load; callers count answers, refusals as not run, and cuts, which are all other ends.
+func TestRollingReplacementCutsNothing(t *testing.T) {
+	t.Parallel()
+	c := newCell(t, 3, io.Discard)
+	ops := operators(c)
+	apply(t, ops[0], manifest)
+	issued, err := ops[0].Grant(context.Background(), fold.KeyGrant{Team: "crews"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b balancer
+	b.look(c.Addresses())
+	var seen counts
+	stop := load(t, &b, issued.Key, &seen)
+	for n := range 3 {
+		replace(t, c, &b, fmt.Sprintf("entry-%d", n), fmt.Sprintf("next-%d", n))
+	}
+	stop()
+	t.Logf("answered %d, refused as not run %d, cut %d", seen.answered.Load(), seen.refused.Load(), seen.cut.Load())
+	if seen.cut.Load() != 0 || seen.answered.Load() == 0 {
+		t.Errorf("%d requests cut, %d answered", seen.cut.Load(), seen.answered.Load())
+	}
+}
+
+// replace starts a new entry, waits until it is ready, and stops the old one while the balancer looks on.
+func replace(t *testing.T, c *cell.Cell, b *balancer, old, next string) {
+	t.Helper()
+	if err := c.StartEntry(next, "a"); err != nil {
+		t.Fatal(err)
+	}
+	urls := c.Addresses()
+	eventually(t, remote.New(urls[next], "").Ready)
+	b.look(urls)
+	stopped := make(chan error, 1)
+	go func() { stopped <- c.StopEntry(old) }()
+	for {
+		select {
+		case err := <-stopped:
+			if err != nil {
+				t.Error(err)
+			}
+			return
+		case <-time.After(100 * time.Millisecond):
+			b.look(urls)
+		}
+	}
+}
+
+// load sends idempotent requests from 12 callers until the returned function is called.
+func load(t *testing.T, b *balancer, key string, seen *counts) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	for n := range 12 {
+		callers.Go(func() {
+			random := rand.New(rand.NewPCG(1, uint64(n)))
+			clients := make(map[string]*remote.Client)
+			for i := 0; ctx.Err() == nil; i++ {
+				ready := *b.ready.Load()
+				url := ready[random.IntN(len(ready))]
+				if clients[url] == nil {
+					clients[url] = remote.New(url, key)
+				}
+				one := fold.Request{ID: fmt.Sprintf("%d-%d", n, i), Idempotent: true, Timeout: 10 * time.Second, Body: []byte("x")}
+				reply, err := clients[url].Serve(context.Background(), "planning", one)
+				switch {
+				case err == nil && string(reply.Body) == "x":
+					seen.answered.Add(1)
+				case err != nil && fold.DidNotRun(err):
+					seen.refused.Add(1)
+				default:
+					seen.cut.Add(1)
+					t.Logf("cut: %v", err)
+				}
+			}
+		})
+	}
+	return func() {
+		cancel()
+		callers.Wait()
+	}
+}
