Complete pfctl: manifest, keys, work, drains, history and a view of the cell

Cause: pfctl knew status only. The entry collects the four measures over its own pools and answers GET /v1/cell with the status of all entries. Conclusion: operators and callers reach everything that the entry offers from the command line.

--- /dev/null
+++ b/cmd/pfctl/internal/app/drain.go
@@ -0,0 +1,100 @@
+package app
+
+import (
+	"context"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/remote"
+)
+
+// drainCommand begins, lists and ends drains.
+type drainCommand struct {
+	Grace time.Duration `long:"grace" default:"10m" description:"how long work may end by itself before it is checkpointed and stopped"`
+	Wait  time.Duration `long:"wait" description:"how long to wait until nothing is left"`
+	End   bool          `long:"end" description:"return what was drained to use"`
+	List  bool          `long:"list" description:"list drains and what holds them"`
+	Args  struct {
+		Kind string `positional-arg-name:"KIND" description:"worker, endpoint, service, queue, team or entry"`
+		Name string `positional-arg-name:"NAME"`
+	} `positional-args:"yes"`
+
+	session *session
+}
+
+var _ flags.Commander = &drainCommand{}
+
+// Execute does one of begin, list and end.
+func (c *drainCommand) Execute([]string) error {
+	ctx := context.Background()
+	client, err := c.session.client()
+	if err != nil {
+		return err
+	}
+	if c.List {
+		list, err := client.Drains(ctx)
+		if err != nil {
+			return err
+		}
+		return c.print(list)
+	}
+	if c.Args.Kind == "" || c.Args.Name == "" {
+		return &flags.Error{Type: flags.ErrRequired, Message: "name a kind and a name, or use --list"}
+	}
+	if c.End {
+		r, err := client.Undrain(ctx, c.Args.Kind, c.Args.Name)
+		if err != nil {
+			return err
+		}
+		return printRevision(c.session, r)
+	}
+	s, err := client.Drain(ctx, fold.Drain{Kind: c.Args.Kind, Name: c.Args.Name, Grace: c.Grace.Milliseconds()})
+	if err == nil && c.Wait > 0 {
+		s, err = c.await(ctx, client, s)
+	}
+	if err != nil {
+		return err
+	}
+	return c.print([]fold.DrainStatus{s})
+}
+
+// await reports progress until the drain is done.
+func (c *drainCommand) await(ctx context.Context, client *remote.Client, s fold.DrainStatus) (fold.DrainStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Wait)
+	defer cancel()
+	last := ""
+	for {
+		list, err := client.Drains(ctx)
+		for _, one := range list {
+			if one.Drain.ID() == s.Drain.ID() {
+				s = one
+			}
+		}
+		if err == nil && s.Done {
+			return s, nil
+		}
+		if now := strings.Join(s.Holding, ", "); now != last {
+			last = now
+			c.session.say("%s: %d left: %s", s.Drain.ID(), s.Left, now)
+		}
+		select {
+		case <-time.After(pollTime):
+		case <-ctx.Done():
+			return s, fold.Refuse(unmet, "look at what holds it; the drain goes on", "%s is not done after %s, held by: %s", s.Drain.ID(), c.Wait, last)
+		}
+	}
+}
+
+func (c *drainCommand) print(list []fold.DrainStatus) error {
+	return c.session.print(list, func(w io.Writer) {
+		line(w, "drain", "since", "grace", "by", "done", "left", "held by")
+		for _, s := range list {
+			grace := time.Duration(s.Drain.Grace) * time.Millisecond
+			line(w, s.Drain.ID(), stamp(s.Drain.Began), grace, s.Drain.Who, s.Done, s.Left, orDash(strings.Join(s.Holding, ", ")))
+		}
+	})
+}
--- a/cmd/pfctl/internal/app/main.go
+++ b/cmd/pfctl/internal/app/main.go
@@ -8,56 +8,96 @@
 	"github.com/jessevdk/go-flags"
 
 	"plantainfold.example/fold"
-	"plantainfold.example/fold/remote"
 )
 
 // Exit codes.
 const (
-	exitOK    = 0
-	exitFail  = 1
-	exitUsage = 2
+	exitOK = 0
+	// exitRefused says that nothing was changed or run.
+	exitRefused = 1
+	exitUsage   = 2
+	// exitUnknown says that the outcome is not known; look before sending the same again.
+	exitUnknown = 3
+	// exitUnmet says that the call succeeded but what it waited for did not come.
+	exitUnmet = 4
 )
 
-// options are the flags of every command.
-type options struct {
-	Entry string `long:"entry" env:"PLANTAINFOLD_ENTRY" default:"http://127.0.0.1:7001" description:"base URL of an entry or of the balancer"`
-	Key   string `long:"key" env:"PLANTAINFOLD_KEY" description:"key of a team or operator"`
-	JSON  bool   `long:"json" description:"print JSON"`
-}
+const description = `Command line for operators and callers of plantainfold.
 
-// session is what commands share.
-type session struct {
-	options *options
-	out     io.Writer
-}
+Exit codes: 0 done; 1 refused, nothing was changed or run; 2 wrong usage; 3 the outcome is not known;
+4 done, but what was waited for did not come (a job that failed, a drain that is stuck).`
 
-func (s session) client() *remote.Client {
-	return remote.New(s.options.Entry, s.options.Key)
+// command is one command of pfctl.
+type command struct {
+	name    string
+	short   string
+	example string
+	run     flags.Commander
 }
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	opts := &options{}
-	parser := flags.NewParser(opts, flags.HelpFlag|flags.PassDoubleDash)
-	parser.Name = "pfctl"
-	s := session{options: opts, out: stdout}
-	add(parser, "status", "Show an entry and what it sees of the cell", &statusCommand{session: s})
+	s := &session{out: stdout, progress: stderr}
+	parser := newParser(s)
 	_, err := parser.ParseArgs(args)
-	if err == nil {
+	if err == nil || s.dry.held() {
 		return exitOK
 	}
 	if usage, ok := errors.AsType[*flags.Error](err); ok {
 		return printUsage(usage, stdout, stderr)
 	}
-	_, _ = fmt.Fprintf(stderr, "pfctl: %v\n", err)
+	_, _ = fmt.Fprintf(stderr, "pfctl: %s\n", messageOf(err))
 	if remedy := fold.Remedy(err); remedy != "" {
 		_, _ = fmt.Fprintf(stderr, "remedy: %s\n", remedy)
 	}
-	return exitFail
+	return exitOf(err)
+}
+
+func newParser(s *session) *flags.Parser {
+	parser := flags.NewParser(&s.options, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "pfctl"
+	parser.LongDescription = description
+	for _, c := range commands(s) {
+		add(parser.Command, c)
+	}
+	keys, err := parser.AddCommand("keys", "Grant, list and withdraw keys", "Grant, list and withdraw keys.", &struct{}{})
+	if err != nil {
+		panic("app: " + err.Error())
+	}
+	for _, c := range keyCommands(s) {
+		add(keys, c)
+	}
+	return parser
+}
+
+func commands(s *session) []command {
+	return []command{
+		{"apply", "Replace the manifest and wait until it is in force", "pfctl apply manifest.json", &applyCommand{session: s}},
+		{"diff", "List what applying a manifest would change", "pfctl diff manifest.json", &diffCommand{session: s}},
+		{"check", "Check a manifest without an entry", "pfctl check manifest.json", &checkCommand{session: s}},
+		{"history", "List who changed the configuration and how", "pfctl history", &historyCommand{session: s}},
+		{"status", "Show an entry and what it sees of the cell", "pfctl status --json", &statusCommand{session: s}},
+		{"top", "Show all entries and pools, refreshed", "pfctl top --once", &topCommand{session: s}},
+		{"events", "List what the system did by itself and why", "pfctl events --last 20", &eventsCommand{session: s}},
+		{"drain", "Empty a worker, endpoint, service, queue, team or entry", "pfctl drain worker w-17 --grace 10m --wait 15m", &drainCommand{session: s}},
+		{"submit", "Submit a job", "pfctl submit --id visits-1 --queue nightly --count 6 --cpu 2 --memory 4096 --duration 20m --out visits.job", &submitCommand{session: s}},
+		{"job", "Show a job and where its tasks ran", "pfctl job @visits.job", &jobCommand{session: s}},
+		{"watch", "Follow a job until it ends", "pfctl watch @visits.job", &watchCommand{session: s}},
+		{"explain", "Say why a job is in its state", "pfctl explain @visits.job", &explainCommand{session: s}},
+		{"cancel", "Stop a job gracefully", "pfctl cancel @visits.job", &cancelCommand{session: s}},
+	}
+}
+
+func keyCommands(s *session) []command {
+	return []command{
+		{"grant", "Issue a key; it is shown once", "pfctl keys grant --team crews --queue nightly --expires 720h --out crews.key", &grantCommand{session: s}},
+		{"list", "List keys without their secrets", "pfctl keys list", &keysCommand{session: s}},
+		{"withdraw", "End a key", "pfctl keys withdraw @crews.key", &withdrawCommand{session: s}},
+	}
 }
 
-func add(parser *flags.Parser, name, short string, command flags.Commander) {
-	if _, err := parser.AddCommand(name, short, short, command); err != nil {
+func add(parent *flags.Command, c command) {
+	if _, err := parent.AddCommand(c.name, c.short, c.short+".\n\nExample: "+c.example, c.run); err != nil {
 		panic("app: " + err.Error())
 	}
 }
--- /dev/null
+++ b/cmd/pfctl/internal/app/watch.go
@@ -0,0 +1,83 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/remote"
+)
+
+// watchCommand follows a job.
+type watchCommand struct {
+	Wait time.Duration `long:"wait" default:"24h" description:"how long to follow"`
+	Args jobArg        `positional-args:"yes" required:"yes"`
+
+	session *session
+}
+
+var _ flags.Commander = &watchCommand{}
+
+// Execute prints each change until the job ends, watching again when an entry leaves.
+func (c *watchCommand) Execute([]string) error {
+	id, err := named(c.Args.Job)
+	if err != nil {
+		return err
+	}
+	client, err := c.session.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Wait)
+	defer cancel()
+	last, err := c.follow(ctx, client, id)
+	if err != nil {
+		return err
+	}
+	if last.State != fold.Done {
+		return fold.Refuse(unmet, "ask pfctl explain for the reason", "job %s is %s", id, last.State)
+	}
+	return nil
+}
+
+func (c *watchCommand) follow(ctx context.Context, client *remote.Client, id string) (fold.JobStatus, error) {
+	var last fold.JobStatus
+	seen := ""
+	for {
+		next, err := client.Job(ctx, id)
+		if err == nil {
+			last = next
+			if now := summary(next); now != seen {
+				seen = now
+				c.report(next, now)
+			}
+		}
+		if last.State.Ended() || (err != nil && ctx.Err() == nil && !fold.DidNotRun(err)) {
+			return last, err
+		}
+		if err != nil && last.Job.ID == "" {
+			return last, err
+		}
+		select {
+		case <-time.After(pollTime):
+		case <-ctx.Done():
+			return last, nil
+		}
+	}
+}
+
+func (c *watchCommand) report(s fold.JobStatus, text string) {
+	if c.session.options.JSON {
+		_ = json.NewEncoder(c.session.out).Encode(s)
+		return
+	}
+	line(c.session.out, stamp(time.Now().UnixMilli()), text)
+}
+
+func summary(s fold.JobStatus) string {
+	return fmt.Sprintf("%s: %d waiting, %d running, %d done, %d failed, %d unknown", s.State, s.Waiting, s.Running, s.Done, s.Failed, s.Unknown)
+}
--- a/fold/caller.go
+++ b/fold/caller.go
@@ -134,6 +134,7 @@
 	Revision int64        `json:"revision"`
 	Entries  []string     `json:"entries"`
 	Pools    []PoolStatus `json:"pools"`
+	Measures Measures     `json:"measures"`
 }
 
 // PoolStatus describes one pool that the entry owns.
--- a/fold/entry/entry.go
+++ b/fold/entry/entry.go
@@ -51,6 +51,8 @@
 	routers *routers
 	told    *told
 	events  *telem.Events
+
+	measures *measures
 	// listed is the instance list as the platform told it, before drains.
 	listed atomic.Pointer[[]fold.Instance]
 	// requests counts the callers' requests under way.
@@ -90,12 +92,14 @@
 			Domain:      s.Domain,
 			State:       owner.StateLive,
 		}),
-		pools:   make(map[string]*pool),
-		claims:  newClaims(),
-		told:    &told{newer: make(map[string]int64)},
-		events:  telem.NewEvents(s.Name),
-		began:   time.Now(),
-		routers: newRouters(s.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		pools:  make(map[string]*pool),
+		claims: newClaims(),
+		told:   &told{newer: make(map[string]int64)},
+		events: telem.NewEvents(s.Name),
+		began:  time.Now(),
+
+		measures: newMeasures(),
+		routers:  newRouters(s.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	e.current.Store(&revision{ring: keys.NewRing([]byte(s.Cellkey), []keys.Record{e.rootRecord()})})
 	e.instances.Store(&[]fold.Instance{})
@@ -115,6 +119,7 @@
 	e.loop(ctx, drainPeriod, e.drainStep)
 	e.loop(ctx, declarePeriod, e.declareStep)
 	e.loop(ctx, snapshotPeriod, e.snapshotStep)
+	e.loop(ctx, measurePeriod, e.measureStep)
 }
 
 // PeerHandler serves the connections of peers.
--- a/fold/entry/events.go
+++ b/fold/entry/events.go
@@ -34,6 +34,9 @@
 	peer.Handle(e.node, kindConfig, e.answerConfig)
 	peer.Handle(e.node, kindBody, e.answerBody)
 	peer.Handle(e.node, kindDrains, e.answerDrains)
+	peer.Handle(e.node, kindStatus, func(ctx context.Context, _ string, _ statusCall) (fold.Status, error) {
+		return e.Status(ctx), nil
+	})
 	peer.Handle(e.node, kindEvents, func(context.Context, string, eventsCall) (eventsAnswer, error) {
 		return eventsAnswer{Events: e.events.List()}, nil
 	})
--- a/fold/entry/pool.go
+++ b/fold/entry/pool.go
@@ -276,7 +276,7 @@
 		return
 	}
 	p.mu.Lock()
-	starts := p.sched.Decide(p.entry.clock.Now(), maxStarts)
+	starts := p.measuredDecide()
 	stops := p.sched.Stops()
 	sends := p.group(starts)
 	ends := p.groupStops(stops)
--- a/fold/entry/status.go
+++ b/fold/entry/status.go
@@ -7,8 +7,14 @@
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/owner"
+	"plantainfold.example/fold/peer"
 )
 
+const kindStatus = "status"
+
+// statusCall asks a peer for its status.
+type statusCall struct{}
+
 // Status describes the entry and what it sees of the cell.
 func (e *Entry) Status(context.Context) fold.Status {
 	mode := e.standing()
@@ -20,6 +26,7 @@
 		Mode:     string(mode),
 		Revision: e.current.Load().number,
 		Entries:  []string{e.settings.Name},
+		Measures: e.measures.now(),
 	}
 	for _, b := range e.heartbeats() {
 		s.Entries = append(s.Entries, b.ID)
@@ -31,3 +38,21 @@
 	slices.SortFunc(s.Pools, func(a, b fold.PoolStatus) int { return strings.Compare(a.Pool, b.Pool) })
 	return s
 }
+
+// Cell describes all entries that answer.
+func (e *Entry) Cell(ctx context.Context, c fold.Caller) ([]fold.Status, error) {
+	if err := requireOperator(c); err != nil {
+		return nil, err
+	}
+	all := []fold.Status{e.Status(ctx)}
+	for _, p := range e.registeredPeers() {
+		callCtx, cancel := context.WithTimeout(ctx, peerTime)
+		answer, err := peer.Call[statusCall, fold.Status](callCtx, e.node, p.Address, kindStatus, statusCall{})
+		cancel()
+		if err == nil {
+			all = append(all, answer)
+		}
+	}
+	slices.SortFunc(all, func(a, b fold.Status) int { return strings.Compare(a.Entry, b.Entry) })
+	return all, nil
+}
--- a/fold/httpd/operations.go
+++ b/fold/httpd/operations.go
@@ -29,6 +29,10 @@
 		func(ctx context.Context, c fold.Caller, _ *http.Request, _ none) ([]fold.Change, error) {
 			return a.operations.History(ctx, c)
 		}))
+	mux.HandleFunc("GET /v1/cell", handle(a, http.StatusOK,
+		func(ctx context.Context, c fold.Caller, _ *http.Request, _ none) ([]fold.Status, error) {
+			return a.operations.Cell(ctx, c)
+		}))
 	mux.HandleFunc("GET /v1/spread", handle(a, http.StatusOK,
 		func(ctx context.Context, _ fold.Caller, _ *http.Request, _ none) (fold.Revision, error) {
 			return a.operations.Spread(ctx), nil
--- a/fold/operator.go
+++ b/fold/operator.go
@@ -79,6 +79,56 @@
 	Events(ctx context.Context, c Caller) ([]Event, error)
 	// History lists earlier changes of the configuration, newest last.
 	History(ctx context.Context, c Caller) ([]Change, error)
+	// Cell describes all entries that answer.
+	Cell(ctx context.Context, c Caller) ([]Status, error)
+	// Samples are the measures of this entry over the last minutes, newest last.
+	Samples(ctx context.Context) []Sample
 	// Spread says at which entries the newest revision known here is in force.
 	Spread(ctx context.Context) Revision
 }
+
+// Measures are the four measures as one entry sees them, over its own pools.
+type Measures struct {
+	Waiting WaitingMeasure `json:"waiting"`
+	// Packing is the used fraction of the capacity, in its dominant dimension.
+	Packing float64        `json:"packing"`
+	Control ControlMeasure `json:"control"`
+	Shares  []ShareMeasure `json:"shares,omitempty"`
+	// Over counts teams that use more than the pools hold of their limit; it must be 0.
+	Over int `json:"over"`
+	// Excess counts workers on which more is committed than they have; it must be 0.
+	Excess int `json:"excess"`
+}
+
+// WaitingMeasure is the time from accept to start over the last starts, in milliseconds.
+type WaitingMeasure struct {
+	P50    int64 `json:"p50"`
+	P99    int64 `json:"p99"`
+	Starts int64 `json:"starts"`
+}
+
+// ControlMeasure is the cost of control.
+type ControlMeasure struct {
+	// CPU is the processor time of the entry as a fraction of one core, over the last period.
+	CPU float64 `json:"cpu"`
+	// Memory is in bytes.
+	Memory int64 `json:"memory"`
+	// Decision is the p99 of the time for one round of decisions, in microseconds.
+	Decision int64 `json:"decision"`
+}
+
+// ShareMeasure says how near a team is to its share.
+type ShareMeasure struct {
+	Team string `json:"team"`
+	// Used and Due are fractions of the capacity; Due is the share among the teams that want capacity.
+	Used    float64 `json:"used"`
+	Due     float64 `json:"due"`
+	Waiting int     `json:"waiting"`
+}
+
+// Sample is the four measures at one time.
+type Sample struct {
+	// Time is in milliseconds since the Unix epoch.
+	Time     int64    `json:"time"`
+	Measures Measures `json:"measures"`
+}
--- a/fold/remote/client.go
+++ b/fold/remote/client.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"plantainfold.example/fold"
@@ -21,14 +23,32 @@
 
 // Client calls one entry, or the balancer before the entries, with a key.
 type Client struct {
-	base string
-	key  string
-	http *http.Client
+	base   string
+	key    string
+	sender Sender
+}
+
+// Sender carries requests to an entry.
+type Sender interface {
+	// Do sends a request and returns the response, whose body the caller closes.
+	Do(r *http.Request) (*http.Response, error)
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithSender replaces what carries the requests.
+func WithSender(s Sender) Option {
+	return func(c *Client) { c.sender = s }
 }
 
 // New returns a client of the entry at a base URL; key may be empty.
-func New(base, key string) *Client {
-	return &Client{base: base, key: key, http: &http.Client{Timeout: callTime}}
+func New(base, key string, opts ...Option) *Client {
+	c := &Client{base: strings.TrimSuffix(base, "/"), key: key, sender: &http.Client{Timeout: callTime}}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 // Ready returns nil once the entry has standing.
@@ -60,17 +80,17 @@
 
 // Job returns the status of a job.
 func (c *Client) Job(ctx context.Context, id string) (fold.JobStatus, error) {
-	return call[fold.JobStatus](ctx, c, http.MethodGet, "/v1/jobs/"+id, nil)
+	return call[fold.JobStatus](ctx, c, http.MethodGet, "/v1/jobs/"+url.PathEscape(id), nil)
 }
 
 // Explain says why a job is in its state.
 func (c *Client) Explain(ctx context.Context, id string) (fold.Explanation, error) {
-	return call[fold.Explanation](ctx, c, http.MethodGet, "/v1/jobs/"+id+"/explain", nil)
+	return call[fold.Explanation](ctx, c, http.MethodGet, "/v1/jobs/"+url.PathEscape(id)+"/explain", nil)
 }
 
 // Cancel stops a job gracefully.
 func (c *Client) Cancel(ctx context.Context, id string) (fold.JobStatus, error) {
-	return call[fold.JobStatus](ctx, c, http.MethodDelete, "/v1/jobs/"+id, nil)
+	return call[fold.JobStatus](ctx, c, http.MethodDelete, "/v1/jobs/"+url.PathEscape(id), nil)
 }
 
 // Grant issues a key.
@@ -80,7 +100,7 @@
 
 // Withdraw ends a key.
 func (c *Client) Withdraw(ctx context.Context, id string) (fold.Revision, error) {
-	return call[fold.Revision](ctx, c, http.MethodDelete, "/v1/keys/"+id, nil)
+	return call[fold.Revision](ctx, c, http.MethodDelete, "/v1/keys/"+url.PathEscape(id), nil)
 }
 
 // Keys lists keys without their secrets.
@@ -123,7 +143,7 @@
 		"Idempotent":   {strconv.FormatBool(r.Idempotent)},
 		"Timeout-Ms":   {strconv.FormatInt(r.Timeout.Milliseconds(), 10)},
 	}
-	got, err := c.send(ctx, http.MethodPost, "/v1/queues/"+queue+"/requests", header, r.Body)
+	got, err := c.send(ctx, http.MethodPost, "/v1/queues/"+url.PathEscape(queue)+"/requests", header, r.Body)
 	if err != nil {
 		return fold.Reply{}, err
 	}
@@ -179,7 +199,7 @@
 	if c.key != "" {
 		req.Header.Set("Authorization", "Bearer "+c.key)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.sender.Do(req)
 	if err != nil {
 		return answer{}, fold.Unknown.Wrap(err, "%s %s", method, path)
 	}
--- a/fold/remote/operator.go
+++ b/fold/remote/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 
 	"plantainfold.example/fold"
 )
@@ -14,7 +15,7 @@
 
 // Undrain returns what was drained to use.
 func (c *Client) Undrain(ctx context.Context, kind, name string) (fold.Revision, error) {
-	return call[fold.Revision](ctx, c, http.MethodDelete, "/v1/drains/"+kind+"/"+name, nil)
+	return call[fold.Revision](ctx, c, http.MethodDelete, "/v1/drains/"+url.PathEscape(kind)+"/"+url.PathEscape(name), nil)
 }
 
 // Drains lists drains and their progress.
@@ -32,6 +33,11 @@
 	return call[[]fold.Change](ctx, c, http.MethodGet, "/v1/history", nil)
 }
 
+// Cell describes all entries that answer.
+func (c *Client) Cell(ctx context.Context) ([]fold.Status, error) {
+	return call[[]fold.Status](ctx, c, http.MethodGet, "/v1/cell", nil)
+}
+
 // Spread says at which entries the newest revision known to the entry is in force.
 func (c *Client) Spread(ctx context.Context) (fold.Revision, error) {
 	return call[fold.Revision](ctx, c, http.MethodGet, "/v1/spread", nil)
