--- a/fold/entry/member.go
+++ b/fold/entry/member.go
@@ -475,7 +475,7 @@
 		e.log.Warn("Cannot read the instance list. Using the last one.", "error", err)
 		return
 	}
-	e.instances.Store(&list)
+	e.listed.Store(&list)
 	var names []string
 	for _, in := range list {
 		if in.Role == fold.RoleEntry {
@@ -483,5 +483,5 @@
 		}
 	}
 	e.member(func(m *owner.Machine) { m.Listed(e.clock.Now(), names) })
-	e.routers.update(e.clock.Now(), list)
+	e.applyDrains()
 }
--- a/fold/entry/pool.go
+++ b/fold/entry/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -49,6 +50,9 @@
 	// stood is when the entry was last seen to have standing.
 	stood fold.Instant
 
+	// stale says that the limits of teams must be read again.
+	stale atomic.Bool
+
 	// These belong to the loop of the table service.
 	searched fold.Instant
 	flushed  fold.Instant
@@ -148,7 +152,7 @@
 		return
 	}
 	now := p.entry.clock.Now()
-	starts := p.sched.Decide(now, maxStarts)
+	starts := p.measuredDecide(now)
 	for _, s := range starts {
 		if l, ok := p.links[s.Worker]; ok {
 			l.addStart(now, s.Task)
--- a/fold/entry/records.go
+++ b/fold/entry/records.go
@@ -18,6 +18,7 @@
 // exchange reads and writes the pool's rows in the table service. Reading new parts and deleting ended ones happen here
 // one after the other, so that a part that was read before its end is not taken as new after it.
 func (p *pool) exchange(ctx context.Context) {
+	p.readLimits(ctx)
 	p.takeParts(ctx)
 	p.adjustSplits(ctx)
 	p.poke()
--- a/fold/entry/splits.go
+++ b/fold/entry/splits.go
@@ -203,14 +203,24 @@
 	return short
 }
 
-// spreadLimits tells the pools of this entry the limits of the revision in force.
-func (e *Entry) spreadLimits(ctx context.Context) error {
-	rows, err := store.Scan[quota.Split](ctx, e.table, store.LimitPrefix)
-	if err != nil {
-		return err
-	}
+// refreshLimits makes the pools of this entry read the limits of a new revision.
+func (e *Entry) refreshLimits() {
 	for _, p := range e.allPools() {
-		p.limitsChanged(rows)
+		p.stale.Store(true)
+		nudge(p.records)
 	}
-	return nil
+}
+
+// readLimits reads the limits again after a new revision; until it succeeds the pool keeps to the old ones.
+func (p *pool) readLimits(ctx context.Context) {
+	if !p.stale.CompareAndSwap(true, false) {
+		return
+	}
+	rows, err := store.Scan[quota.Split](ctx, p.entry.table, store.LimitPrefix)
+	if err != nil {
+		p.stale.Store(true)
+		p.log.Warn("Cannot read the limits of teams. Trying again.", "error", err)
+		return
+	}
+	p.limitsChanged(rows)
 }
