Decide placements at a cost that does not grow with the workers

Cause: Index.Choose, Totals, Largest, Pool.Decide, Needs, Status, Stops and Changes looked at every worker or job on each call. Random events also showed eight faults: orphans held no capacity; a stop whose call was lost was never sent again; a task found on a worker beyond its capacity was started a second time; outcomes and tasks of a worker that came back were ignored; the end of a job was lost if it came while an earlier state was written; cancelled work still counted as needed; a refused start was repeated at once. Change: place.Index keeps workers in cells by free accelerators, cores and memory, and remembers sizes that fit nowhere until capacity comes free. sched.Pool keeps counts, orders jobs in lanes of equal size, and starts one task for each pick. Stop.Grace is new; fold/entry passes it on.

--- a/fold/entry/pool.go
+++ b/fold/entry/pool.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -316,7 +317,8 @@
 		if !ok {
 			continue
 		}
-		ends[l] = append(ends[l], fold.StopRequest{Task: s.Task, Checkpoint: s.Checkpoint, Grace: stopGrace.Milliseconds()})
+		grace := cmp.Or(s.Grace, stopGrace)
+		ends[l] = append(ends[l], fold.StopRequest{Task: s.Task, Checkpoint: s.Checkpoint, Grace: grace.Milliseconds()})
 	}
 	return ends
 }
--- /dev/null
+++ b/fold/gauge/doc.go
@@ -0,0 +1,2 @@
+// Package gauge corrects declared run times and shows declared sizes that are not used.
+package gauge
--- /dev/null
+++ b/fold/health/doc.go
@@ -0,0 +1,2 @@
+// Package health tells workers that fail everything from jobs that fail everywhere.
+package health
--- a/fold/place/index.go
+++ b/fold/place/index.go
@@ -2,110 +2,193 @@
 
 import "plantainfold.example/fold"
 
-// Node is one worker as the index sees it.
-type Node struct {
-	Name     string
-	Domain   string
-	Rack     string
-	Capacity fold.Resources
-	Used     fold.Resources
-}
-
-// Free returns the capacity that is not committed.
-func (n Node) Free() fold.Resources {
-	return n.Capacity.Sub(n.Used)
-}
-
-// Index holds the free capacity of workers.
+// Index holds the free capacity of workers. The cost of a choice does not grow with their number.
 type Index struct {
-	nodes map[string]*Node
-	order []string
+	nodes    map[string]*slot
+	order    []*slot
+	racks    map[string]*rack
+	grid     grid
+	capacity fold.Resources
+	used     fold.Resources
+	// shapes counts the workers of each capacity.
+	shapes map[fold.Resources]int
+	// grown counts increases of free capacity; recent is a ring of the workers behind the last of them.
+	grown    uint64
+	recent   []*slot
+	misses   map[fold.Resources]uint64
+	examined int
 }
 
 // New returns an empty index.
 func New() *Index {
-	return &Index{nodes: make(map[string]*Node)}
+	return &Index{
+		nodes:  make(map[string]*slot),
+		racks:  make(map[string]*rack),
+		shapes: make(map[fold.Resources]int),
+		misses: make(map[fold.Resources]uint64),
+	}
 }
 
-// Add adds an idle worker or updates its capacity.
+// Add adds a worker or updates its capacity; what is committed on a known worker stays.
 func (x *Index) Add(n Node) {
-	if old, ok := x.nodes[n.Name]; ok {
-		old.Capacity = n.Capacity
+	s, ok := x.nodes[n.Name]
+	if ok {
+		x.capacity = x.capacity.Sub(s.Capacity).Add(n.Capacity)
+		x.shape(s.Capacity, -1)
+		x.change(s, func() { s.Capacity = n.Capacity })
+		x.shape(s.Capacity, 1)
 		return
 	}
-	x.nodes[n.Name] = &n
-	x.order = append(x.order, n.Name)
+	s = &slot{Node: n, at: len(x.order)}
+	x.nodes[n.Name] = s
+	x.order = append(x.order, s)
+	x.join(s)
+	x.capacity = x.capacity.Add(n.Capacity)
+	x.used = x.used.Add(n.Used)
+	x.shape(n.Capacity, 1)
+	x.grid.put(s)
+	x.grew(s)
 }
 
 // Remove drops a worker.
 func (x *Index) Remove(name string) {
-	delete(x.nodes, name)
-	for i, other := range x.order {
-		if other == name {
-			x.order = append(x.order[:i], x.order[i+1:]...)
-			return
-		}
+	s, ok := x.nodes[name]
+	if !ok {
+		return
 	}
+	x.grid.drop(s)
+	x.leave(s)
+	delete(x.nodes, name)
+	last := len(x.order) - 1
+	x.order[s.at] = x.order[last]
+	x.order[s.at].at = s.at
+	x.order[last] = nil
+	x.order = x.order[:last]
+	x.capacity = x.capacity.Sub(s.Capacity)
+	x.used = x.used.Sub(s.Used)
+	x.shape(s.Capacity, -1)
 }
 
 // Node returns a worker.
 func (x *Index) Node(name string) (Node, bool) {
-	n, ok := x.nodes[name]
+	s, ok := x.nodes[name]
 	if !ok {
 		return Node{}, false
 	}
-	return *n, true
+	return s.Node, true
+}
+
+// Len returns the number of workers.
+func (x *Index) Len() int {
+	return len(x.order)
+}
+
+// At returns the i-th worker and why it is closed; the order changes only when workers come and go.
+func (x *Index) At(i int) (Node, Reason) {
+	s := x.order[i]
+	return s.Node, s.closed
+}
+
+// Closed returns why a worker is closed, or 0.
+func (x *Index) Closed(name string) Reason {
+	if s, ok := x.nodes[name]; ok {
+		return s.closed
+	}
+	return Absent
+}
+
+// Close stops choices of a worker for a reason.
+func (x *Index) Close(name string, why Reason) {
+	if s, ok := x.nodes[name]; ok && s.closed&why == 0 {
+		s.closed |= why
+		x.grid.drop(s)
+	}
+}
+
+// Open ends one reason for which a worker is closed.
+func (x *Index) Open(name string, why Reason) {
+	s, ok := x.nodes[name]
+	if !ok || s.closed&why == 0 {
+		return
+	}
+	s.closed &^= why
+	if s.closed == 0 {
+		x.grid.put(s)
+		x.grew(s)
+	}
 }
 
-// Take commits r on a worker; it reports false and changes nothing if r does not fit.
+// Take commits r on a worker, closed or not; it reports false and changes nothing if r does not fit.
 func (x *Index) Take(name string, r fold.Resources) bool {
-	n, ok := x.nodes[name]
-	if !ok || !r.Fits(n.Free()) {
+	s, ok := x.nodes[name]
+	if !ok || !r.Fits(s.Free()) {
 		return false
 	}
-	n.Used = n.Used.Add(r)
+	x.Charge(name, r)
 	return true
 }
 
+// Charge commits r on a worker that already runs it, even beyond its capacity.
+func (x *Index) Charge(name string, r fold.Resources) {
+	s, ok := x.nodes[name]
+	if !ok {
+		return
+	}
+	x.used = x.used.Add(r)
+	x.move(s, func() { s.Used = s.Used.Add(r) })
+}
+
 // Give returns r to a worker.
 func (x *Index) Give(name string, r fold.Resources) {
-	if n, ok := x.nodes[name]; ok {
-		n.Used = n.Used.Sub(r)
+	s, ok := x.nodes[name]
+	if !ok {
+		return
 	}
+	x.used = x.used.Sub(r)
+	x.change(s, func() { s.Used = s.Used.Sub(r) })
+}
+
+// change alters a worker whose free capacity may grow.
+func (x *Index) change(s *slot, alter func()) {
+	x.move(s, alter)
+	x.grew(s)
 }
 
-// Choose returns the worker with the least free capacity left after r, among those for which allow is true.
-func (x *Index) Choose(r fold.Resources, allow func(Node) bool) (string, bool) {
-	best, found := "", false
-	least := 0.0
-	for _, name := range x.order {
-		n := x.nodes[name]
-		if !r.Fits(n.Free()) || !allow(*n) {
-			continue
-		}
-		left := n.Free().Sub(r).Dominant(n.Capacity)
-		if !found || left < least {
-			best, found, least = name, true, left
-		}
+// move alters a worker and puts it into the cell of its new free capacity.
+func (x *Index) move(s *slot, alter func()) {
+	x.grid.drop(s)
+	alter()
+	if s.closed == 0 {
+		x.grid.put(s)
 	}
-	return best, found
 }
 
 // Largest returns the largest capacity of any worker in each dimension.
 func (x *Index) Largest() fold.Resources {
 	var largest fold.Resources
-	for _, n := range x.nodes {
-		largest = largest.Max(n.Capacity)
+	for capacity := range x.shapes {
+		largest = largest.Max(capacity)
 	}
 	return largest
 }
 
+// Room returns how many tasks of size r all workers together could hold if they were idle, at most limit.
+func (x *Index) Room(r fold.Resources, limit int) int {
+	room := 0
+	for capacity, count := range x.shapes {
+		room = min(limit, room+count*int(min(Node{Capacity: capacity}.Slots(r), int64(limit))))
+	}
+	return room
+}
+
+func (x *Index) shape(capacity fold.Resources, n int) {
+	x.shapes[capacity] += n
+	if x.shapes[capacity] == 0 {
+		delete(x.shapes, capacity)
+	}
+}
+
 // Totals returns the capacity and the committed part of all workers.
 func (x *Index) Totals() (fold.Resources, fold.Resources) {
-	var capacity, used fold.Resources
-	for _, n := range x.nodes {
-		capacity = capacity.Add(n.Capacity)
-		used = used.Add(n.Used)
-	}
-	return capacity, used
+	return x.capacity, x.used
 }
--- a/fold/sched/commands.go
+++ b/fold/sched/commands.go
@@ -1,8 +1,6 @@
 package sched
 
 import (
-	"slices"
-
 	"plantainfold.example/fold"
 )
 
@@ -13,51 +11,65 @@
 	Unknown []byte `json:"unknown,omitempty"`
 	// Cancelled says that the job was cancelled.
 	Cancelled bool `json:"cancelled,omitempty"`
+	// Parked says that the job failed on several workers and does not start any more.
+	Parked bool `json:"parked,omitempty"`
 }
 
 // Submit adds a job accepted by this owner.
 func (p *Pool) Submit(now fold.Instant, spec fold.Job) {
+	p.advance(now)
 	p.add(newJob(now, spec, false))
 }
 
 // Restore adds a job accepted under an earlier owner.
 func (p *Pool) Restore(now fold.Instant, spec fold.Job, done Progress) {
+	p.advance(now)
 	j := newJob(now, spec, true)
-	for i, t := range j.tasks {
+	if !p.add(j) {
+		return
+	}
+	for i := range j.tasks {
 		switch {
 		case bit(done.Done, i):
-			j.move(t, phaseDone)
+			p.move(&j.tasks[i], phaseDone)
 		case bit(done.Failed, i):
-			j.move(t, phaseFailed)
+			p.move(&j.tasks[i], phaseFailed)
 		case bit(done.Unknown, i):
-			j.move(t, phaseUnknown)
+			p.move(&j.tasks[i], phaseUnknown)
 		}
 	}
-	j.cancelled = done.Cancelled
-	p.add(j)
+	if done.Cancelled {
+		p.halt(j, &j.cancelled)
+	}
+	if done.Parked {
+		p.halt(j, &j.parked)
+	}
 }
 
-// Cancel stops a job; it reports false if the pool does not hold it.
+// Cancel stops a job; it reports false if the pool does not hold it. Its tasks are told by Stops.
 func (p *Pool) Cancel(id string) bool {
 	j, ok := p.jobs[id]
 	if !ok {
 		return false
 	}
-	if !j.cancelled && !j.state().Ended() {
-		j.cancelled = true
-		j.changed = true
+	if j.cancelled || j.state().Ended() {
+		return true
+	}
+	p.halt(j, &j.cancelled)
+	if j.active() > 0 {
+		p.ending = append(p.ending, ending{job: j})
 	}
 	return true
 }
 
-// Forget drops a job that has ended.
+// Forget drops a job that has ended and whose last state was returned by Changes.
 func (p *Pool) Forget(id string) {
 	j, ok := p.jobs[id]
-	if !ok || !j.state().Ended() {
+	if !ok || !j.state().Ended() || j.changed {
 		return
 	}
 	delete(p.jobs, id)
-	p.unqueue(j)
+	p.guard.Ended(id)
 }
 
 // Job returns the status of a job.
@@ -75,18 +87,16 @@
 	Progress Progress
 }
 
-// Changes returns the jobs that changed since the last call, at most limit of them.
+// Changes returns the jobs that changed since the last call, longest ago first, at most limit of them.
 func (p *Pool) Changes(limit int) []Change {
 	var changes []Change
-	for _, j := range p.jobs {
-		if len(changes) == limit {
-			break
-		}
-		if !j.changed {
-			continue
-		}
+	for len(p.dirty) > 0 && len(changes) < limit {
+		j := p.dirty[0]
+		p.dirty = p.dirty[1:]
 		j.changed = false
-		changes = append(changes, Change{Status: j.status(p.id), Progress: j.progress()})
+		if p.jobs[j.spec.ID] == j {
+			changes = append(changes, Change{Status: j.status(p.id), Progress: j.progress()})
+		}
 	}
 	return changes
 }
@@ -94,73 +104,30 @@
 // Touch marks a job as changed, for a record that could not be written.
 func (p *Pool) Touch(id string) {
 	if j, ok := p.jobs[id]; ok {
-		j.changed = true
+		p.markDirty(j)
 	}
 }
 
-func (p *Pool) add(j *job) {
+func (p *Pool) add(j *job) bool {
 	if _, exists := p.jobs[j.spec.ID]; exists {
-		return
+		return false
 	}
 	p.jobs[j.spec.ID] = j
-	t := p.team(j.spec.Team)
-	at, _ := slices.BinarySearchFunc(t.queue, j, compare)
-	t.queue = slices.Insert(t.queue, at, j)
-}
-
-func (p *Pool) unqueue(j *job) {
-	t := p.team(j.spec.Team)
-	if at := slices.Index(t.queue, j); at >= 0 {
-		t.queue = slices.Delete(t.queue, at, at+1)
-	}
-}
-
-// compare orders jobs of a team by priority, deadline, time of accept and id.
-func compare(a, b *job) int {
-	switch {
-	case a.spec.Priority != b.spec.Priority:
-		return b.spec.Priority - a.spec.Priority
-	case a.spec.Deadline != b.spec.Deadline:
-		return compareDeadline(a.spec.Deadline, b.spec.Deadline)
-	case a.spec.Accepted != b.spec.Accepted:
-		return sign(a.spec.Accepted - b.spec.Accepted)
-	case a.spec.ID < b.spec.ID:
-		return -1
-	case a.spec.ID > b.spec.ID:
-		return 1
-	default:
-		return 0
-	}
-}
-
-// compareDeadline puts jobs without a deadline last.
-func compareDeadline(a, b int64) int {
-	switch {
-	case a == 0:
-		return 1
-	case b == 0:
-		return -1
-	default:
-		return sign(a - b)
-	}
-}
-
-func sign(n int64) int {
-	switch {
-	case n < 0:
-		return -1
-	case n > 0:
-		return 1
-	default:
-		return 0
+	for i := range j.tasks {
+		p.count(j, 1, &j.tasks[i])
 	}
+	p.enqueue(j)
+	return true
 }
 
 func (j *job) progress() Progress {
 	bytes := (len(j.tasks) + 7) / 8
-	done := Progress{Done: make([]byte, bytes), Failed: make([]byte, bytes), Unknown: make([]byte, bytes), Cancelled: j.cancelled}
-	for i, t := range j.tasks {
-		switch t.phase {
+	done := Progress{
+		Done: make([]byte, bytes), Failed: make([]byte, bytes), Unknown: make([]byte, bytes),
+		Cancelled: j.cancelled, Parked: j.parked,
+	}
+	for i := range j.tasks {
+		switch j.tasks[i].phase {
 		case phaseDone:
 			done.Done[i/8] |= 1 << (i % 8)
 		case phaseFailed:
--- a/fold/sched/decide.go
+++ b/fold/sched/decide.go
@@ -1,89 +1,137 @@
 package sched
 
 import (
-	"sort"
+	"slices"
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/place"
 )
 
+const (
+	// maxRefused bounds the placements that fail in one round, so that a long queue that fits nowhere costs little.
+	maxRefused = 256
+	// teamRefused bounds those of one team.
+	teamRefused = 32
+	// maxGangs bounds the gangs that fail in one round; each looks at every rack.
+	maxGangs = 8
+)
+
+// Reasons of placements.
+const (
+	reasonFit      = "least free capacity left after the task"
+	reasonBackfill = "ends before the start of the larger job that the worker is reserved for"
+	reasonReserved = "the worker was reserved for the job"
+	reasonGang     = "all tasks at once on the fewest racks"
+)
+
 // Start is a decision to run a task on a worker; the capacity is already committed.
 type Start struct {
 	Worker string
 	Task   fold.WorkerTask
 }
 
-// Stop is a decision to stop a task gracefully.
-type Stop struct {
-	Worker string
-	Task   fold.TaskID
-	// Checkpoint says that the task is to save its state first.
-	Checkpoint bool
+// round is one call of Decide.
+type round struct {
+	pool     *Pool
+	capacity fold.Resources
+	teams    []*team
+	aside    []aside
+	refused  map[*team]int
+	total    int
+	gangs    int
+}
+
+// aside is a lane whose first job could not be placed in this round.
+type aside struct {
+	team *team
+	lane *lane
 }
 
-// Decide returns at most limit starts; their tasks wait for Confirm or Adopt.
+// Decide returns at most limit starts, or more if the last of them belong to one gang. Their tasks wait for Confirm or
+// Adopt.
 func (p *Pool) Decide(now fold.Instant, limit int) []Start {
-	var starts []Start
+	p.advance(now)
+	p.endDelays()
+	for _, name := range p.guard.Due(p.now) {
+		p.reopen(name)
+	}
+	p.joinGangs()
+	p.checkHolds()
 	capacity, _ := p.index.Totals()
-	blocked := make(map[*job]bool)
+	r := &round{pool: p, capacity: capacity, teams: slices.Clone(p.order), refused: make(map[*team]int)}
+	var starts []Start
 	for len(starts) < limit {
-		j := p.next(capacity, blocked)
-		if j == nil {
+		t, l := r.next()
+		if l == nil {
 			break
 		}
-		placed := p.placeJob(now, j, limit-len(starts))
+		var placed []Start
+		if r.worthTrying(l) {
+			placed = p.place(l.jobs[0])
+		}
 		if len(placed) == 0 {
-			blocked[j] = true
+			r.refuse(t, l)
 		}
 		starts = append(starts, placed...)
 	}
+	r.close()
+	p.makeRoom()
 	return starts
 }
 
-// Stops returns the tasks that must stop and were not told yet.
-func (p *Pool) Stops() []Stop {
-	var stops []Stop
-	for name, w := range p.workers {
-		for id, t := range w.tasks {
-			if t.job.cancelled && !t.stopped {
-				t.stopped = true
-				stops = append(stops, Stop{Worker: name, Task: id})
-			}
+// next returns the lane to place from: urgent work first, then the team that is furthest below its share.
+func (r *round) next() (*team, *lane) {
+	var best *team
+	var bestLane *lane
+	var bestRatio float64
+	kept := r.teams[:0]
+	for _, t := range r.teams {
+		l := t.queue.first(r.pool.startable)
+		if l == nil || r.total >= maxRefused || r.refused[t] >= teamRefused {
+			continue
+		}
+		kept = append(kept, t)
+		ratio := t.ratio(r.capacity)
+		if best == nil || ahead(l.jobs[0], ratio, bestLane.jobs[0], bestRatio) {
+			best, bestLane, bestRatio = t, l, ratio
 		}
 	}
-	for id, name := range p.orphans {
-		stops = append(stops, Stop{Worker: name, Task: id})
+	r.teams = kept
+	return best, bestLane
+}
+
+// worthTrying reports whether the first job of the lane may fit; gangs look at every rack, so they are tried again only
+// when capacity came free, and few of them in a round.
+func (r *round) worthTrying(l *lane) bool {
+	if l.key.gang == "" {
+		return true
 	}
-	clear(p.orphans)
-	sort.Slice(stops, func(i, k int) bool { return stops[i].Task.String() < stops[k].Task.String() })
-	return stops
+	w := l.jobs[0].wait
+	return r.gangs < maxGangs && (w.why != whyRoom || w.grown != r.pool.index.Grown())
 }
 
-// next returns the job to place now: urgent work first, then the team that is furthest below its share.
-func (p *Pool) next(capacity fold.Resources, blocked map[*job]bool) *job {
-	var best *job
-	var bestRatio float64
-	for _, t := range p.teams {
-		for _, j := range t.queue {
-			if blocked[j] || !p.startable(j) {
-				continue
-			}
-			ratio := t.used.Dominant(capacity) / float64(t.share)
-			if best == nil || ahead(j, ratio, best, bestRatio) {
-				best, bestRatio = j, ratio
-			}
-			break
-		}
+// refuse sets a lane aside until the end of the round.
+func (r *round) refuse(t *team, l *lane) {
+	t.queue.putAside(l)
+	r.aside = append(r.aside, aside{team: t, lane: l})
+	r.refused[t]++
+	if l.key.gang != "" {
+		r.gangs++
+	}
+	r.total++
+}
+
+// close puts the lanes that were set aside back.
+func (r *round) close() {
+	for _, a := range r.aside {
+		a.team.queue.putBack(a.lane)
 	}
-	return best
 }
 
 func ahead(a *job, ratioA float64, b *job, ratioB float64) bool {
-	urgentA := a.spec.Priority >= fold.UrgentPriority
-	urgentB := b.spec.Priority >= fold.UrgentPriority
 	switch {
-	case urgentA != urgentB:
-		return urgentA
+	case a.urgent() != b.urgent():
+		return a.urgent()
 	case ratioA != ratioB:
 		return ratioA < ratioB
 	default:
@@ -91,90 +139,67 @@
 	}
 }
 
-func (p *Pool) startable(j *job) bool {
-	return !j.cancelled && j.counts[phaseWaiting] > 0 && !(j.old && p.held)
+// place starts the next task of a job, or all tasks of a gang.
+func (p *Pool) place(j *job) []Start {
+	if j.spec.Kind == fold.Gang {
+		return p.placeGang(j)
+	}
+	t := j.first()
+	size := j.spec.Resources
+	if !p.team(j.spec.Team).allows(size) {
+		j.wait = wait{why: whyAllotment, need: size}
+		return nil
+	}
+	if name, ok := p.useHold(j); ok {
+		return []Start{p.commit(t, name, reasonReserved)}
+	}
+	if name, ok := p.choose(j); ok {
+		p.dropHold(p.holdOf(j))
+		return []Start{p.commit(t, name, reasonFit)}
+	}
+	if name, ok := p.backfill(j); ok {
+		return []Start{p.commit(t, name, reasonBackfill)}
+	}
+	p.block(j)
+	return nil
 }
 
-// placeJob places waiting tasks of a job, all of them or none for a gang.
-func (p *Pool) placeJob(now fold.Instant, j *job, limit int) []Start {
-	var starts []Start
-	gang := j.spec.Kind == fold.Gang
-	for _, t := range j.tasks {
-		if t.phase != phaseWaiting {
-			continue
+// choose prefers workers on which the job did not fail.
+func (p *Pool) choose(j *job) (string, bool) {
+	failing := p.guard.Failing(j.spec.ID)
+	if len(failing) > 0 {
+		name, ok := p.index.Choose(j.spec.Resources, func(n place.Node) bool { return !slices.Contains(failing, n.Name) })
+		if ok {
+			return name, true
 		}
-		if !gang && len(starts) == limit {
-			break
-		}
-		start, ok := p.placeTask(now, t)
-		if !ok {
-			if gang {
-				p.undo(starts)
-				return nil
-			}
-			break
-		}
-		starts = append(starts, start)
 	}
-	return starts
+	return p.index.Choose(j.spec.Resources, nil)
 }
 
-func (p *Pool) placeTask(now fold.Instant, t *task) (Start, bool) {
+// commit starts a task on a worker that has room for it.
+func (p *Pool) commit(t *task, name, reason string) Start {
 	spec := t.job.spec
-	owner := p.team(spec.Team)
-	if !owner.used.Add(spec.Resources).Fits(owner.allotment) {
-		return Start{}, false
-	}
-	name, ok := p.index.Choose(spec.Resources, p.usable)
-	if !ok || !p.index.Take(name, spec.Resources) {
-		return Start{}, false
-	}
-	owner.used = owner.used.Add(spec.Resources)
-	t.worker = name
+	w := p.workers[name]
 	t.attempt++
-	t.stopped = false
-	t.job.move(t, phaseStarting)
-	p.workers[name].tasks[t.id] = t
+	t.began = p.now
+	p.hold(w, t, spec.Resources)
+	p.move(t, phaseStarting)
+	p.openWorker(w)
+	t.job.wait = wait{}
 	node, _ := p.index.Node(name)
 	t.job.remember(fold.Placement{
-		Task:    t.id,
+		Task:    t.id(),
 		Attempt: t.attempt,
 		Worker:  name,
 		Domain:  node.Domain,
-		Waited:  now.Sub(t.job.accepted).Milliseconds(),
-		Reason:  "least free capacity left after the task",
+		Waited:  p.now.Sub(t.job.accepted).Milliseconds(),
+		Reason:  reason,
 	})
 	return Start{Worker: name, Task: fold.WorkerTask{
-		Task:      t.id,
+		Task:      t.id(),
 		Attempt:   t.attempt,
 		Resources: spec.Resources,
 		Duration:  spec.Duration,
 		Lease:     TaskLease.Milliseconds(),
-	}}, true
-}
-
-func (p *Pool) usable(n place.Node) bool {
-	w := p.workers[n.Name]
-	return w != nil && w.adopted && !w.leaving
-}
-
-// undo takes back placements that were not sent.
-func (p *Pool) undo(starts []Start) {
-	for _, s := range starts {
-		if t, ok := p.workers[s.Worker].tasks[s.Task.Task]; ok {
-			t.attempt--
-			p.release(t, phaseWaiting)
-		}
-	}
-}
-
-// release returns a task's capacity and moves it to a phase.
-func (p *Pool) release(t *task, to phase) {
-	spec := t.job.spec
-	p.index.Give(t.worker, spec.Resources)
-	owner := p.team(spec.Team)
-	owner.used = owner.used.Sub(spec.Resources)
-	delete(p.workers[t.worker].tasks, t.id)
-	t.worker = ""
-	t.job.move(t, to)
+	}}
 }
--- a/fold/sched/explain.go
+++ b/fold/sched/explain.go
@@ -4,8 +4,30 @@
 	"fmt"
 
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/health"
 )
 
+// why is the cause for which a job was not placed the last time.
+type why int
+
+const (
+	whyNone why = iota
+	whyAllotment
+	whyRoom
+	whyNever
+	whyBackoff
+)
+
+// wait is what the last failed placement of a job found. It is noted for every failure; the text is made on request.
+type wait struct {
+	why   why
+	need  fold.Resources
+	count int
+	since fold.Instant
+	// grown is the state of the index at that time.
+	grown uint64
+}
+
 // Explain says why a job is in its state.
 func (p *Pool) Explain(id string) (fold.Explanation, bool) {
 	j, ok := p.jobs[id]
@@ -17,26 +39,144 @@
 		e.Evidence = append(e.Evidence, fmt.Sprintf("%s attempt %d on %s in %s after %d ms: %s",
 			place.Task, place.Attempt, place.Worker, place.Domain, place.Waited, place.Reason))
 	}
-	if j.counts[phaseWaiting] > 0 && !j.cancelled {
+	e.Evidence = append(e.Evidence, p.preemptEvidence(j)...)
+	e.Evidence = append(e.Evidence, p.usageEvidence(j)...)
+	switch {
+	case j.cancelled && !e.State.Ended():
+		e.Reason = fmt.Sprintf("the job was cancelled; %d tasks are being stopped", j.active())
+		e.Remedy = "wait for the tasks to end"
+	case j.parked && j.counts[phaseWaiting] > 0:
+		e.Reason = fmt.Sprintf("the job failed on %d workers, so %d tasks do not start", len(p.guard.Failing(id)), j.counts[phaseWaiting])
+		for _, worker := range p.guard.Failing(id) {
+			e.Evidence = append(e.Evidence, "failed on "+worker)
+		}
+		e.Remedy = "correct the job, cancel this one and submit it under a new id"
+	case j.counts[phaseWaiting] > 0 && !j.cancelled:
 		e.Reason, e.Remedy = p.whyWaiting(j)
-		return e, true
+		e.Evidence = append(e.Evidence, p.poolEvidence()...)
+	default:
+		e.Reason = fmt.Sprintf("%d running, %d done, %d failed, %d unknown",
+			j.active(), j.counts[phaseDone], j.counts[phaseFailed], j.counts[phaseUnknown])
+		e.Remedy = remedyOf(j)
 	}
-	e.Reason = fmt.Sprintf("%d running, %d done, %d failed, %d unknown",
-		j.active(), j.counts[phaseDone], j.counts[phaseFailed], j.counts[phaseUnknown])
 	return e, true
 }
 
+// NeverFits explains that no workers of the pool could ever run the job, even if they were idle; it reports false if
+// they could.
+func (p *Pool) NeverFits(spec fold.Job) (fold.Explanation, bool) {
+	count := 1
+	if spec.Kind == fold.Gang {
+		count = spec.Count
+	}
+	if p.index.Len() == 0 || p.index.Room(spec.Resources, count) >= count {
+		return fold.Explanation{}, false
+	}
+	reason, remedy := p.tooLarge(spec.Resources, count)
+	return fold.Explanation{Job: spec.ID, State: fold.Waiting, Reason: reason, Evidence: p.poolEvidence(), Remedy: remedy}, true
+}
+
+func remedyOf(j *job) string {
+	switch {
+	case j.counts[phaseUnknown] > 0:
+		return "check the outcome of the unknown tasks, then submit what is missing under a new id"
+	case j.counts[phaseFailed] > 0:
+		return "correct the job and submit it under a new id, or allow more retries"
+	default:
+		return "nothing to do"
+	}
+}
+
 func (p *Pool) whyWaiting(j *job) (string, string) {
 	t := p.team(j.spec.Team)
-	switch {
-	case j.old && p.held:
+	if j.old && p.held {
 		return "the pool has a new owner that has not reached every worker", "wait, or declare unreachable workers lost"
-	case !j.spec.Resources.Fits(p.index.Largest()):
-		return "no worker of the pool is large enough", "ask for less per task"
-	case !t.used.Add(j.spec.Resources).Fits(t.allotment):
-		return fmt.Sprintf("team %s uses %s of its allotment of %s here", j.spec.Team, t.used, t.allotment),
+	}
+	if j.nready == 0 || j.wait.why == whyBackoff {
+		return "tasks wait for the end of their backoff after a failure", "correct what fails, or wait"
+	}
+	switch j.wait.why {
+	case whyNever:
+		return p.tooLarge(j.wait.need, j.wait.count)
+	case whyAllotment:
+		return fmt.Sprintf("team %s uses %s of its allotment of %s here and needs %s more", t.name, t.used, t.allotment, j.wait.need),
 			"wait for work of the team to end, or raise its limit"
+	case whyRoom:
+		return p.noRoom(j)
 	default:
-		return "no worker has enough free capacity, or other teams are further below their share", "wait, or add workers"
+		return "work of higher priority or of teams further below their share goes first", "wait, or add workers"
+	}
+}
+
+func (p *Pool) tooLarge(size fold.Resources, count int) (string, string) {
+	if count > 1 && p.index.Room(size, 1) == 1 {
+		return fmt.Sprintf("the workers can never hold %d tasks of %s at once; they hold %d", count, size, p.index.Room(size, count)),
+			"ask for fewer or smaller tasks"
+	}
+	return fmt.Sprintf("no worker of the pool is large enough for %s; the largest has %s", size, p.index.Largest()),
+		"ask for less per task"
+}
+
+func (p *Pool) noRoom(j *job) (string, string) {
+	reason := fmt.Sprintf("no worker has %s free", j.wait.need)
+	if j.wait.count > 1 {
+		reason = fmt.Sprintf("there is no room for %d tasks of %s at once", j.wait.count, j.wait.need)
+	}
+	if h := p.holdOf(j); h != nil && h.start != never {
+		return fmt.Sprintf("%s; %d workers are reserved, estimated start in %d ms", reason, len(h.names),
+			max(h.start.Sub(p.now), 0).Milliseconds()), "wait, or add workers"
+	}
+	return reason, "wait, ask for less, or add workers"
+}
+
+// poolEvidence names the state of the pool behind a wait.
+func (p *Pool) poolEvidence() []string {
+	capacity, used := p.index.Totals()
+	evidence := []string{fmt.Sprintf("pool %s: %s of %s committed on %d workers, %d tasks waiting", p.id, used, capacity, p.index.Len(), p.waiting)}
+	closed := 0
+	for i := 0; i < p.index.Len() && closed < maxClosed; i++ {
+		n, _ := p.index.At(i)
+		if p.guard.State(n.Name) == health.Good {
+			continue
+		}
+		closed++
+		evidence = append(evidence, p.quarantineEvidence(n.Name))
+	}
+	return evidence
+}
+
+// maxClosed bounds the workers in quarantine that an explanation names.
+const maxClosed = 8
+
+func (p *Pool) quarantineEvidence(name string) string {
+	text := "worker " + name + " is in quarantine"
+	if p.guard.State(name) == health.Probation {
+		text = "worker " + name + " is on probation with one task at a time"
+	}
+	failures := p.guard.Evidence(name)
+	return fmt.Sprintf("%s: %d jobs failed there", text, len(failures))
+}
+
+func (p *Pool) preemptEvidence(j *job) []string {
+	if j.preemptions == 0 {
+		return nil
+	}
+	return []string{fmt.Sprintf("%d tasks were checkpointed and stopped, the last because %s; they run again", j.preemptions, j.preempted)}
+}
+
+// usageEvidence shows declared sizes and run times that the observed ones do not bear out.
+func (p *Pool) usageEvidence(j *job) []string {
+	if j.usage.Count() == 0 {
+		return nil
+	}
+	var evidence []string
+	peak, size := j.usage.Peak(), j.spec.Resources
+	if 2*peak.CPU < size.CPU || 2*peak.Memory < size.Memory || (peak.Accel < size.Accel) {
+		evidence = append(evidence, fmt.Sprintf("%d tasks used at most %s of the declared %s", j.usage.Count(), peak, size))
+	}
+	mean, declared := j.usage.Mean().Milliseconds(), j.spec.Duration
+	if declared > 0 && (2*mean < declared || mean > 2*declared) {
+		evidence = append(evidence, fmt.Sprintf("tasks run %d ms on average; %d ms are declared", mean, declared))
 	}
+	return evidence
 }
--- a/fold/sched/job.go
+++ b/fold/sched/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/gauge"
 )
 
 // MaxPlaces bounds the placements that a job remembers for explanations.
@@ -22,55 +23,111 @@
 
 // task is one task of a job.
 type task struct {
-	id      fold.TaskID
 	job     *job
+	index   int
 	phase   phase
 	attempt int
-	worker  string
-	fails   int
+	// worker is where the task holds capacity, or "".
+	worker string
+	// size is what the task holds there.
+	size  fold.Resources
+	began fold.Instant
+	fails int
+	// ready says that a waiting task may start now; other waiting tasks wait for the end of their backoff.
+	ready bool
+	// stopped says that the worker was told to stop the attempt.
 	stopped bool
+	// preempted names why the attempt makes room for other work, or is "".
+	preempted string
+}
+
+func (t *task) id() fold.TaskID {
+	return fold.TaskID{Job: t.job.spec.ID, Index: t.job.spec.From + t.index}
+}
+
+// active reports whether the task holds capacity.
+func (t *task) active() bool {
+	return t.phase == phaseStarting || t.phase == phaseRunning
 }
 
 // job is the state of one job part.
 type job struct {
 	spec      fold.Job
-	tasks     []*task
+	tasks     []task
 	counts    [phaseCount]int
 	old       bool
 	cancelled bool
+	parked    bool
 	changed   bool
 	accepted  fold.Instant
 	places    []fold.Placement
+	usage     gauge.Usage
+	// ready holds the indices of tasks that may start; entries whose task is not ready any more are skipped.
+	ready  []int
+	nready int
+	// lane is the queue that the job stands in, or nil.
+	lane *lane
+	// wait says why the job was not placed the last time.
+	wait wait
+	// split is the instant since which only a part of a gang runs, or 0.
+	split fold.Instant
+	// preemptions counts the tasks that made room for other work; preempted says why the last one did.
+	preemptions int
+	preempted   string
 }
 
 func newJob(now fold.Instant, spec fold.Job, old bool) *job {
-	j := &job{spec: spec, old: old, accepted: now, tasks: make([]*task, spec.Count)}
+	j := &job{spec: spec, old: old, accepted: now, tasks: make([]task, spec.Count), ready: make([]int, spec.Count)}
 	for i := range j.tasks {
-		j.tasks[i] = &task{id: fold.TaskID{Job: spec.ID, Index: spec.From + i}, job: j}
+		j.tasks[i] = task{job: j, index: i, ready: true}
+		j.ready[i] = i
 	}
+	j.nready = spec.Count
 	j.counts[phaseWaiting] = spec.Count
 	return j
 }
 
-func (j *job) count(ph phase) int {
-	return j.counts[ph]
-}
-
-// move puts a task into another phase and keeps the counts.
-func (j *job) move(t *task, to phase) {
-	j.counts[t.phase]--
-	t.phase = to
-	j.counts[to]++
-	j.changed = true
-}
-
 // task returns the task with the id, if the part holds it.
 func (j *job) task(id fold.TaskID) (*task, bool) {
 	at := id.Index - j.spec.From
 	if at < 0 || at >= len(j.tasks) {
 		return nil, false
 	}
-	return j.tasks[at], true
+	return &j.tasks[at], true
+}
+
+// first returns the next task that may start, or nil.
+func (j *job) first() *task {
+	for len(j.ready) > 0 {
+		t := &j.tasks[j.ready[0]]
+		if t.ready {
+			return t
+		}
+		j.ready = j.ready[1:]
+	}
+	return nil
+}
+
+func (j *job) setReady(t *task, ready bool) {
+	if t.ready == ready {
+		return
+	}
+	t.ready = ready
+	if !ready {
+		j.nready--
+		return
+	}
+	j.nready++
+	j.ready = append(j.ready, t.index)
+}
+
+// halted reports whether no task of the job may start any more.
+func (j *job) halted() bool {
+	return j.cancelled || j.parked
+}
+
+func (j *job) urgent() bool {
+	return j.spec.Priority >= fold.UrgentPriority
 }
 
 // active counts tasks that hold capacity.
@@ -83,8 +140,10 @@
 	switch {
 	case j.active() > 0:
 		return fold.Running
-	case j.cancelled:
+	case j.cancelled && j.counts[phaseWaiting] > 0:
 		return fold.Cancelled
+	case j.parked && j.counts[phaseWaiting] > 0:
+		return fold.Parked
 	case j.counts[phaseWaiting] > 0:
 		return fold.Waiting
 	case j.counts[phaseUnknown] > 0:
--- a/fold/sched/pool.go
+++ b/fold/sched/pool.go
@@ -2,42 +2,48 @@
 
 import (
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/gauge"
+	"plantainfold.example/fold/health"
 	"plantainfold.example/fold/place"
 )
 
-// Team is what the manifest and the table service say of a team in this pool.
-type Team struct {
-	Name string
-	// Share is the team's weight when the pool is full.
-	Share int
-	// Allotment is the part of the team's limit that this pool holds.
-	Allotment fold.Resources
-}
-
-// team is the state of one team in the pool.
-type team struct {
-	share     int
-	allotment fold.Resources
-	used      fold.Resources
-	queue     []*job
-}
-
 // Pool schedules the jobs of one pool on its workers. It is not safe for concurrent use.
 type Pool struct {
 	id      string
 	index   *place.Index
 	teams   map[string]*team
+	order   []*team
 	jobs    map[string]*job
 	workers map[string]*worker
 	held    bool
-	orphans map[fold.TaskID]string
+	// now is the latest instant that any call has told.
+	now     fold.Instant
+	guard   *health.Guard
+	book    *gauge.Book
+	delayed delays
+	holds   []*hold
+	// split lists gangs of which only a part runs.
+	split []*job
+	dirty []*job
+	// ending holds tasks that are to be told to stop, told the ones that were, oldest first.
+	ending []ending
+	told   []ending
+	// cursor is where the next sample of workers starts.
+	cursor   int
+	preempts int
+	adopted  int
+	waiting  int
+	running  int
 }
 
 // worker is the state of one worker of the pool.
 type worker struct {
+	name    string
 	adopted bool
 	leaving bool
 	tasks   map[fold.TaskID]*task
+	// orphans are tasks that run here without a job of the pool that wants them; they hold capacity until they end.
+	orphans map[fold.TaskID]orphan
 }
 
 // New returns a pool without workers and jobs.
@@ -48,62 +54,62 @@
 		teams:   make(map[string]*team),
 		jobs:    make(map[string]*job),
 		workers: make(map[string]*worker),
-		orphans: make(map[fold.TaskID]string),
+		guard:   health.New(),
+		book:    gauge.New(),
 	}
 }
 
-// SetTeam sets the share and the allotment of a team.
-func (p *Pool) SetTeam(t Team) {
-	state := p.team(t.Name)
-	state.share = max(t.Share, 1)
-	state.allotment = t.Allotment
-}
-
 // SetHeld stops or allows the start of tasks that were accepted under an earlier owner.
 func (p *Pool) SetHeld(held bool) {
+	if p.held == held {
+		return
+	}
 	p.held = held
+	if held {
+		return
+	}
+	for _, j := range p.jobs {
+		if j.old {
+			p.enqueue(j)
+		}
+	}
 }
 
 // SetLeaving stops or allows new starts on a worker.
 func (p *Pool) SetLeaving(name string, leaving bool) {
 	if w, ok := p.workers[name]; ok {
 		w.leaving = leaving
+		p.openWorker(w)
 	}
 }
 
-// Needs returns for each team what it uses and waits for in this pool.
-func (p *Pool) Needs() map[string]fold.Resources {
-	needs := make(map[string]fold.Resources, len(p.teams))
-	capacity, _ := p.index.Totals()
-	for name, t := range p.teams {
-		need := t.used
-		for _, j := range t.queue {
-			need = need.Add(j.spec.Resources.Times(int64(j.count(phaseWaiting))))
-		}
-		needs[name] = need.Min(capacity.Max(t.used))
-	}
-	return needs
+// openWorker closes the worker in the index or opens it, as its state says.
+func (p *Pool) openWorker(w *worker) {
+	p.closeFor(w, place.Absent, !w.adopted || w.leaving)
+	state := p.guard.State(w.name)
+	p.closeFor(w, place.Quarantined, state == health.Quarantine || (state == health.Probation && len(w.tasks) > 0))
 }
 
-// Used returns what a team uses in this pool.
-func (p *Pool) Used(name string) fold.Resources {
-	return p.team(name).used
+func (p *Pool) closeFor(w *worker, why place.Reason, closed bool) {
+	if closed {
+		p.index.Close(w.name, why)
+		return
+	}
+	p.index.Open(w.name, why)
 }
 
 // Status returns the counts of the pool.
 func (p *Pool) Status() fold.PoolStatus {
 	capacity, used := p.index.Totals()
-	s := fold.PoolStatus{Pool: p.id, Workers: len(p.workers), Capacity: capacity, Used: used}
-	for _, w := range p.workers {
-		if w.adopted {
-			s.Adopted++
-		}
-	}
-	for _, j := range p.jobs {
-		s.Waiting += j.count(phaseWaiting)
-		s.Running += j.count(phaseStarting) + j.count(phaseRunning)
+	return fold.PoolStatus{
+		Pool:     p.id,
+		Workers:  len(p.workers),
+		Adopted:  p.adopted,
+		Capacity: capacity,
+		Used:     used,
+		Waiting:  p.waiting,
+		Running:  p.running,
 	}
-	return s
 }
 
 // Largest returns the largest capacity of any worker in each dimension.
@@ -111,11 +117,67 @@
 	return p.index.Largest()
 }
 
-func (p *Pool) team(name string) *team {
-	t, ok := p.teams[name]
-	if !ok {
-		t = &team{share: 1}
-		p.teams[name] = t
+// Examined returns how many workers all choices together have looked at.
+func (p *Pool) Examined() int {
+	return p.index.Examined()
+}
+
+// move puts a task into another phase and keeps the counts.
+func (p *Pool) move(t *task, to phase) {
+	j := t.job
+	p.count(j, -1, t)
+	j.counts[t.phase]--
+	t.phase = to
+	j.counts[to]++
+	p.count(j, 1, t)
+	if to != phaseWaiting {
+		j.setReady(t, false)
+	}
+	p.markDirty(j)
+}
+
+// count adds or removes a task in the totals of the pool and its team.
+func (p *Pool) count(j *job, n int, t *task) {
+	switch {
+	case t.active():
+		p.running += n
+	case t.phase == phaseWaiting && !j.halted():
+		p.waiting += n
+		owner := p.team(j.spec.Team)
+		owner.wanted = owner.wanted.Add(j.spec.Resources.Times(int64(n)))
+	}
+}
+
+// halt takes the waiting tasks of a job out of the totals when it is cancelled or parked.
+func (p *Pool) halt(j *job, set *bool) {
+	was := j.halted()
+	*set = true
+	if !was {
+		n := j.counts[phaseWaiting]
+		p.waiting -= n
+		owner := p.team(j.spec.Team)
+		owner.wanted = owner.wanted.Sub(j.spec.Resources.Times(int64(n)))
+		if j.lane != nil {
+			owner.queue.bury(j)
+		}
+	}
+	p.markDirty(j)
+}
+
+func (p *Pool) markDirty(j *job) {
+	if !j.changed {
+		j.changed = true
+		p.dirty = append(p.dirty, j)
+	}
+}
+
+func (p *Pool) startable(j *job) bool {
+	return p.jobs[j.spec.ID] == j && j.nready > 0 && !j.halted() && !(j.old && p.held)
+}
+
+// enqueue puts a job into the queue of its team if it may start tasks.
+func (p *Pool) enqueue(j *job) {
+	if j.lane == nil && p.startable(j) {
+		p.team(j.spec.Team).queue.add(j)
 	}
-	return t
 }
