--- /dev/null
+++ b/fold/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench drives schedulers with workloads in virtual time and measures them.
+package bench
--- a/fold/health/guard.go
+++ b/fold/health/guard.go
@@ -155,32 +155,18 @@
 	delete(g.parked, job)
 }
 
-// bad reports whether the job failed on enough workers. A worker on which enough other jobs failed does not count,
-// because its failures say nothing about the job.
+// bad reports whether the job failed on enough workers. Workers in quarantine do not count, because they fail other jobs
+// too.
 func (g *Guard) bad(job string) bool {
 	against := 0
 	for _, worker := range g.failing[job] {
-		if g.others(worker, job) < Distinct {
+		if g.State(worker) == Good {
 			against++
 		}
 	}
 	return against >= Distinct
 }
 
-func (g *Guard) others(worker, job string) int {
-	w, ok := g.workers[worker]
-	if !ok {
-		return 0
-	}
-	count := 0
-	for _, f := range w.evidence {
-		if f.Job != job {
-			count++
-		}
-	}
-	return count
-}
-
 // park takes a bad job's failures out of the evidence against workers and returns those that are good again.
 func (g *Guard) park(job string) []string {
 	g.parked[job] = true
--- a/fold/sched/decide.go
+++ b/fold/sched/decide.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"slices"
 
 	"plantainfold.example/fold"
@@ -9,9 +10,12 @@
 
 const (
 	// maxRefused bounds the placements that fail in one round, so that a long queue that fits nowhere costs little.
-	maxRefused = 256
+	maxRefused = 512
 	// teamRefused bounds those of one team.
-	teamRefused = 32
+	teamRefused = 128
+	// aheadPart is how far, in parts of its use, a team may be ahead of one with less of its share while that one waits
+	// for room. Each team is to be within 5% of its share, and one large task is up to 4% of a small team's share.
+	aheadPart = 1.02
 	// maxGangs bounds the gangs that fail in one round; each looks at every rack.
 	maxGangs = 8
 )
@@ -39,6 +43,9 @@
 	refused  map[*team]int
 	total    int
 	gangs    int
+	// strict says that shares apply strictly; lowest is the least ratio of the teams whose work fits nowhere now.
+	strict bool
+	lowest float64
 }
 
 // aside is a lane whose first job could not be placed in this round.
@@ -57,8 +64,12 @@
 	}
 	p.joinGangs()
 	p.checkHolds()
-	capacity, _ := p.index.Totals()
-	r := &round{pool: p, capacity: capacity, teams: slices.Clone(p.order), refused: make(map[*team]int)}
+	p.setFair()
+	capacity, used := p.index.Totals()
+	r := &round{
+		pool: p, capacity: capacity, teams: slices.Clone(p.order), refused: make(map[*team]int),
+		strict: used.Dominant(capacity) >= fullPart && p.strict(), lowest: math.Inf(1),
+	}
 	var starts []Start
 	for len(starts) < limit {
 		t, l := r.next()
@@ -91,6 +102,9 @@
 			continue
 		}
 		kept = append(kept, t)
+		if r.waits(t, l.jobs[0]) {
+			continue
+		}
 		ratio := t.ratio(r.capacity)
 		if best == nil || ahead(l.jobs[0], ratio, bestLane.jobs[0], bestRatio) {
 			best, bestLane, bestRatio = t, l, ratio
@@ -110,6 +124,12 @@
 	return r.gangs < maxGangs && (w.why != whyRoom || w.grown != r.pool.index.Grown())
 }
 
+// waits reports whether a team leaves what comes free to a team that has less of its share. Otherwise its small tasks
+// would take every gap before a larger one of that team fits.
+func (r *round) waits(t *team, j *job) bool {
+	return r.strict && !j.urgent() && t.ratio(r.capacity) > aheadPart*r.lowest
+}
+
 // refuse sets a lane aside until the end of the round.
 func (r *round) refuse(t *team, l *lane) {
 	t.queue.putAside(l)
@@ -118,6 +138,9 @@
 	if l.key.gang != "" {
 		r.gangs++
 	}
+	if l.jobs[0].wait.why == whyRoom {
+		r.lowest = min(r.lowest, t.ratio(r.capacity))
+	}
 	r.total++
 }
 
--- a/fold/sched/hold.go
+++ b/fold/sched/hold.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// largePart is the part of the largest worker from which a task gets a reservation at once.
-	largePart = 0.25
-	// holdAfter is how long smaller work waits for room before it gets a reservation.
-	holdAfter = time.Second
+	// minPatience and maxPatience bound how long work waits for room before it gets a reservation: half of its run
+	// time. A reservation at once makes small work wait for large work that would have started soon anyway.
+	minPatience = time.Second
+	maxPatience = 30 * time.Second
 	// holdLate is how long after its estimated start a reservation is made anew, because run times were wrong.
 	holdLate = 10 * time.Second
 	// maxHolds bounds the reservations at the same time.
@@ -116,16 +116,16 @@
 	runs := p.book.Estimate(j.spec, &j.usage)
 	looked := 0
 	for _, h := range p.holds {
-		early := runs > 0 && p.now.Add(runs) <= h.start
-		if !early && (!j.urgent() || h.urgent) {
-			continue
-		}
+		early := (runs > 0 && p.now.Add(runs) <= h.start) || (j.urgent() && !h.urgent)
 		for _, name := range h.names {
 			if looked++; looked > sample {
 				return "", false
 			}
 			n, ok := p.index.Node(name)
-			if ok && p.index.Closed(name) == place.Reserved && j.spec.Resources.Fits(n.Free()) {
+			if !ok || p.index.Closed(name) != place.Reserved || !j.spec.Resources.Fits(n.Free()) {
+				continue
+			}
+			if early || j.spec.Resources.Fits(p.spare(h, n)) {
 				return name, true
 			}
 		}
@@ -133,7 +133,19 @@
 	return "", false
 }
 
-// block notes that a job does not fit now, and reserves workers for it if it is large or waits for long.
+// spare is what a reserved worker is estimated to have free at the start of the job beyond what the job needs there.
+func (p *Pool) spare(h *hold, n place.Node) fold.Resources {
+	room := n.Free().Sub(h.key.size.Times(int64(h.rooms[n.Name])))
+	for _, t := range p.workers[n.Name].tasks {
+		if p.endOf(t) <= h.start {
+			room = room.Add(t.size)
+		}
+	}
+	return room
+}
+
+// block notes that a job does not fit now, and reserves workers for it if it is urgent, has waited for long or belongs
+// to a team that is below its share.
 func (p *Pool) block(j *job) {
 	size, count := j.spec.Resources, 1
 	if j.spec.Kind == fold.Gang {
@@ -147,9 +159,10 @@
 		j.wait = wait{why: whyRoom, need: size, count: count, since: p.now}
 	}
 	j.wait.grown = p.index.Grown()
-	large := size.Dominant(p.index.Largest()) >= largePart || p.now.Sub(j.wait.since) >= holdAfter
+	patience := min(max(p.book.Estimate(j.spec, &j.usage)/2, minPatience), maxPatience)
+	late := p.now.Sub(j.wait.since) >= patience
 	starved := p.team(j.spec.Team).low != 0
-	if (count > 1 || large || j.urgent() || starved) && p.holdOf(j) == nil {
+	if (late || j.urgent() || starved) && p.holdOf(j) == nil {
 		p.reserve(j, count)
 	}
 }
--- a/fold/sched/pool.go
+++ b/fold/sched/pool.go
@@ -5,6 +5,7 @@
 	"plantainfold.example/fold/gauge"
 	"plantainfold.example/fold/health"
 	"plantainfold.example/fold/place"
+	"plantainfold.example/fold/spec"
 )
 
 // Pool schedules the jobs of one pool on its workers. It is not safe for concurrent use.
@@ -16,6 +17,7 @@
 	jobs    map[string]*job
 	workers map[string]*worker
 	held    bool
+	policy  spec.Policy
 	// now is the latest instant that any call has told.
 	now     fold.Instant
 	guard   *health.Guard
@@ -59,6 +61,17 @@
 	}
 }
 
+// SetPolicy sets how the measures of the cell are weighed. Where waiting time outweighs fairness, teams ahead of their
+// share may use capacity that the work of other teams does not fit now.
+func (p *Pool) SetPolicy(policy spec.Policy) {
+	p.policy = policy
+}
+
+// strict reports whether fairness weighs at least as much as waiting time.
+func (p *Pool) strict() bool {
+	return p.policy.Waiting <= p.policy.Fairness
+}
+
 // SetHeld stops or allows the start of tasks that were accepted under an earlier owner.
 func (p *Pool) SetHeld(held bool) {
 	if p.held == held {
--- a/fold/sched/preempt.go
+++ b/fold/sched/preempt.go
@@ -20,9 +20,14 @@
 	serviceLeft = 10 * time.Minute
 	// maxMaking bounds the workers on which tasks are preempted for one lane at the same time.
 	maxMaking = 16
-	// lowPart and highPart, in parts of the fair share, bound the teams that others make room for and that make room.
-	lowPart  = 0.95
-	highPart = 1.05
+	// lowPart and highPart, in parts of the fair share, bound the teams that others make room for and that make room;
+	// the wide bounds hold where waiting time outweighs fairness.
+	lowPart      = 0.98
+	highPart     = 1.02
+	wideLowPart  = 0.5
+	wideHighPart = 1.5
+	// fullPart is the part of the pool in use from which shares apply.
+	fullPart = 0.9
 	// lowTime is how long a team must be below its share before others make room for it.
 	lowTime = 2 * time.Second
 	// preemptShare is the inverse of the part of the workers on which work makes room for shares at the same time.
@@ -32,8 +37,7 @@
 // makeRoom stops other work for urgent work that cannot start in time, and work of teams far above their share for
 // teams below theirs.
 func (p *Pool) makeRoom() {
-	fair := p.fairShares()
-	p.noteLow(fair)
+	p.noteLow()
 	for _, h := range slices.Clone(p.holds) {
 		l, ok := h.team.queue.byKey[h.key]
 		if !ok || len(l.jobs) == 0 {
@@ -47,7 +51,7 @@
 		case late:
 			p.makeTaskRoom(h, j, urgentVictim, urgentWeight, "urgent work cannot start in time", maxMaking)
 		case h.team.low != 0 && p.now.Sub(h.team.low) >= lowTime && h.key.gang == "":
-			victim := func(t *task) bool { return shareVictim(t, p, fair) }
+			victim := func(t *task) bool { return shareVictim(t, p) }
 			left := max(1, p.index.Len()/preemptShare) - p.preempts
 			p.makeTaskRoom(h, j, victim, 1, "the team is far above its share", min(left, maxMaking))
 		default:
@@ -55,28 +59,30 @@
 	}
 }
 
-// fairShares returns each team's part of the capacity by weight, among the teams that use or want some.
-func (p *Pool) fairShares() map[*team]float64 {
+// setFair computes the fair parts of all teams.
+func (p *Pool) setFair() {
 	total := 0
 	for _, t := range p.order {
 		if !t.used.IsZero() || !t.wanted.IsZero() {
 			total += t.share
 		}
 	}
-	fair := make(map[*team]float64, len(p.order))
 	for _, t := range p.order {
-		fair[t] = float64(t.share) / float64(max(total, 1))
+		t.fair = float64(t.share) / float64(max(total, 1))
 	}
-	return fair
 }
 
 // noteLow notes since when teams with waiting work that the allotment allows are below their share.
-func (p *Pool) noteLow(fair map[*team]float64) {
-	capacity, _ := p.index.Totals()
+func (p *Pool) noteLow() {
+	capacity, used := p.index.Totals()
+	low := lowPart
+	if !p.strict() {
+		low = wideLowPart
+	}
 	for _, t := range p.order {
 		l := t.queue.first(p.startable)
 		switch {
-		case l == nil || t.used.Dominant(capacity) >= lowPart*fair[t] || !t.allows(l.key.size):
+		case used.Dominant(capacity) < fullPart || l == nil || t.used.Dominant(capacity) >= low*t.fair || !t.allows(l.key.size):
 			t.low = 0
 		case t.low == 0:
 			t.low = p.now
@@ -96,12 +102,16 @@
 	return movable(t) && !t.job.urgent()
 }
 
-func shareVictim(t *task, p *Pool, fair map[*team]float64) bool {
+func shareVictim(t *task, p *Pool) bool {
 	owner := p.team(t.job.spec.Team)
 	capacity, _ := p.index.Totals()
+	high := highPart
+	if !p.strict() {
+		high = wideHighPart
+	}
 	return movable(t) && !t.job.urgent() && t.job.spec.Kind != fold.Service &&
-		owner.used.Dominant(capacity) > highPart*fair[owner] &&
-		owner.used.Sub(owner.leaving).Sub(t.size).Dominant(capacity) >= fair[owner]
+		owner.used.Dominant(capacity) > high*owner.fair &&
+		owner.used.Sub(owner.leaving).Sub(t.size).Dominant(capacity) >= owner.fair
 }
 
 // makeTaskRoom stops tasks on the workers where least is lost, for at most limit waiting tasks of the lane.
@@ -123,6 +133,7 @@
 		}
 		if !h.keeps(worker) {
 			h.names = append(h.names, worker)
+			h.rooms[worker] = 1
 			p.index.Close(worker, place.Reserved)
 		}
 		h.making[worker] = true
--- a/fold/sched/team.go
+++ b/fold/sched/team.go
@@ -22,6 +22,8 @@
 	queue  queue
 	// leaving is the size of running tasks that were told to make room.
 	leaving fold.Resources
+	// fair is the team's part of the capacity by weight, among the teams that use or want some.
+	fair float64
 	// low is the instant since which the team is below its share with work waiting, or 0.
 	low fold.Instant
 }
