--- a/fold/entry/link.go
+++ b/fold/entry/link.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -78,7 +79,7 @@
 
 // addStop queues a stop; p.mu is held.
 func (l *link) addStop(s sched.Stop) {
-	l.stops = append(l.stops, fold.StopRequest{Task: s.Task, Checkpoint: s.Checkpoint, Grace: stopGrace.Milliseconds()})
+	l.stops = append(l.stops, fold.StopRequest{Task: s.Task, Checkpoint: s.Checkpoint, Grace: cmp.Or(s.Grace, stopGrace).Milliseconds()})
 	nudge(l.wake)
 }
 
--- a/fold/sched/doubt.go
+++ b/fold/sched/doubt.go
@@ -8,7 +8,7 @@
 	}
 	for _, t := range w.tasks {
 		if t.phase == phaseStarting {
-			t.job.move(t, phaseRunning)
+			p.move(t, phaseRunning)
 		}
 	}
 }
@@ -20,9 +20,9 @@
 		if !j.old || j.spec.Idempotent || j.cancelled {
 			continue
 		}
-		for _, t := range j.tasks {
-			if t.phase == phaseWaiting {
-				j.move(t, phaseUnknown)
+		for i := range j.tasks {
+			if t := &j.tasks[i]; t.phase == phaseWaiting {
+				p.move(t, phaseUnknown)
 			}
 		}
 	}
--- a/fold/sched/usage.go
+++ b/fold/sched/usage.go
@@ -18,14 +18,15 @@
 
 // Usage returns the teams that use or wait for capacity, in order of name.
 func (p *Pool) Usage() []Usage {
+	waiting := make(map[string]int)
+	for _, j := range p.jobs {
+		if !j.halted() {
+			waiting[j.spec.Team] += j.counts[phaseWaiting]
+		}
+	}
 	var list []Usage
 	for name, t := range p.teams {
-		u := Usage{Team: name, Share: t.share, Used: t.used, Allotment: t.allotment}
-		for _, j := range t.queue {
-			if !j.cancelled {
-				u.Waiting += j.counts[phaseWaiting]
-			}
-		}
+		u := Usage{Team: name, Share: t.share, Used: t.used, Allotment: t.allotment, Waiting: waiting[name]}
 		if u.Waiting > 0 || !u.Used.IsZero() {
 			list = append(list, u)
 		}
@@ -44,7 +45,7 @@
 		}
 		var held fold.Resources
 		for _, t := range w.tasks {
-			held = held.Add(t.job.spec.Resources)
+			held = held.Add(t.size)
 		}
 		if !held.Fits(node.Capacity) {
 			n++
