--- a/fold/owner/machine.go
+++ b/fold/owner/machine.go
@@ -42,15 +42,18 @@
 	// newer is the highest view number heard of, and revision the highest configuration heard of.
 	newer    int64
 	revision int64
-	contact  contact
+	// contact is the newest renewal that the entry knows of, its own or relayed; its instant is never too early.
+	contact contact
 
 	entries  map[string]*peer
 	units    map[string]Seen[Unit]
 	specs    map[string]Spec
 	released map[string]int64
+	// since is when the machine first planned to give away a unit, by the version of its row.
+	since map[string]contact
 }
 
-// contact is the newest renewal that the entry knows of, its own or relayed; at is never too early.
+// contact is when the write of a version took effect, or not long after.
 type contact struct {
 	version int64
 	at      fold.Instant
@@ -83,6 +86,7 @@
 		units:       make(map[string]Seen[Unit]),
 		specs:       make(map[string]Spec),
 		released:    make(map[string]int64),
+		since:       make(map[string]contact),
 	}
 }
 
@@ -275,7 +279,8 @@
 	if row.Version < p.row.Version {
 		return
 	}
-	if p.row.Version != row.Version {
+	// The write that fences an entry is no sign that it runs.
+	if p.row.Version != row.Version && row.Value.State != StateFenced {
 		p.unchanged = now
 	}
 	if p.row.Value.Incarnation != row.Value.Incarnation || p.row.Value.State != row.Value.State {
--- /dev/null
+++ b/fold/owner/machine_test.go
@@ -0,0 +1,208 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"plantainfold.example/fold"
+)
+
+// start is an instant long after every age that the rules know.
+const start = fold.Instant(time.Hour)
+
+// member returns a machine of a that is in a view of three entries and has just read everything.
+func member() *Machine {
+	now := start
+	m := New(Entry{ID: "a", Incarnation: "a1", State: StateLive})
+	m.Renewed(now, m.Self(), 1)
+	m.SawEntries(now, []Seen[Entry]{
+		{Key: "entry/a", Version: 1, Value: m.Self()},
+		{Key: "entry/b", Version: 2, Value: Entry{ID: "b", Incarnation: "b1", State: StateLive}},
+		{Key: "entry/c", Version: 3, Value: Entry{ID: "c", Incarnation: "c1", State: StateLive}},
+	})
+	m.SawView(now, Seen[View]{Version: 4, Value: View{Number: 1, Members: map[string]string{"a": "a1", "b": "b1", "c": "c1"}}})
+	m.Confirmed(now)
+	m.Tick(now)
+	return m
+}
+
+func beatOfB() Beat {
+	return Beat{ID: "b", Incarnation: "b1", Contact: -1, Confirmed: -1, View: 1, Votes: true, Eligible: true}
+}
+
+// keep ticks the machine every half second, as heartbeats do.
+func keep(m *Machine, from, to fold.Instant) {
+	for now := from; now <= to; now = now.Add(500 * time.Millisecond) {
+		m.Heard(now, beatOfB())
+		for _, id := range []string{"b", "c"} {
+			row := m.entries[id].row
+			row.Version += 10
+			m.sawEntry(now, row)
+		}
+		m.Renewed(now, m.Self(), m.entries["a"].row.Version+10)
+		m.Tick(now)
+	}
+}
+
+// Guards against evidence of a majority that is older than it looks.
+func TestOutageNeedsAnsweredHeartbeats(t *testing.T) {
+	later := start.Add(time.Minute)
+	for _, c := range []struct {
+		name string
+		do   func(m *Machine)
+		want Mode
+	}{
+		{"an answered heartbeat", func(m *Machine) { m.Heard(later, beatOfB()) }, ModeOutage},
+		{"a heartbeat that came as a request", func(m *Machine) { m.Told(later, beatOfB()) }, ModeNone},
+		{"an answer to an old request", func(m *Machine) { m.Heard(later.Add(-3*time.Second), beatOfB()) }, ModeNone},
+		{"a peer that joined and has read nothing", func(m *Machine) {
+			b := beatOfB()
+			b.Votes = false
+			m.Heard(later, b)
+		}, ModeNone},
+		{"a peer that knows a newer view", func(m *Machine) {
+			b := beatOfB()
+			b.View = 2
+			m.Heard(later, b)
+		}, ModeNone},
+		{"a peer that knows of table contact", func(m *Machine) {
+			b := beatOfB()
+			b.Contact, b.Proof = 1000, 99
+			m.Heard(later, b)
+		}, ModeNone},
+		{"a pause of its own", func(m *Machine) {
+			m.Heard(later, beatOfB())
+			m.Tick(later.Add(-3 * time.Second))
+			m.Tick(later)
+		}, ModeNone},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := member()
+			m.watched = never
+			c.do(m)
+			if got := m.Standing(later); got != c.want {
+				t.Errorf("standing %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against outage mode that never begins, because entries relay the same contact to each other and each delay
+// makes it look younger.
+func TestRelayedContactAges(t *testing.T) {
+	m := member()
+	for n := range 20 {
+		b := beatOfB()
+		// The peer relays the contact of start, and each message takes half a second.
+		b.Proof, b.Contact = 1, int64(n)*500
+		m.Heard(start.Add(time.Duration(n+1)*500*time.Millisecond), b)
+	}
+	if got := m.Beat(start.Add(10*time.Second), 0).Contact; got != 10_000 {
+		t.Errorf("the contact is %d ms old, want 10000", got)
+	}
+}
+
+// Guards against an older heartbeat that arrives late and lends its revision to a newer confirmation.
+func TestLateHeartbeatConfirmsNothing(t *testing.T) {
+	m := member()
+	later := start.Add(time.Minute)
+	newer, older := beatOfB(), beatOfB()
+	newer.Revision, newer.Confirmed, newer.Contact, newer.Proof = 2, 0, 0, 99
+	older.Revision, older.Confirmed = 1, 0
+	m.Heard(later, newer)
+	m.Heard(later.Add(-time.Second), older)
+	if got := m.Fresh(later, 1); got != ModeNone {
+		t.Errorf("revision 1 is fresh by mode %s after revision 2 was confirmed", got)
+	}
+	if got := m.Fresh(later, 2); got != ModePeer {
+		t.Errorf("revision 2 is fresh by mode %s, want %s", got, ModePeer)
+	}
+}
+
+// Guards against a paused entry that wakes and still writes what changes who may act.
+func TestPauseEndsEligibility(t *testing.T) {
+	m := member()
+	end := start.Add(6 * time.Second)
+	keep(m, start, end)
+	if !m.Eligible(end) {
+		t.Fatal("not eligible after 6 s of contact")
+	}
+	woken := end.Add(3 * time.Second)
+	if m.Eligible(woken) {
+		t.Error("eligible after a pause of 3 s")
+	}
+	m.Tick(woken)
+	m.Heard(woken, beatOfB())
+	m.Renewed(woken, m.Self(), 1000)
+	m.Tick(woken)
+	if m.Eligible(woken) {
+		t.Error("eligible at once after a pause, without having read view and configuration")
+	}
+}
+
+// Guards against an ownership that a scan from before a hand-over brings back, and against use of a unit whose
+// hand-over has an unknown outcome.
+func TestReleasedUnitStaysReleased(t *testing.T) {
+	m := member()
+	m.SetSpecs([]Spec{{ID: "once/00"}})
+	mine := Seen[Unit]{Key: "once/00", Version: 5, Value: Unit{Owner: "a", Incarnation: "a1", First: true}}
+	m.SawUnits([]Seen[Unit]{mine})
+	if len(m.Owned()) != 1 {
+		t.Fatal("the unit is not owned")
+	}
+	m.Release([]Give{{Unit: "once/00", Version: 5}})
+	m.SawUnits([]Seen[Unit]{mine})
+	if len(m.Owned()) != 0 || m.EpochOf("once/00") != 0 {
+		t.Error("the unit is used again at the epoch at which it was released")
+	}
+	keep(m, start, start.Add(6*time.Second))
+	if gives := m.Plan(start.Add(6 * time.Second)).Gives; len(gives) != 1 {
+		t.Errorf("%d hand-overs planned, want the released unit to be written again", len(gives))
+	}
+	m.SawUnits([]Seen[Unit]{{Key: "once/00", Version: 9, Value: Unit{Owner: "b", Incarnation: "b1"}}})
+	m.SawUnits([]Seen[Unit]{mine})
+	if len(m.Owned()) != 0 {
+		t.Error("a scan from before the hand-over brought the ownership back")
+	}
+}
+
+// Guards against a unit that waits for a preferred entry which cannot take it.
+func TestUnitDoesNotWaitForIneligiblePeer(t *testing.T) {
+	m := member()
+	m.SetSpecs([]Spec{{ID: "u0"}, {ID: "u1"}, {ID: "u2"}, {ID: "u3"}})
+	end := start.Add(6 * time.Second)
+	keep(m, start, end)
+	b := beatOfB()
+	b.Eligible = false
+	m.Heard(end.Add(time.Millisecond), b)
+	if got := len(m.Plan(end.Add(time.Millisecond)).Takes); got != 4 {
+		t.Errorf("%d units planned to take, want all 4", got)
+	}
+}
+
+// Guards against an entry that stops counting after single readings of a wrong or unreachable instance list.
+func TestGoneNeedsAnAbsenceWithoutGap(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	for _, c := range []struct {
+		name  string
+		reads map[int][]string
+		want  bool
+	}{
+		{"absent in every reading", map[int][]string{0: names, 8: {"a"}, 16: {"a"}, 24: {"a"}, 32: {"a"}, 40: {"a"}}, true},
+		{"listed again in between", map[int][]string{0: names, 8: {"a"}, 16: {"a"}, 24: names, 32: {"a"}, 40: {"a"}}, false},
+		{"no reading for a while", map[int][]string{0: names, 8: {"a"}, 40: {"a"}}, false},
+		{"no reading since the first absence", map[int][]string{0: names, 8: {"a"}}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := member()
+			for s := range 60 {
+				if list, ok := c.reads[s]; ok {
+					m.Listed(start.Add(time.Duration(s)*time.Second), list)
+				}
+			}
+			if got := m.ended("c"); got != c.want {
+				t.Errorf("ended %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/fold/owner/plan.go
+++ b/fold/owner/plan.go
@@ -61,13 +61,23 @@
 			if best.ID == m.self.ID {
 				plan.Takes = append(plan.Takes, Take{Unit: id, Version: row.Version})
 			}
-		case m.owns(row.Value) && (m.wasReleased(row) || (best.ID != m.self.ID && settled)):
+		case m.owns(row.Value) && (m.wasReleased(row) || (best.ID != m.self.ID && settled && m.kept(now, row))):
 			plan.Gives = append(plan.Gives, Give{Unit: id, Version: row.Version, To: best})
 		}
 	}
 	return plan
 }
 
+// kept reports whether the unit has been owned here for SettleTime. A unit that a leaving entry has just handed over
+// would otherwise go back to it, because its row still said that it was live when it was last read.
+func (m *Machine) kept(now fold.Instant, row Seen[Unit]) bool {
+	if since, ok := m.since[row.Key]; ok && since.version == row.Version {
+		return now.Sub(since.at) > SettleTime
+	}
+	m.since[row.Key] = contact{version: row.Version, at: now}
+	return false
+}
+
 // Gives returns the hand-over of all owned units, for a planned stop.
 func (m *Machine) Gives(now fold.Instant) []Give {
 	var gives []Give
--- a/fold/owner/view.go
+++ b/fold/owner/view.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -32,10 +33,6 @@
 	return ok && incarnation == e.Incarnation
 }
 
-func (v View) memberIDs() []string {
-	return slices.Sorted(maps.Keys(v.Members))
-}
-
 // hearsMajority reports whether fresh heartbeats cover a strict majority of the view and of the one before it, of
 // members that know at least the given view number.
 func (m *Machine) hearsMajority(now fold.Instant, number int64) bool {
@@ -46,7 +43,7 @@
 		p, ok := m.entries[id]
 		return ok && now.Sub(p.heard) < HeardTime && p.beat.Votes && p.beat.View >= number
 	}
-	return m.majority(m.view.Value.memberIDs(), knows) && m.majority(m.view.Value.Previous, knows)
+	return m.majority(maps.Keys(m.view.Value.Members), knows) && m.majority(slices.Values(m.view.Value.Previous), knows)
 }
 
 // KnownByMajority reports whether fresh heartbeats show that a majority of the view knows the configuration revision.
@@ -58,13 +55,13 @@
 		p, ok := m.entries[id]
 		return ok && now.Sub(p.heard) < HeardTime && p.beat.Votes && p.beat.Known >= revision
 	}
-	return m.majority(m.view.Value.memberIDs(), knows) && m.majority(m.view.Value.Previous, knows)
+	return m.majority(maps.Keys(m.view.Value.Members), knows) && m.majority(slices.Values(m.view.Value.Previous), knows)
 }
 
 // majority reports whether fn holds for more than half of the entries that may still run; it holds for none of none.
-func (m *Machine) majority(ids []string, fn func(id string) bool) bool {
+func (m *Machine) majority(ids iter.Seq[string], fn func(id string) bool) bool {
 	total, yes := 0, 0
-	for _, id := range ids {
+	for id := range ids {
 		if id != m.self.ID && m.ended(id) {
 			continue
 		}
@@ -108,7 +105,7 @@
 	if len(c.Fences) == 0 && maps.Equal(next, m.view.Value.Members) {
 		return nil
 	}
-	c.View = View{Number: m.view.Value.Number + 1, Members: next, Previous: m.view.Value.memberIDs()}
+	c.View = View{Number: m.view.Value.Number + 1, Members: next, Previous: slices.Sorted(maps.Keys(m.view.Value.Members))}
 	slices.SortFunc(c.Fences, func(a, b Seen[Entry]) int { return strings.Compare(a.Value.ID, b.Value.ID) })
 	return c
 }
