Keep claims through a planned stop

Cause: right after the start of a cell no peer could take units yet, so a planned stop handed nothing over, and its claim ranges answered ids as unsure until they were taken over. A claim that reached the old owner while its range moved was refused. Heartbeat calls carried pools and short teams, which only answers must tell.

Change: a planned stop waits up to 7 s while a peer answers that may soon take units. A claim that meets a moving range is sent again up to four times within half a second, unless its answer was lost. Heartbeat calls leave out what answers tell.

Above 16 entries the regional mesh is still to be built.

--- a/fold/entry/claims.go
+++ b/fold/entry/claims.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"golang.org/x/sync/errgroup"
 
 	"plantainfold.example/fold"
@@ -19,6 +20,12 @@
 // maxHanded bounds the claims of a range that are handed over, so that they fit into one frame.
 const maxHanded = 16_384
 
+// A range that moves in a planned stop has its next owner within about two of these pauses.
+const (
+	claimTries = 5
+	claimPause = 100 * time.Millisecond
+)
+
 // claims holds the books of the claim ranges that the entry owns.
 type claims struct {
 	mu    sync.Mutex
@@ -181,9 +188,10 @@
 // claim asks for the right to run a non-idempotent request once.
 func (e *Entry) claim(ctx context.Context, account, id string, issued time.Time) error {
 	call := claimCall{Unit: claimUnit(once.RangeOf(account, id)), ID: account + "/" + id, Issued: issued.UnixMilli()}
-	answer, err := e.askClaim(ctx, call)
+	answer, err := e.askOwner(ctx, call)
 	if err != nil {
-		return err
+		// Whatever happened to the call, the request itself has not run.
+		return fold.Unavailable.Wrap(err, "claim %s", call.Unit)
 	}
 	switch answer.Verdict {
 	case once.Granted:
@@ -199,7 +207,24 @@
 	}
 }
 
-// askClaim sends the call to the owner of the range. Whatever happens to the call, the request itself has not run.
+// askOwner asks again while the range moves to another owner. It does not ask again after a lost answer, because the
+// claim may have been granted and would then be answered as seen.
+func (e *Entry) askOwner(ctx context.Context, call claimCall) (claimAnswer, error) {
+	for try := 1; ; try++ {
+		answer, err := e.askClaim(ctx, call)
+		if !errorx.IsOfType(err, fold.Unavailable) || try == claimTries {
+			return answer, err
+		}
+		nudge(e.nudges.units)
+		select {
+		case <-e.clock.After(claimPause):
+		case <-ctx.Done():
+			return answer, err
+		}
+	}
+}
+
+// askClaim sends the call to the owner of the range.
 func (e *Entry) askClaim(ctx context.Context, call claimCall) (claimAnswer, error) {
 	var at owner.Entry
 	var known bool
@@ -216,9 +241,5 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
-	answer, err := peer.Call[claimCall, claimAnswer](callCtx, e.node, at.Address, kindClaim, call)
-	if err != nil {
-		return answer, fold.Unavailable.Wrap(err, "claim at %s", at.ID)
-	}
-	return answer, nil
+	return peer.Call[claimCall, claimAnswer](callCtx, e.node, at.Address, kindClaim, call)
 }
--- a/fold/entry/member.go
+++ b/fold/entry/member.go
@@ -29,8 +29,10 @@
 	maxTakes = 32
 	maxCalls = 32
 	// maxBeats bounds the heartbeats under way.
-	maxBeats       = 256
-	announceTime   = 3 * time.Second
+	maxBeats     = 256
+	announceTime = 3 * time.Second
+	// heirTime bounds the wait for a peer that can take units; a peer needs TTL of contact and a view that names it.
+	heirTime       = 7 * time.Second
 	announcePeriod = 20 * time.Millisecond
 )
 
@@ -358,12 +360,8 @@
 
 // handOver gives all units away and marks the entry as left, for a planned stop. The membership loop must have ended.
 func (e *Entry) handOver(ctx context.Context) {
-	var gives []owner.Give
-	e.member(func(m *owner.Machine) {
-		m.Leave()
-		gives = m.Gives(e.clock.Now())
-	})
-	if err := e.give(ctx, gives); err != nil {
+	e.member(func(m *owner.Machine) { m.Leave() })
+	if err := e.give(ctx, e.awaitHeirs(ctx)); err != nil {
 		e.log.Warn("Cannot hand over all units. They are taken once this entry is fenced.", "error", err)
 		return
 	}
@@ -380,6 +378,32 @@
 	}
 }
 
+// awaitHeirs returns the hand-over of all units. When no peer can take them yet, as just after the start of the cell, it
+// waits for one while any answers.
+func (e *Entry) awaitHeirs(ctx context.Context) []owner.Give {
+	begin := e.clock.Now()
+	for {
+		var gives []owner.Give
+		var wait bool
+		e.member(func(m *owner.Machine) {
+			now := e.clock.Now()
+			gives = m.Gives(now)
+			wait = len(gives) == 0 && len(m.Owned()) > 0 && m.Heirs(now)
+		})
+		if !wait || e.clock.Now().Sub(begin) > heirTime {
+			return gives
+		}
+		e.report("Cannot read the entries.", e.scanEntries(ctx))
+		e.report("Cannot renew the entry.", e.renew(ctx))
+		e.report("Cannot read the view.", e.readView(ctx))
+		select {
+		case <-e.clock.After(beatPeriod):
+		case <-ctx.Done():
+			return gives
+		}
+	}
+}
+
 // syncUnits starts and stops pools and claim ranges to match what the entry owns.
 func (e *Entry) syncUnits() {
 	var owned map[string]owner.Holding
@@ -401,7 +425,9 @@
 			}
 		}
 	})
+	// Only answers count as evidence, so the request leaves out what only answers must tell.
 	beat := e.heartbeat()
+	beat.Pools, beat.Short = nil, nil
 	for _, p := range peers {
 		e.running.Add(1)
 		go func() {
--- a/fold/owner/machine.go
+++ b/fold/owner/machine.go
@@ -233,7 +233,7 @@
 		Confirmed:   age(now.Add(time.Millisecond), m.confirmedAt),
 		View:        m.newer,
 		Votes:       m.votes(),
-		Eligible:    m.Eligible(now),
+		Eligible:    m.self.State == StateLive && m.Eligible(now),
 	}
 }
 
--- a/fold/owner/plan.go
+++ b/fold/owner/plan.go
@@ -99,6 +99,16 @@
 	return gives
 }
 
+// Heirs reports whether a peer answers that may soon be able to take units, although none is now.
+func (m *Machine) Heirs(now fold.Instant) bool {
+	for id, p := range m.entries {
+		if id != m.self.ID && p.row.Value.State == StateLive && now.Sub(p.heard) < HeardTime && p.beat.Votes {
+			return true
+		}
+	}
+	return false
+}
+
 // Release ends the use of units before they are given away. A unit stays released at its epoch, because the outcome
 // of the write that gives it away may be unknown.
 func (m *Machine) Release(gives []Give) {
--- /dev/null
+++ b/fold/peer/beat_test.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"plantainfold.example/fold/owner"
+)
+
+const (
+	beatsPerSecond = 2
+	// maskBytes is what a WebSocket frame of the dialling side carries in addition.
+	maskBytes = 4
+)
+
+// frameBytes is the size of a call or answer on the wire, with the header of its WebSocket frame.
+func frameBytes(t *testing.T, kind string, body any, mask int) int {
+	t.Helper()
+	inner, err := cbor.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	outer, err := cbor.Marshal(frame{ID: 1 << 20, Kind: kind, Body: inner})
+	if err != nil {
+		t.Fatal(err)
+	}
+	header := 2
+	if len(outer) > 125 {
+		header = 4
+	}
+	return len(outer) + header + mask
+}
+
+// exchange returns the bytes of a heartbeat call and of its answer, which lists pools.
+func exchange(t *testing.T, pools int) (call, answer int) {
+	t.Helper()
+	beat := owner.Beat{
+		ID: "entry-eu-west-17", Incarnation: "0f8fad5b-d9cb-469f-a165-70867728950e",
+		Contact: 812, Proof: 1 << 40, Revision: 1 << 20, Known: 1 << 20, Confirmed: 731, View: 1 << 20, Votes: true, Eligible: true,
+	}
+	call = frameBytes(t, "beat", beat, maskBytes)
+	for n := range pools {
+		beat.Pools = append(beat.Pools, owner.Headroom{Pool: fmt.Sprintf("eu-west-a-%d", n), CPU: 4_096_000, Memory: 8_388_608, Accel: 128, Waiting: 1000})
+	}
+	beat.Short = []string{"planning", "nightly-photos"}
+	return call, frameBytes(t, "", beat, 0)
+}
+
+// Guards against heartbeats that cost more than the budget of a node.
+func TestHeartbeatBytes(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		peers int
+		pools int
+		bound int
+	}{
+		{"full mesh of 8", 7, 1, 16_000},
+		{"full mesh of 108", 107, 3, 0},
+		{"region of 14 with 2 links to each of 7 other regions", 13 + 14, 3, 0},
+	} {
+		call, answer := exchange(t, c.pools)
+		// An entry sends a call to each peer and an answer to each call of a peer.
+		sent := c.peers * beatsPerSecond * (call + answer)
+		t.Logf("%s: call %d B, answer %d B, %d B/s sent by each entry", c.name, call, answer, sent)
+		if c.bound > 0 && sent > c.bound {
+			t.Errorf("%s: %d B/s, want at most %d", c.name, sent, c.bound)
+		}
+	}
+}
