Prove not run for requests that were never sent

Cause: a request to an endpoint that refuses connections had an unknown outcome, so a non-idempotent one was not tried elsewhere although nothing was sent; a request whose caller went away between grant and send was sent nevertheless. Change: a failed dial is Unavailable, which proves not run and counts as a failure of the endpoint; the caller is checked before sending. Conclusion: only requests of which a byte may have been written have unknown outcomes.

--- a/fold/client/endpoint.go
+++ b/fold/client/endpoint.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -85,7 +86,7 @@
 	req.GetBody = nil
 	resp, err := e.http.Do(req)
 	if err != nil {
-		return fold.Reply{}, fold.Unknown.Wrap(err, "endpoint %s", e.base)
+		return fold.Reply{}, e.failure(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if err := e.check(resp, r.ID); err != nil {
@@ -100,6 +101,14 @@
 	return reply, nil
 }
 
+// failure returns the kind of a failed exchange; without a connection nothing was sent.
+func (e *Endpoint) failure(err error) error {
+	if op, ok := errors.AsType[*net.OpError](err); ok && op.Op == "dial" {
+		return fold.Refuse(fold.Unavailable, "use another endpoint", "endpoint %s cannot be reached: %v", e.base, err)
+	}
+	return fold.Unknown.Wrap(err, "endpoint %s", e.base)
+}
+
 // check returns an error unless the response is an answer to the request with the id.
 func (e *Endpoint) check(resp *http.Response, id string) error {
 	got := resp.Header.Get("Request-Id")
--- a/fold/client/endpoint_test.go
+++ b/fold/client/endpoint_test.go
@@ -139,3 +139,26 @@
 		}
 	}
 }
+
+// Guards against an unknown outcome for a request that was not sent, because its endpoint is gone.
+func TestUnreachableEndpointDidNotRun(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	_, err := client.NewEndpoints().Endpoint(server.URL).Serve(context.Background(), fold.Request{ID: "mine", Service: "planning", Timeout: time.Minute})
+	if !fold.DidNotRun(err) {
+		t.Errorf("%v, want a refusal that proves not run", err)
+	}
+}
+
+// Guards against a request that was sent and whose connection broke, and that is reported as not run.
+func TestBrokenConnectionIsUnknown(t *testing.T) {
+	_, err := serveAt(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}, "body")
+	if err == nil || fold.DidNotRun(err) {
+		t.Errorf("%v, want an unknown outcome", err)
+	}
+}
--- a/fold/entry/dispatch.go
+++ b/fold/entry/dispatch.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.opentelemetry.io/otel"
 
 	"plantainfold.example/fold"
@@ -114,6 +115,9 @@
 	if err := d.fresh(); err != nil {
 		return fold.Reply{}, err
 	}
+	if ctx.Err() != nil {
+		return fold.Reply{}, fold.Refuse(fold.Overload, "retry", "the caller went away")
+	}
 	if r.Timeout <= 0 {
 		return fold.Reply{}, fold.Refuse(fold.Overload, "retry with a later deadline", "the deadline has passed")
 	}
@@ -135,6 +139,8 @@
 		report.Outcome = route.Served
 	case err == nil:
 		report.Outcome = route.Failed
+	case errorx.IsOfType(err, fold.Unavailable):
+		report.Outcome = route.Failed
 	case fold.DidNotRun(err):
 		report.Outcome = route.Refused
 	case caller.Err() != nil:
--- a/fold/entry/dispatch_test.go
+++ b/fold/entry/dispatch_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/route"
 )
 
 // script is an endpoint that answers its n-th request with the n-th step; the last step repeats.
@@ -174,6 +175,27 @@
 	})
 }
 
+// Guards against an unknown outcome for a request whose caller went away before it was sent.
+func TestGoneCallerBeforeSendIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		s := &script{steps: steps{answer}}
+		_, err := newBench(1).dispatch(s).run(ctx, fold.Request{ID: "1", Timeout: time.Minute}, 1)
+		if !fold.DidNotRun(err) || s.sent != 0 {
+			t.Errorf("sent %d times, error %v; want a refusal that proves not run", s.sent, err)
+		}
+	})
+}
+
+// Guards against endpoints that cannot be reached and are tried again and again instead of being ejected.
+func TestUnreachableCountsAsFailure(t *testing.T) {
+	err := fold.Refuse(fold.Unavailable, "use another endpoint", "cannot be reached")
+	if got := reportOf(t.Context(), t.Context(), fold.Reply{}, err, 0).Outcome; got != route.Failed {
+		t.Errorf("outcome %v, want %v", got, route.Failed)
+	}
+}
+
 // Guards against a request whose claim took so long that it can no longer end in time, and that is sent nevertheless.
 func TestSlowClaimIsNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
