Judge the table service by settled outcomes

Cause: the breaker counted a lost reply as a miss although the read of the writer's row settled it. While replies were lost, an entry sent about one commit a second, lost its own renewals among the others and was fenced.

Change: the breaker stands around Settled and counts commits that stay unsettled.

Conclusion: lost replies no longer stop placements.

--- a/fold/entry/entry.go
+++ b/fold/entry/entry.go
@@ -62,8 +62,8 @@
 // New returns an entry that does nothing until Start.
 func New(s Settings, p Platform, clock fold.Clock, log hclog.Logger) *Entry {
 	incarnation := uuid.NewString()
-	breaker := store.NewBreaker(p.Table, clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	group := store.NewGroup(store.NewSettled(breaker, s.Name, incarnation))
+	settled := store.NewSettled(p.Table, s.Name, incarnation)
+	group := store.NewGroup(store.NewBreaker(settled, clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	e := &Entry{
 		settings: s,
 		platform: p,
--- a/fold/store/breaker.go
+++ b/fold/store/breaker.go
@@ -31,7 +31,8 @@
 
 var _ fold.Table = &Breaker{}
 
-// NewBreaker returns t behind a breaker; random spreads the probes of different entries.
+// NewBreaker returns t behind a breaker. It belongs around Settled, because a lost reply that was settled shows that the
+// table service works; random spreads the probes of different entries.
 func NewBreaker(t fold.Table, clock fold.Clock, random *rand.Rand) *Breaker {
 	shared := &source{random: random}
 	return &Breaker{table: t, reads: newGate(clock, shared), writes: newGate(clock, shared)}
@@ -59,7 +60,7 @@
 		return zero, fold.Refuse(fold.Unavailable, "retry in a second", "the table service does not answer")
 	}
 	v, err := call()
-	g.leave(!errorx.IsOfType(err, fold.Unknown))
+	g.leave(!errorx.IsOfType(err, fold.Unknown) && !errorx.IsOfType(err, fold.Unavailable))
 	return v, err
 }
 
--- a/fold/store/breaker_test.go
+++ b/fold/store/breaker_test.go
@@ -93,3 +93,20 @@
 		}
 	})
 }
+
+// Guards against a breaker that stops writes although only their replies are lost and each is settled by a read.
+func TestLostRepliesDoNotOpenTheBreaker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := bubbleClock{began: time.Now()}
+		p := plat.New(clock)
+		p.TableFaults.Set(plat.Fault{Lost: true})
+		b := store.NewBreaker(store.NewSettled(p.Meter, "writer", "1"), clock, rand.New(rand.NewPCG(9, 10)))
+		for range 20 {
+			if _, err := b.Commit(context.Background(), put); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+var put = fold.Txn{Puts: []fold.Put{{Key: "row"}}}
