--- a/fold/entry/jobs.go
+++ b/fold/entry/jobs.go
@@ -202,9 +202,7 @@
 			return jobAnswer{}, err
 		}
 		for i, part := range x.Parts {
-			if status, ok := ended[part.Pool]; ok {
-				answers[i], failed[i] = endedAnswer(status), nil
-			}
+			answers[i], failed[i] = settlePart(x.Job, part, ended, answers[i], failed[i])
 		}
 	}
 	if err := errors.Join(failed...); err != nil {
@@ -213,6 +211,19 @@
 	return merge(x.Job, answers), nil
 }
 
+// settlePart replaces a failed answer by the outcome of the part. A part that its owner does not hold and that has not
+// ended is durable and waits to be read by the owner.
+func settlePart(j fold.Job, part fold.Part, ended map[string]fold.JobStatus, a jobAnswer, failed error) (jobAnswer, error) {
+	if status, ok := ended[part.Pool]; ok {
+		return endedAnswer(status), nil
+	}
+	if !errorx.IsOfType(failed, fold.NotFound) {
+		return a, failed
+	}
+	status := fold.JobStatus{Job: j.WithPart(part.From, part.Count), Pool: part.Pool, State: fold.Waiting, Waiting: part.Count}
+	return jobAnswer{Status: status, Explanation: fold.Explanation{Job: j.ID, State: fold.Waiting, Reason: "the owner of the pool has not read it yet"}}, nil
+}
+
 func (e *Entry) askPart(ctx context.Context, call jobCall, kind string) (jobAnswer, error) {
 	at, ok := e.ownerOf(store.PoolPrefix + call.Pool)
 	if !ok {
@@ -260,11 +271,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	status, ok := p.sched.Job(call.Job)
-	if !ok && p.incoming[call.Job] {
-		return jobAnswer{Status: fold.JobStatus{Pool: call.Pool, State: fold.Waiting}}, nil
-	}
 	if !ok {
-		return jobAnswer{}, fold.Refuse(fold.Unavailable, "retry in a second", "pool %s does not hold job %s", call.Pool, call.Job)
+		// The part may be durable although the entry that wrote it could not tell.
+		p.expect(call.Job)
+		return jobAnswer{}, fold.Refuse(fold.NotFound, "retry in a second", "pool %s does not hold job %s", call.Pool, call.Job)
 	}
 	explanation, _ := p.sched.Explain(call.Job)
 	return jobAnswer{Status: status, Explanation: explanation}, nil
--- a/fold/entry/parts.go
+++ b/fold/entry/parts.go
@@ -25,6 +25,11 @@
 func (p *pool) announce(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.expect(id)
+}
+
+// expect makes the pool's loop read the row of a part; p.mu is held.
+func (p *pool) expect(id string) {
 	if len(p.incoming) >= maxIncoming {
 		return
 	}
