--- a/fold/entry/change.go
+++ b/fold/entry/change.go
@@ -41,6 +41,9 @@
 		}
 		e.adopt(ctx, d)
 		e.push(ctx, d)
+		if err := e.announce(ctx, d.Head.Revision); err != nil {
+			return fold.Revision{}, err
+		}
 		return e.Spread(ctx), nil
 	}
 	return fold.Revision{}, fold.Refuse(fold.Unavailable, "retry", "other changes came in between %d times", applyTries)
@@ -124,7 +127,7 @@
 // adopt puts an own change in force here, by its delta or from the table service. The change is committed, so a
 // failure only means that it is read again within a second.
 func (e *Entry) adopt(ctx context.Context, d delta) {
-	known, err := e.advance(d)
+	known, err := e.advance(ctx, d)
 	if err == nil && !known {
 		err = e.readHead(ctx)
 	}
--- a/fold/entry/drains.go
+++ b/fold/entry/drains.go
@@ -154,7 +154,7 @@
 		}
 	}
 	e.instances.Store(&list)
-	e.routers.update(list)
+	e.routers.update(e.clock.Now(), list)
 	for _, p := range e.allPools() {
 		p.mu.Lock()
 		for _, d := range drains {
@@ -172,7 +172,7 @@
 	for _, d := range drains {
 		switch d.Kind {
 		case fold.DrainWorker:
-			e.evict(ctx, d)
+			e.evict(d)
 		case fold.DrainQueue, fold.DrainTeam:
 			e.cancelDrained(d)
 		case fold.DrainEntry:
@@ -189,30 +189,25 @@
 
 // evict tells the tasks of a drained worker to save their state and stop: services at once, others at the end of the
 // grace.
-func (e *Entry) evict(ctx context.Context, d fold.Drain) {
+func (e *Entry) evict(d fold.Drain) {
 	if e.requireStanding() != nil {
 		return
 	}
 	for _, p := range e.allPools() {
 		p.mu.Lock()
 		l, ok := p.links[d.Name]
-		stops := p.sched.Evict(d.Name, expired(d, time.Now()))
-		ends := p.groupStops(stops)
-		p.mu.Unlock()
-		if !ok || len(stops) == 0 {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, peerTime)
-		err := l.worker.Stop(callCtx, p.epoch, ends[l])
-		cancel()
-		if err != nil {
-			p.log.Warn("Cannot stop the tasks of a drained worker. Trying again.", "worker", d.Name, "error", err)
-			p.mu.Lock()
-			p.sched.Unevict(stops)
+		if !ok || !l.adopted {
 			p.mu.Unlock()
 			continue
 		}
-		p.log.Info("Checkpointing and stopping the tasks of a drained worker.", "worker", d.Name, "tasks", len(stops))
+		stops := p.sched.Evict(d.Name, expired(d, time.Now()))
+		for _, s := range stops {
+			l.addStop(s)
+		}
+		p.mu.Unlock()
+		if len(stops) > 0 {
+			p.log.Info("Checkpointing and stopping the tasks of a drained worker.", "worker", d.Name, "tasks", len(stops))
+		}
 	}
 }
 
--- a/fold/entry/entry.go
+++ b/fold/entry/entry.go
@@ -40,9 +40,17 @@
 
 	memberMu sync.Mutex
 	machine  *owner.Machine
+	// beating names the peers that a heartbeat is under way to.
+	beating map[string]bool
+	nudges  nudges
 
 	current   atomic.Pointer[revision]
 	instances atomic.Pointer[[]fold.Instance]
+	layout    atomic.Pointer[layout]
+
+	racksMu sync.Mutex
+	// unlisted says since when recorded workers are absent from the instance list.
+	unlisted map[string]fold.Instant
 
 	poolsMu sync.Mutex
 	pools   map[string]*pool
@@ -74,12 +82,13 @@
 
 // New returns an entry that does nothing until Start.
 func New(s Settings, p Platform, clock fold.Clock, log hclog.Logger) *Entry {
-	group := store.NewGroup(p.Table)
 	incarnation := uuid.NewString()
+	breaker := store.NewBreaker(p.Table, clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	group := store.NewGroup(store.NewSettled(breaker, s.Name, incarnation))
 	e := &Entry{
 		settings: s,
 		platform: p,
-		table:    store.NewSettled(group),
+		table:    group,
 		group:    group,
 		clock:    clock,
 		log:      log,
@@ -92,19 +101,22 @@
 			Domain:      s.Domain,
 			State:       owner.StateLive,
 		}),
-		pools:  make(map[string]*pool),
-		claims: newClaims(),
-		told:   &told{newer: make(map[string]int64)},
-		events: telem.NewEvents(s.Name),
-		began:  time.Now(),
+		beating: make(map[string]bool),
+		nudges:  newNudges(),
+		pools:   make(map[string]*pool),
+		claims:  newClaims(),
+		told:    &told{newer: make(map[string]int64)},
+		events:  telem.NewEvents(s.Name),
+		began:   time.Now(),
 
 		measures: newMeasures(),
-		routers:  newRouters(s.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		routers:  newRouters(s.Name, s.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	e.current.Store(&revision{ring: keys.NewRing([]byte(s.Cellkey), []keys.Record{e.rootRecord()})})
 	e.instances.Store(&[]fold.Instance{})
 	e.listed.Store(&[]fold.Instance{})
 	e.events.Follow(log)
+	e.layout.Store(newLayout(nil, 1))
 	e.handlePeers()
 	e.handleOperators()
 	return e
@@ -113,7 +125,11 @@
 // Start begins the loops of the entry.
 func (e *Entry) Start(ctx context.Context) {
 	ctx, e.cancel = context.WithCancel(ctx)
-	e.loop(ctx, memberPeriod, e.memberStep)
+	e.running.Add(1)
+	go func() {
+		defer e.running.Done()
+		e.runMember(ctx)
+	}()
 	e.loop(ctx, beatPeriod, e.beatStep)
 	e.loop(ctx, fleetPeriod, e.fleetStep)
 	e.loop(ctx, drainPeriod, e.drainStep)
@@ -131,6 +147,7 @@
 func (e *Entry) Close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
+	e.stopMember()
 	e.handOver(ctx)
 	if e.cancel != nil {
 		e.cancel()
--- a/fold/entry/measures.go
+++ b/fold/entry/measures.go
@@ -108,10 +108,9 @@
 }
 
 // measuredDecide decides and measures; the pool is locked.
-func (p *pool) measuredDecide() []sched.Start {
-	began := p.entry.clock.Now()
-	starts := p.sched.Decide(began, maxStarts)
-	took := p.entry.clock.Now().Sub(began)
+func (p *pool) measuredDecide(now fold.Instant) []sched.Start {
+	starts := p.sched.Decide(now, maxStarts)
+	took := p.entry.clock.Now().Sub(now)
 	waits := make([]int64, 0, len(starts))
 	for _, s := range starts {
 		if w, ok := p.sched.Waited(s); ok {
--- a/fold/worker.go
+++ b/fold/worker.go
@@ -24,11 +24,16 @@
 	Usage Resources `json:"usage"`
 	// Ran is the observed run time in milliseconds.
 	Ran int64 `json:"ran"`
+	// Saved is the run time that a checkpoint preserved, in milliseconds; 0 means that there is no checkpoint.
+	Saved int64 `json:"saved,omitempty"`
 }
 
 // Adoption is a worker's answer to a new owner.
 type Adoption struct {
-	Session  int64        `json:"session"`
+	Session int64 `json:"session"`
+	// Boot is a new value after each restart of the worker. While it stays the same, a task that the worker neither runs
+	// nor reports as ended was never started there. Empty proves nothing.
+	Boot     string       `json:"boot"`
 	Capacity Resources    `json:"capacity"`
 	Tasks    []WorkerTask `json:"tasks"`
 	// Events are the ends of tasks that no owner has acknowledged.
@@ -69,7 +74,7 @@
 // Worker is one worker of the platform; a Fenced error names a newer epoch or session.
 type Worker interface {
 	// Adopt makes the caller the owner if the epoch is not older than the last one seen. It opens a new session,
-	// so that starts still under way in an older session are refused, and returns all that runs.
+	// so that starts still under way in an older session are refused, and returns all that runs. It renews no lease.
 	Adopt(ctx context.Context, owner string, epoch int64) (Adoption, error)
 	// Beat renews session and leases and returns events.
 	Beat(ctx context.Context, r BeatRequest) (BeatReply, error)
