--- a/fold/entry/conf.go
+++ b/fold/entry/conf.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"time"
@@ -119,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	e.replace(func(old *revision) *revision {
+	e.replace(ctx, func(old *revision) *revision {
 		if old.number >= head.Revision {
 			return nil
 		}
@@ -129,10 +130,10 @@
 }
 
 // advance puts a revision in force by its delta; it reports false if the one before it is not in force here.
-func (e *Entry) advance(d delta) (bool, error) {
+func (e *Entry) advance(ctx context.Context, d delta) (bool, error) {
 	var failed error
 	known := true
-	e.replace(func(old *revision) *revision {
+	e.replace(ctx, func(old *revision) *revision {
 		if old.number >= d.Head.Revision {
 			return nil
 		}
@@ -149,7 +150,7 @@
 
 // replace puts the revision of next in force unless it is nil. The revision in force never goes down, because next
 // sees the one that it replaces.
-func (e *Entry) replace(next func(old *revision) *revision) {
+func (e *Entry) replace(ctx context.Context, next func(old *revision) *revision) {
 	for {
 		old := e.current.Load()
 		r := next(old)
@@ -159,7 +160,9 @@
 		if e.current.CompareAndSwap(old, r) {
 			e.log.Info("Configuration in force.", "revision", r.number, "who", r.head.Who)
 			e.applyDrains()
-			e.refreshLimits()
+			if !bytes.Equal(old.text, r.text) {
+				e.refreshLimits()
+			}
 			return
 		}
 	}
--- a/fold/entry/drains.go
+++ b/fold/entry/drains.go
@@ -203,7 +203,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l, ok := p.links[name]
-	if !ok {
+	if !ok || !l.adopted {
 		return
 	}
 	stops := p.sched.Evict(name, all)
