--- a/fold/entry/entry.go
+++ b/fold/entry/entry.go
@@ -45,6 +45,11 @@
 
 	current   atomic.Pointer[revision]
 	instances atomic.Pointer[[]fold.Instance]
+	layout    atomic.Pointer[layout]
+
+	racksMu sync.Mutex
+	// unlisted says since when recorded workers are absent from the instance list.
+	unlisted map[string]fold.Instant
 
 	poolsMu sync.Mutex
 	pools   map[string]*pool
@@ -63,12 +68,13 @@
 
 // New returns an entry that does nothing until Start.
 func New(s Settings, p Platform, clock fold.Clock, log hclog.Logger) *Entry {
-	group := store.NewGroup(p.Table)
 	incarnation := uuid.NewString()
+	breaker := store.NewBreaker(p.Table, clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	group := store.NewGroup(store.NewSettled(breaker, s.Name, incarnation))
 	e := &Entry{
 		settings: s,
 		platform: p,
-		table:    store.NewSettled(group),
+		table:    group,
 		group:    group,
 		clock:    clock,
 		log:      log,
@@ -85,10 +91,11 @@
 		nudges:  newNudges(),
 		pools:   make(map[string]*pool),
 		claims:  newClaims(),
-		routers: newRouters(s.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		routers: newRouters(s.Name, s.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	e.current.Store(&revision{ring: keys.NewRing([]byte(s.Cellkey), []keys.Record{e.rootRecord()})})
 	e.instances.Store(&[]fold.Instance{})
+	e.layout.Store(newLayout(nil, 1))
 	e.handlePeers()
 	return e
 }
--- a/fold/entry/peers.go
+++ b/fold/entry/peers.go
@@ -11,19 +11,23 @@
 // Kinds of calls between entries.
 const (
 	kindBeat   = "beat"
-	kindSubmit = "submit"
+	kindAssign = "assign"
 	kindLookup = "lookup"
 	kindCancel = "cancel"
 	kindClaim  = "claim"
 	kindOwner  = "owner"
 )
 
-// submitCall asks the owner of a pool to accept a job.
-type submitCall struct {
-	Pool string   `json:"pool"`
-	Job  fold.Job `json:"job"`
+// assignCall tells the owner of a pool about a job part that was accepted under the epoch.
+type assignCall struct {
+	Pool  string `json:"pool"`
+	Epoch int64  `json:"epoch"`
+	Job   string `json:"job"`
 }
 
+// done is an answer without content.
+type done struct{}
+
 // jobCall asks the owner of a pool about a job, or to cancel it.
 type jobCall struct {
 	Pool string `json:"pool"`
@@ -48,6 +52,7 @@
 func (e *Entry) handlePeers() {
 	peer.Handle(e.node, kindBeat, e.answerBeat)
 	peer.Handle(e.node, kindClaim, e.answerClaim)
+	peer.Handle(e.node, kindAssign, e.assignHere)
 	peer.Handle(e.node, kindOwner, func(_ context.Context, _ string, call ownerCall) (ownerAnswer, error) {
 		if len(call.Claims) > 0 {
 			e.claims.inherit(call.Claims)
@@ -56,9 +61,6 @@
 		nudge(e.nudges.units)
 		return ownerAnswer{}, nil
 	})
-	peer.Handle(e.node, kindSubmit, func(ctx context.Context, _ string, call submitCall) (jobAnswer, error) {
-		return e.acceptHere(ctx, call)
-	})
 	peer.Handle(e.node, kindLookup, func(_ context.Context, _ string, call jobCall) (jobAnswer, error) {
 		return e.lookupHere(call)
 	})
--- a/fold/entry/pools.go
+++ b/fold/entry/pools.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"time"
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/owner"
+	"plantainfold.example/fold/spread"
 	"plantainfold.example/fold/store"
 )
 
@@ -87,8 +89,20 @@
 
 // setMembers tells each pool which workers belong to it.
 func (e *Entry) setMembers(l *layout) {
+	e.layout.Store(l)
+	members := membersOf(l, *e.instances.Load())
+	for _, p := range e.allPools() {
+		p.setMembers(members[p.id])
+		recorded := l.workersOf(p.id)
+		maps.DeleteFunc(recorded, func(name, _ string) bool { return e.isGone(name) })
+		p.setRecorded(recorded)
+	}
+}
+
+// membersOf returns the workers of each pool by name.
+func membersOf(l *layout, instances []fold.Instance) map[string]map[string]fold.Instance {
 	members := make(map[string]map[string]fold.Instance)
-	for _, in := range *e.instances.Load() {
+	for _, in := range instances {
 		id := l.poolOf(in)
 		if in.Role != fold.RoleWorker || id == "" {
 			continue
@@ -98,18 +112,14 @@
 		}
 		members[id][in.Name] = in
 	}
-	for _, p := range e.allPools() {
-		p.setMembers(members[p.id])
-	}
+	return members
 }
 
 // headroom returns what the entry's pools advertise.
-func (e *Entry) headroom() []owner.Headroom {
-	var rooms []owner.Headroom
+func (e *Entry) headroom() []spread.Room {
+	var rooms []spread.Room
 	for _, p := range e.allPools() {
-		s := p.status()
-		free := s.Capacity.Sub(s.Used)
-		rooms = append(rooms, owner.Headroom{Pool: p.id, CPU: free.CPU, Memory: free.Memory, Accel: free.Accel, Waiting: s.Waiting})
+		rooms = append(rooms, p.room())
 	}
 	return rooms
 }
--- a/fold/owner/plan.go
+++ b/fold/owner/plan.go
@@ -142,6 +142,11 @@
 	return owned
 }
 
+// VersionOf returns the version of a unit's row by the last scan, or 0.
+func (m *Machine) VersionOf(unit string) int64 {
+	return m.units[unit].Version
+}
+
 // EpochOf returns the epoch at which this incarnation owns the unit, or 0.
 func (m *Machine) EpochOf(unit string) int64 {
 	if row := m.units[unit]; m.owns(row.Value) && !m.wasReleased(row) {
--- a/fold/owner/records.go
+++ b/fold/owner/records.go
@@ -1,5 +1,7 @@
 package owner
 
+import "plantainfold.example/fold/spread"
+
 // Keys of rows.
 const (
 	// EntryPrefix begins the keys of entry rows.
@@ -93,16 +95,7 @@
 	// Eligible says that the sender may take units.
 	Eligible bool `json:"eligible,omitempty"`
 	// Pools are the pools that the sender owns.
-	Pools []Headroom `json:"pools,omitempty"`
+	Pools []spread.Room `json:"pools,omitempty"`
 	// Short are teams that lack allotment at the sender.
 	Short []string `json:"short,omitempty"`
 }
-
-// Headroom is the free capacity that a pool advertises.
-type Headroom struct {
-	Pool    string `json:"pool"`
-	CPU     int64  `json:"cpu"`
-	Memory  int64  `json:"memory"`
-	Accel   int64  `json:"accel"`
-	Waiting int    `json:"waiting"`
-}
--- a/fold/peer/beat_test.go
+++ b/fold/peer/beat_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"plantainfold.example/fold"
 	"plantainfold.example/fold/owner"
+	"plantainfold.example/fold/spread"
 )
 
 const (
@@ -42,7 +44,10 @@
 	}
 	call = frameBytes(t, "beat", beat, maskBytes)
 	for n := range pools {
-		beat.Pools = append(beat.Pools, owner.Headroom{Pool: fmt.Sprintf("eu-west-a-%d", n), CPU: 4_096_000, Memory: 8_388_608, Accel: 128, Waiting: 1000})
+		size := fold.Resources{CPU: 4_096_000, Memory: 8_388_608}
+		beat.Pools = append(beat.Pools, spread.Room{
+			Pool: fmt.Sprintf("eu-west-a-%d", n), Domain: "eu-west-a", Free: size, Capacity: size, Largest: size, Waiting: 1000,
+		})
 	}
 	beat.Short = []string{"planning", "nightly-photos"}
 	return call, frameBytes(t, "", beat, 0)
