Split the membership loop of the entry by subject

Change: heartbeats, hand-overs and the nudges of the loop have files of their own. No line of code changes.

--- a/fold/entry/member.go
+++ b/fold/entry/member.go
@@ -3,17 +3,13 @@
 import (
 	"context"
 	"slices"
-	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
-	"golang.org/x/sync/errgroup"
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/owner"
-	"plantainfold.example/fold/peer"
 	"plantainfold.example/fold/store"
 )
 
@@ -35,74 +31,6 @@
 	announcePeriod = 20 * time.Millisecond
 )
 
-// nudges wake the membership loop before its period is over.
-type nudges struct {
-	head  chan struct{}
-	units chan struct{}
-	stop  chan struct{}
-	ended chan struct{}
-	begun *atomic.Bool
-}
-
-func newNudges() nudges {
-	return nudges{
-		head:  make(chan struct{}, 1),
-		units: make(chan struct{}, 1),
-		stop:  make(chan struct{}),
-		ended: make(chan struct{}),
-		begun: &atomic.Bool{},
-	}
-}
-
-// nudge wakes the loop; a nudge that waits already is enough.
-func nudge(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
-// runMember takes a membership step every period. In between it reads the configuration when a peer knows a newer one,
-// and the owners when a peer has handed something over.
-func (e *Entry) runMember(ctx context.Context) {
-	e.nudges.begun.Store(true)
-	defer close(e.nudges.ended)
-	for ctx.Err() == nil {
-		e.memberStep(ctx)
-		due := e.clock.After(memberPeriod)
-		for waiting := true; waiting; {
-			select {
-			case <-due:
-				waiting = false
-			case <-e.nudges.head:
-				e.report("Cannot read the configuration.", e.readHead(ctx))
-			case <-e.nudges.units:
-				e.report("Cannot read the owners.", e.scanUnits(ctx))
-				e.syncUnits()
-			case <-e.nudges.stop:
-				return
-			case <-ctx.Done():
-				return
-			}
-		}
-	}
-}
-
-// stopMember ends the membership loop after the step under way, so that no read from before a hand-over brings back
-// what was handed over.
-func (e *Entry) stopMember() {
-	close(e.nudges.stop)
-	if e.nudges.begun.Load() {
-		<-e.nudges.ended
-	}
-}
-
-func (e *Entry) report(message string, err error) {
-	if err != nil {
-		e.log.Warn(message, "error", err)
-	}
-}
-
 // memberStep renews the entry's row, reads the rows of others and takes what is its own.
 func (e *Entry) memberStep(ctx context.Context) {
 	if err := e.scanEntries(ctx); err != nil {
@@ -278,131 +206,6 @@
 	return nil
 }
 
-// give stops units here before their rows name the next owners. Each pool has a commit of its own, so that it waits for
-// no other; claim ranges share one.
-func (e *Entry) give(ctx context.Context, gives []owner.Give) error {
-	e.member(func(m *owner.Machine) { m.Release(gives) })
-	ranges, pools := splitGives(gives)
-	for some := range slices.Chunk(ranges, maxTakes) {
-		e.handClaims(ctx, some)
-		if err := e.commitGives(ctx, some); err != nil {
-			return err
-		}
-	}
-	renewed := e.clock.Now()
-	for one := range slices.Chunk(pools, 1) {
-		if e.clock.Now().Sub(renewed) > memberPeriod {
-			renewed = e.clock.Now()
-			e.report("Cannot renew the entry.", e.renew(ctx))
-		}
-		e.stopPool(ctx, strings.TrimPrefix(one[0].Unit, store.PoolPrefix))
-		if err := e.commitGives(ctx, one); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func splitGives(gives []owner.Give) (ranges, pools []owner.Give) {
-	for _, g := range gives {
-		if strings.HasPrefix(g.Unit, store.PoolPrefix) {
-			pools = append(pools, g)
-		} else {
-			ranges = append(ranges, g)
-		}
-	}
-	return ranges, pools
-}
-
-func (e *Entry) commitGives(ctx context.Context, gives []owner.Give) error {
-	var txn fold.Txn
-	for _, g := range gives {
-		put, err := store.PutOf(g.Unit, g.RowOf())
-		if err != nil {
-			return err
-		}
-		txn.Checks = append(txn.Checks, fold.Check{Key: g.Unit, Version: g.Version})
-		txn.Puts = append(txn.Puts, put)
-	}
-	_, err := e.table.Commit(ctx, txn)
-	if errorx.IsOfType(err, fold.Conflict) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	e.log.Info("Handed units over.", "count", len(gives), "first", gives[0].Unit, "to", gives[0].To.ID)
-	e.tellOwners(ctx, gives)
-	return nil
-}
-
-// tellOwners makes the new owners read their units at once. A lost message costs them one period.
-func (e *Entry) tellOwners(ctx context.Context, gives []owner.Give) {
-	told := make(map[string]bool)
-	var calls errgroup.Group
-	calls.SetLimit(maxCalls)
-	for _, g := range gives {
-		if told[g.To.ID] || g.To.ID == e.settings.Name {
-			continue
-		}
-		told[g.To.ID] = true
-		calls.Go(func() error {
-			callCtx, cancel := context.WithTimeout(ctx, peerTime)
-			defer cancel()
-			_, err := peer.Call[ownerCall, ownerAnswer](callCtx, e.node, g.To.Address, kindOwner, ownerCall{})
-			e.report("Cannot tell the new owner.", err)
-			return nil
-		})
-	}
-	_ = calls.Wait()
-}
-
-// handOver gives all units away and marks the entry as left, for a planned stop. The membership loop must have ended.
-func (e *Entry) handOver(ctx context.Context) {
-	e.member(func(m *owner.Machine) { m.Leave() })
-	if err := e.give(ctx, e.awaitHeirs(ctx)); err != nil {
-		e.log.Warn("Cannot hand over all units. They are taken once this entry is fenced.", "error", err)
-		return
-	}
-	var plan owner.Renewal
-	e.member(func(m *owner.Machine) { plan = m.Renewal(e.clock.Now()) })
-	if !plan.Due {
-		return
-	}
-	e.member(func(m *owner.Machine) { m.Left() })
-	e.syncUnits()
-	left := plan.Row.WithState(owner.StateLeft)
-	if _, err := store.Replace(ctx, e.table, store.EntryPrefix+left.ID, plan.Version, left); err != nil {
-		e.log.Warn("Cannot mark the entry as left.", "error", err)
-	}
-}
-
-// awaitHeirs returns the hand-over of all units. When no peer can take them yet, as just after the start of the cell, it
-// waits for one while any answers.
-func (e *Entry) awaitHeirs(ctx context.Context) []owner.Give {
-	begin := e.clock.Now()
-	for {
-		var gives []owner.Give
-		var wait bool
-		e.member(func(m *owner.Machine) {
-			now := e.clock.Now()
-			gives = m.Gives(now)
-			wait = len(gives) == 0 && len(m.Owned()) > 0 && m.Heirs(now)
-		})
-		if !wait || e.clock.Now().Sub(begin) > heirTime {
-			return gives
-		}
-		e.report("Cannot read the entries.", e.scanEntries(ctx))
-		e.report("Cannot renew the entry.", e.renew(ctx))
-		e.report("Cannot read the view.", e.readView(ctx))
-		select {
-		case <-e.clock.After(beatPeriod):
-		case <-ctx.Done():
-			return gives
-		}
-	}
-}
-
 // syncUnits starts and stops pools and claim ranges to match what the entry owns.
 func (e *Entry) syncUnits() {
 	var owned map[string]owner.Holding
@@ -411,89 +214,6 @@
 	e.claims.sync(owned)
 }
 
-// beatStep sends a heartbeat to each peer that has answered the last one. It does not wait for the answers, so a peer
-// that does not answer delays no other.
-func (e *Entry) beatStep(ctx context.Context) {
-	var peers []owner.Entry
-	e.member(func(m *owner.Machine) {
-		m.Tick(e.clock.Now())
-		for _, p := range m.Peers(e.clock.Now()) {
-			if !e.beating[p.ID] && len(e.beating) < maxBeats {
-				e.beating[p.ID] = true
-				peers = append(peers, p)
-			}
-		}
-	})
-	// Only answers count as evidence, so the request leaves out what only answers must tell.
-	beat := e.heartbeat()
-	beat.Pools, beat.Short = nil, nil
-	for _, p := range peers {
-		e.running.Add(1)
-		go func() {
-			defer e.running.Done()
-			e.beatPeer(ctx, p, beat)
-		}()
-	}
-}
-
-func (e *Entry) beatPeer(ctx context.Context, p owner.Entry, beat owner.Beat) {
-	callCtx, cancel := context.WithTimeout(ctx, peerTime)
-	defer cancel()
-	sent := e.clock.Now()
-	answer, err := peer.Call[owner.Beat, owner.Beat](callCtx, e.node, p.Address, kindBeat, beat)
-	e.member(func(m *owner.Machine) {
-		delete(e.beating, p.ID)
-		if err == nil {
-			m.Heard(sent, answer)
-		}
-	})
-	if err != nil {
-		e.log.Debug("No heartbeat.", "peer", p.ID, "error", err)
-		return
-	}
-	e.learnRevision(answer)
-}
-
-// learnRevision reads the configuration soon when a peer knows a newer one.
-func (e *Entry) learnRevision(b owner.Beat) {
-	if b.Known > e.current.Load().number {
-		nudge(e.nudges.head)
-	}
-}
-
-// announce sends heartbeats until a majority of the entries knows the revision. Only then an entry that is cut off with
-// other entries cannot take the revision before for the newest one.
-func (e *Entry) announce(ctx context.Context, revision int64) error {
-	begin := e.clock.Now()
-	for {
-		var known bool
-		e.member(func(m *owner.Machine) { known = m.KnownByMajority(e.clock.Now(), revision) })
-		if known {
-			return nil
-		}
-		if e.clock.Now().Sub(begin) > announceTime {
-			return fold.Refuse(fold.Unknown, "read the manifest; the change is recorded and comes into force once entries reach each other",
-				"most entries have not learnt of revision %d", revision)
-		}
-		e.beatStep(ctx)
-		select {
-		case <-e.clock.After(announcePeriod):
-		case <-ctx.Done():
-			return fold.Unknown.Wrap(ctx.Err(), "announce revision %d", revision)
-		}
-	}
-}
-
-func (e *Entry) heartbeat() owner.Beat {
-	var beat owner.Beat
-	e.member(func(m *owner.Machine) { beat = m.Beat(e.clock.Now(), e.current.Load().number) })
-	beat.Pools = e.headroom()
-	for team := range e.ownShort() {
-		beat.Short = append(beat.Short, team)
-	}
-	return beat
-}
-
 // fleetStep reads the instance list.
 func (e *Entry) fleetStep(ctx context.Context) {
 	list, err := e.platform.Fleet.Instances(ctx)
