--- a/fold/bench/bench_test.go
+++ b/fold/bench/bench_test.go
@@ -64,3 +64,19 @@
 		t.Errorf("packing is %.3f, want at least 0.95", ours.Packing())
 	}
 }
+
+// Guards against accelerators that idle while work waits for them, because other work fills their workers.
+func TestStrandedAccelerators(t *testing.T) {
+	load := bench.Accelerated(seed, 2*time.Minute)
+	ours := bench.Run(bench.Ours(bench.KerRozPolicy), load)
+	best := 1.0
+	for _, p := range bench.Baselines(seed) {
+		r := bench.Run(p, load)
+		best = min(best, 1-r.Accel())
+		t.Logf("%s: stranded %.3f", p.Name, 1-r.Accel())
+	}
+	row(t, "stranded accelerators", fmt.Sprintf("%.3f", 1-ours.Accel()), fmt.Sprintf("%.3f", best), "0.030")
+	if 1-ours.Accel() > 0.03 {
+		t.Errorf("%.3f of the accelerators are stranded, want at most 0.03", 1-ours.Accel())
+	}
+}
--- a/fold/bench/mixes.go
+++ b/fold/bench/mixes.go
@@ -161,3 +161,36 @@
 		work += float64(j.Resources.CPU) / 1000 * m.add(at, j, 6*time.Second, 0.6).Seconds()
 	}
 }
+
+// Accelerated is a backlog on 50 workers of which every fifth has 4 accelerators: work that needs one or two of them,
+// and work that needs none.
+func Accelerated(seed uint64, end time.Duration) Load {
+	m := newMaker(seed, 50, fold.Resources{CPU: 32_000, Memory: 65_536}, []int{1, 1})
+	for i := range m.load.Nodes {
+		if i%5 == 0 {
+			m.load.Nodes[i].Capacity.Accel = 4
+		}
+	}
+	for i := range m.load.Teams {
+		m.load.Teams[i].Allotment.Accel = 50 / 5 * 4
+	}
+	m.load.Warm, m.load.End = 30*second, fold.Instant(end)
+	m.backlog("t0", 50*32*0.7)
+	m.accelerated("t1", 50/5*4*1.5)
+	m.sort()
+	return m.load
+}
+
+// accelerated adds work of a team that would use the given number of accelerators for the whole time.
+func (m *maker) accelerated(team string, accels float64) {
+	work := 0.0
+	for goal := accels * time.Duration(m.load.End).Seconds(); work < goal; {
+		at := fold.Instant(0)
+		if work > goal/8 {
+			at = fold.Instant(m.rng.Float64() * float64(m.load.End) * work / goal)
+		}
+		j := fold.Job{Kind: fold.Batch, Count: 1 + m.rng.IntN(4), Team: team, Resources: m.around(4, 8, 250)}
+		j.Resources.Accel = 1 + m.rng.Int64N(2)
+		work += float64(j.Resources.Accel) * m.add(at, j, 10*time.Second, 0.6).Seconds()
+	}
+}
--- a/fold/sched/decide.go
+++ b/fold/sched/decide.go
@@ -43,9 +43,10 @@
 	refused  map[*team]int
 	total    int
 	gangs    int
-	// strict says that shares apply strictly; lowest is the least ratio of the teams whose work fits nowhere now.
+	// strict says that shares apply strictly; lowest is the least ratio of the teams whose work fits nowhere now, for
+	// work without accelerators and with them: neither fits what comes free for the other.
 	strict bool
-	lowest float64
+	lowest [2]float64
 }
 
 // aside is a lane whose first job could not be placed in this round.
@@ -68,7 +69,7 @@
 	capacity, used := p.index.Totals()
 	r := &round{
 		pool: p, capacity: capacity, teams: slices.Clone(p.order), refused: make(map[*team]int),
-		strict: used.Dominant(capacity) >= fullPart && p.strict(), lowest: math.Inf(1),
+		strict: used.Dominant(capacity) >= fullPart && p.strict(), lowest: [2]float64{math.Inf(1), math.Inf(1)},
 	}
 	var starts []Start
 	for len(starts) < limit {
@@ -127,7 +128,7 @@
 // waits reports whether a team leaves what comes free to a team that has less of its share. Otherwise its small tasks
 // would take every gap before a larger one of that team fits.
 func (r *round) waits(t *team, j *job) bool {
-	return r.strict && !j.urgent() && t.ratio(r.capacity) > aheadPart*r.lowest
+	return r.strict && !j.urgent() && t.ratio(r.capacity) > aheadPart*r.lowest[min(j.spec.Resources.Accel, 1)]
 }
 
 // refuse sets a lane aside until the end of the round.
@@ -139,7 +140,8 @@
 		r.gangs++
 	}
 	if l.jobs[0].wait.why == whyRoom {
-		r.lowest = min(r.lowest, t.ratio(r.capacity))
+		low := &r.lowest[min(l.key.size.Accel, 1)]
+		*low = min(*low, t.ratio(r.capacity))
 	}
 	r.total++
 }
--- a/fold/sched/hold.go
+++ b/fold/sched/hold.go
@@ -172,6 +172,10 @@
 	kept := 0
 	for _, h := range p.holds {
 		kept += len(h.names)
+		if h.key.size.Accel > 0 && j.spec.Resources.Accel > 0 && !j.urgent() {
+			// Few workers have accelerators; several reservations of them leave too many idle.
+			return
+		}
 	}
 	if len(p.holds) >= maxHolds || (len(p.holds) > 0 && !j.urgent() && (kept+1)*holdShare > p.index.Len()) {
 		return
