Keep work without accelerators apart while accelerator work waits

Cause: work without accelerators took cores of workers with accelerators while accelerator work waited for room; and a team whose lane was refused could be held back by its own refusal later in the same round. Change: place.Index.SetApart leaves workers with accelerators out for work that others can hold, while accelerator work was refused in the last round; urgent work is exempt. A team does not wait for itself.

--- a/fold/place/choose.go
+++ b/fold/place/choose.go
@@ -27,13 +27,15 @@
 	// fits says that a worker has room, whether or not it is allowed.
 	fits     bool
 	examined int
+	// apart says that workers with accelerators are left out.
+	apart bool
 }
 
 // Choose returns an open worker that has room for r and is allowed, preferring the tightest fit; a nil allow allows
 // every worker. A size of zero in cores or memory counts as the least amount.
 func (x *Index) Choose(r fold.Resources, allow func(Node) bool) (string, bool) {
 	r = r.Max(fold.Resources{CPU: 1, Memory: 1})
-	s := &search{index: x, need: r, allow: allow}
+	s := &search{index: x, need: r, allow: allow, apart: x.Apart(r)}
 	if since, ok := x.misses[r]; ok && x.grown-since <= maxGrown {
 		s.recent(since)
 	} else {
@@ -53,14 +55,14 @@
 
 // grid searches the cells; only when no cell that surely fits is occupied it looks at every worker that may fit.
 func (s *search) grid() {
-	s.index.grid.eachPlane(s.need, func(p *plane) bool {
+	s.index.grid.eachPlane(s.need, s.apart, func(p *plane) bool {
 		s.plane(p, perCell, maxExamined)
 		return s.best == nil
 	})
 	if s.best != nil {
 		return
 	}
-	s.index.grid.eachPlane(s.need, func(p *plane) bool {
+	s.index.grid.eachPlane(s.need, s.apart, func(p *plane) bool {
 		s.plane(p, maxSlots, maxSlots)
 		return s.best == nil
 	})
@@ -137,7 +139,7 @@
 	at := since
 	for ; at < x.grown && s.best == nil; at++ {
 		n := x.recent[at%maxGrown]
-		if n.indexed {
+		if n.indexed && (!s.apart || n.Capacity.Accel == 0) {
 			s.look(n)
 		}
 		if s.fits && s.best == nil {
--- a/fold/place/grid.go
+++ b/fold/place/grid.go
@@ -95,13 +95,17 @@
 }
 
 // eachPlane visits the planes that may hold r, in order of preference: work without accelerators takes workers
-// without them first, then those with the fewest free.
-func (g *grid) eachPlane(r fold.Resources, visit func(*plane) bool) {
+// without them first, then those with the fewest free, or only those without them if it is to stay apart.
+func (g *grid) eachPlane(r fold.Resources, apart bool, visit func(*plane) bool) {
 	first := 0
 	if r.Accel > 0 {
 		first = int(min(r.Accel+1, planeCount-1))
 	}
-	for _, p := range g.planes[first:] {
+	planes := g.planes[first:]
+	if apart {
+		planes = planes[:1]
+	}
+	for _, p := range planes {
 		if p != nil && p.rows != 0 && !visit(p) {
 			return
 		}
--- a/fold/place/index.go
+++ b/fold/place/index.go
@@ -17,6 +17,8 @@
 	recent   []*slot
 	misses   map[fold.Resources]uint64
 	examined int
+	// apart keeps work without accelerators off workers with them, if it fits others when they are idle.
+	apart bool
 }
 
 // New returns an empty index.
@@ -163,6 +165,28 @@
 	}
 }
 
+// SetApart keeps work without accelerators off workers with them, or ends that. It does not bind work that only workers
+// with accelerators are large enough for.
+func (x *Index) SetApart(apart bool) {
+	if x.apart != apart {
+		x.apart = apart
+		clear(x.misses)
+	}
+}
+
+// Apart reports whether a task of size r must stay off workers with accelerators now.
+func (x *Index) Apart(r fold.Resources) bool {
+	if !x.apart || r.Accel > 0 {
+		return false
+	}
+	for capacity := range x.shapes {
+		if capacity.Accel == 0 && r.Fits(capacity) {
+			return true
+		}
+	}
+	return false
+}
+
 // Largest returns the largest capacity of any worker in each dimension.
 func (x *Index) Largest() fold.Resources {
 	var largest fold.Resources
--- a/fold/sched/decide.go
+++ b/fold/sched/decide.go
@@ -46,7 +46,13 @@
 	// strict says that shares apply strictly; lowest is the least ratio of the teams whose work fits nowhere now, for
 	// work without accelerators and with them: neither fits what comes free for the other.
 	strict bool
-	lowest [2]float64
+	lowest [2]behind
+}
+
+// behind is the team with the least ratio among those whose work fits nowhere now. It does not wait for itself.
+type behind struct {
+	team  *team
+	ratio float64
 }
 
 // aside is a lane whose first job could not be placed in this round.
@@ -69,7 +75,7 @@
 	capacity, used := p.index.Totals()
 	r := &round{
 		pool: p, capacity: capacity, teams: slices.Clone(p.order), refused: make(map[*team]int),
-		strict: used.Dominant(capacity) >= fullPart && p.strict(), lowest: [2]float64{math.Inf(1), math.Inf(1)},
+		strict: used.Dominant(capacity) >= fullPart && p.strict(), lowest: [2]behind{{ratio: math.Inf(1)}, {ratio: math.Inf(1)}},
 	}
 	var starts []Start
 	for len(starts) < limit {
@@ -87,6 +93,7 @@
 		starts = append(starts, placed...)
 	}
 	r.close()
+	p.index.SetApart(r.lowest[1].team != nil)
 	p.makeRoom()
 	return starts
 }
@@ -128,7 +135,8 @@
 // waits reports whether a team leaves what comes free to a team that has less of its share. Otherwise its small tasks
 // would take every gap before a larger one of that team fits.
 func (r *round) waits(t *team, j *job) bool {
-	return r.strict && !j.urgent() && t.ratio(r.capacity) > aheadPart*r.lowest[min(j.spec.Resources.Accel, 1)]
+	low := r.lowest[min(j.spec.Resources.Accel, 1)]
+	return r.strict && !j.urgent() && low.team != t && t.ratio(r.capacity) > aheadPart*low.ratio
 }
 
 // refuse sets a lane aside until the end of the round.
@@ -141,7 +149,9 @@
 	}
 	if l.jobs[0].wait.why == whyRoom {
 		low := &r.lowest[min(l.key.size.Accel, 1)]
-		*low = min(*low, t.ratio(r.capacity))
+		if ratio := t.ratio(r.capacity); ratio < low.ratio {
+			*low = behind{team: t, ratio: ratio}
+		}
 	}
 	r.total++
 }
@@ -189,8 +199,11 @@
 	return nil
 }
 
-// choose prefers workers on which the job did not fail.
+// choose prefers workers on which the job did not fail. Urgent work may take workers with accelerators.
 func (p *Pool) choose(j *job) (string, bool) {
+	if j.urgent() {
+		p.index.SetApart(false)
+	}
 	failing := p.guard.Failing(j.spec.ID)
 	if len(failing) > 0 {
 		name, ok := p.index.Choose(j.spec.Resources, func(n place.Node) bool { return !slices.Contains(failing, n.Name) })
--- a/fold/sched/hold.go
+++ b/fold/sched/hold.go
@@ -114,6 +114,7 @@
 // backfill finds room on a worker that is reserved for other work, for a task that ends before that work can start.
 func (p *Pool) backfill(j *job) (string, bool) {
 	runs := p.book.Estimate(j.spec, &j.usage)
+	apart := p.index.Apart(j.spec.Resources)
 	looked := 0
 	for _, h := range p.holds {
 		early := (runs > 0 && p.now.Add(runs) <= h.start) || (j.urgent() && !h.urgent)
@@ -122,7 +123,7 @@
 				return "", false
 			}
 			n, ok := p.index.Node(name)
-			if !ok || p.index.Closed(name) != place.Reserved || !j.spec.Resources.Fits(n.Free()) {
+			if !ok || (apart && n.Capacity.Accel > 0) || p.index.Closed(name) != place.Reserved || !j.spec.Resources.Fits(n.Free()) {
 				continue
 			}
 			if early || j.spec.Resources.Fits(p.spare(h, n)) {
@@ -256,6 +257,9 @@
 	p.sampled(size, func(n place.Node) {
 		start, ok := p.startOn(n, size)
 		accel := size.Accel == 0 && n.Capacity.Accel > 0
+		if accel && p.index.Apart(size) {
+			return
+		}
 		if ok && (best == "" || (accel == bestAccel && start < bestStart) || (!accel && bestAccel)) {
 			best, bestStart, bestAccel = n.Name, start, accel
 		}
