Put the policy of the manifest in force in each pool

Cause: Pool.SetPolicy had no caller, so that every cell ran with equal weights. Change: the pool's loop passes the policy of the manifest in force before it reads needs. Conclusion: waiting time and fairness are weighed as the operators declare.

--- a/fold/entry/splits.go
+++ b/fold/entry/splits.go
@@ -39,6 +39,7 @@
 // adjustSplits takes allotment for teams that need more and returns what is not needed.
 func (p *pool) adjustSplits(ctx context.Context) {
 	p.mu.Lock()
+	p.sched.SetPolicy(p.entry.current.Load().manifest.Policy)
 	needs := p.sched.Needs()
 	wanted := make(map[string]fold.Resources)
 	for team, need := range needs {
