--- a/fold/entry/splits.go
+++ b/fold/entry/splits.go
@@ -117,6 +117,7 @@
 	now := p.entry.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.sched.SetPolicy(p.entry.current.Load().manifest.Policy)
 	needs := p.sched.Needs()
 	var due []splitChange
 	for team, need := range needs {
