Share a contended limit between pools and stop work above a lowered one

Cause: at the limit of a team, pools with long queues took every allotment that came free, and a pool that came later got none (reported by the end-to-end test: one failure domain placed nothing for a minute). Work above a lowered limit went on until it ended. Conclusion: both faults have a test.

--- a/fold/entry/beats.go
+++ b/fold/entry/beats.go
@@ -85,7 +85,7 @@
 	var beat owner.Beat
 	e.member(func(m *owner.Machine) { beat = m.Beat(e.clock.Now(), e.current.Load().number) })
 	beat.Pools = e.headroom()
-	for team := range e.ownShort() {
+	for team := range e.ownShort(nil) {
 		beat.Short = append(beat.Short, team)
 	}
 	return beat
--- a/fold/entry/fault_test.go
+++ b/fold/entry/fault_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -243,6 +244,45 @@
 	}
 }
 
+// Guards against work that goes on above a lowered limit, and against tasks that are lost when it is stopped.
+func TestLoweredLimitStopsWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(1, 1))
+		c := newTestCell(t, random)
+		c.apply(t)
+		c.submit(t, random, fold.Job{
+			ID: "long", Queue: "nightly", Kind: fold.Batch, Count: 16, Duration: 120_000,
+			Resources: fold.Resources{CPU: 1000, Memory: 256}, Idempotent: true,
+		})
+		c.heal()
+		used := func() fold.Resources {
+			var sum fold.Resources
+			for _, p := range c.entry.Status(context.Background()).Pools {
+				sum = sum.Add(p.Used)
+			}
+			return sum
+		}
+		await(t, time.Minute, func() error {
+			if used().CPU != 16_000 {
+				return fold.Unavailable.New("%s used", used())
+			}
+			return nil
+		})
+		lowered := strings.Replace(testManifest, "16000", "4000", 1)
+		if _, err := c.entry.Apply(context.Background(), testOperator, 1, []byte(lowered)); err != nil {
+			t.Fatal(err)
+		}
+		await(t, limitGrace+10*time.Second, func() error {
+			if used().CPU > 4000 {
+				return fold.Unavailable.New("%s used", used())
+			}
+			return nil
+		})
+		c.history.Limits = nil
+		c.finish(t)
+	})
+}
+
 // disturb sets random faults.
 func (c *testCell) disturb(random *rand.Rand) {
 	for n := range len(c.flaky) {
--- a/fold/entry/pool.go
+++ b/fold/entry/pool.go
@@ -152,6 +152,7 @@
 		return
 	}
 	now := p.entry.clock.Now()
+	p.shed(now)
 	starts := p.measuredDecide(now)
 	for _, s := range starts {
 		if l, ok := p.links[s.Worker]; ok {
--- a/fold/entry/splits.go
+++ b/fold/entry/splits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -13,6 +14,9 @@
 	"plantainfold.example/fold/store"
 )
 
+// limitGrace is how long work above a lowered limit may go on before it is checkpointed and stopped.
+const limitGrace = 10 * time.Second
+
 // splitTries bounds how often an allotment is changed again after a conflict with another pool.
 const splitTries = 4
 
@@ -22,6 +26,10 @@
 	// ceiling is less than what is held while the limit was lowered below what all pools hold.
 	ceiling fold.Resources
 	lowered bool
+	// since is when the pool learned of the lowered limit.
+	since fold.Instant
+	// fair is what the pool may take while other pools lack allotment of the team.
+	fair fold.Resources
 }
 
 // usable returns what the team may use in the pool.
@@ -59,8 +67,13 @@
 // sawSplit tells the scheduler what a team may use; p.mu is held, or the pool has not started.
 func (p *pool) sawSplit(team string, s quota.Split) {
 	a := p.allot(team)
-	a.lowered = !s.Sum().Fits(s.Limit)
+	lowered := !s.Sum().Fits(s.Limit)
+	if lowered && !a.lowered {
+		a.since = p.entry.clock.Now()
+	}
+	a.lowered = lowered
 	a.ceiling = s.Part(p.id)
+	a.fair = s.Fair()
 	p.setTeam(team)
 }
 
@@ -72,6 +85,18 @@
 	p.sched.SetTeam(sched.Team{Name: team, Share: share, Allotment: p.allot(team).usable()})
 }
 
+// shed stops work above lowered limits that has not ended by itself; p.mu is held.
+func (p *pool) shed(now fold.Instant) {
+	for team, a := range p.allotments {
+		if !a.lowered || now.Sub(a.since) < limitGrace {
+			continue
+		}
+		if n := p.sched.Shed(team); n > 0 {
+			p.log.Info("Stopping work above a lowered limit.", "team", team, "tasks", n)
+		}
+	}
+}
+
 func (p *pool) allot(team string) *allotment {
 	a, ok := p.allotments[team]
 	if !ok {
@@ -113,7 +138,7 @@
 
 // dueSplits lowers what is to be returned at once; what is to be taken has to be written first.
 func (p *pool) dueSplits() []splitChange {
-	contended := p.entry.contended()
+	contended := p.entry.contended(p)
 	now := p.entry.clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -122,8 +147,11 @@
 	var due []splitChange
 	for team, need := range needs {
 		a := p.allot(team)
-		if a.lowered {
-			need = need.Min(a.ceiling.Max(p.sched.Used(team)))
+		switch used := p.sched.Used(team); {
+		case a.lowered:
+			need = need.Min(a.ceiling.Max(used))
+		case contended[team]:
+			need = need.Min(a.fair.Max(used))
 		}
 		want, ask := a.holder.Want(now, need, contended[team] || a.lowered)
 		if !ask {
@@ -182,9 +210,9 @@
 	p.sawSplit(c.team, s)
 }
 
-// contended returns the teams that lack allotment in pools of this entry or of peers.
-func (e *Entry) contended() map[string]bool {
-	short := e.ownShort()
+// contended returns the teams that lack allotment in other pools of this entry or in pools of peers.
+func (e *Entry) contended(except *pool) map[string]bool {
+	short := e.ownShort(except)
 	for _, b := range e.heartbeats() {
 		for _, team := range b.Short {
 			short[team] = true
@@ -193,10 +221,13 @@
 	return short
 }
 
-// ownShort returns the teams that lack allotment in pools of this entry.
-func (e *Entry) ownShort() map[string]bool {
+// ownShort returns the teams that lack allotment in pools of this entry, except one.
+func (e *Entry) ownShort(except *pool) map[string]bool {
 	short := make(map[string]bool)
 	for _, p := range e.allPools() {
+		if p == except {
+			continue
+		}
 		for _, team := range p.shortTeams() {
 			short[team] = true
 		}
--- a/fold/quota/quota_test.go
+++ b/fold/quota/quota_test.go
@@ -115,3 +115,54 @@
 		t.Error("idle allotment was not returned")
 	}
 }
+
+// Guards against a pool that never gets allotment because others with long queues keep all of it.
+func TestPoolsWithQueuesShareTheLimit(t *testing.T) {
+	const (
+		pools    = 4
+		steps    = 2000
+		stepTime = 100 * time.Millisecond
+	)
+	split := quota.Split{Limit: fold.Resources{CPU: 40, Memory: 40}}
+	task := fold.Resources{CPU: 1, Memory: 1}
+	holders := make([]*quota.Holder, pools)
+	used := make([]fold.Resources, pools)
+	started := make([]int, pools)
+	for i := range holders {
+		holders[i] = quota.NewHolder(fold.Resources{})
+	}
+	for step := range steps {
+		now := fold.Instant(0).Add(time.Duration(step) * stepTime)
+		for i, h := range holders {
+			// The last pool comes when the others hold the whole limit.
+			if i == pools-1 && step < 100 {
+				continue
+			}
+			if step%7 == i && used[i].CPU > 0 {
+				used[i] = used[i].Sub(task)
+			}
+			contended := false
+			for k, other := range holders {
+				contended = contended || (k != i && other.Short())
+			}
+			need := used[i].Add(task.Times(100))
+			if contended {
+				need = need.Min(split.Fair().Max(used[i]))
+			}
+			if want, due := h.Want(now, need, contended); due {
+				h.Lower(want.Max(used[i]))
+				split = split.WithHeld(strconv.Itoa(i), want.Max(used[i]))
+				h.Got(now, split.Held[strconv.Itoa(i)], used[i].Add(task.Times(100)))
+			}
+			for used[i].Add(task).Fits(h.Held()) {
+				used[i] = used[i].Add(task)
+				started[i]++
+			}
+		}
+	}
+	for i, n := range started {
+		if n < steps/7/pools {
+			t.Errorf("pool %d started %d tasks; all: %v", i, n, started)
+		}
+	}
+}
--- a/fold/quota/split.go
+++ b/fold/quota/split.go
@@ -69,3 +69,10 @@
 	part, _ := bits.Div64(high, low, uint64(sum))
 	return int64(part)
 }
+
+// Fair returns an equal part of the limit for each holder and one newcomer. While pools contend for a team's limit, none
+// takes more than this; otherwise a pool with a long queue would keep all of it.
+func (s Split) Fair() fold.Resources {
+	n := int64(len(s.Held) + 1)
+	return fold.Resources{CPU: s.Limit.CPU / n, Memory: s.Limit.Memory / n, Accel: s.Limit.Accel / n}
+}
