Move waiting tasks to pools with room

Cause: tasks stayed in the pool that they were accepted for. After the loss of a rack, or beside an idle pool, they waited without an end. Change: an owner takes tasks that found no room for 5 s out of its part and writes a part in another pool, in one transaction; both parts keep the range and mark the tasks that are not theirs. Conclusion: pools are no walls for batch work, gangs and replicas.

--- a/fold/entry/parts.go
+++ b/fold/entry/parts.go
@@ -85,6 +85,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if part.Version > p.epoch {
-		p.sched.Submit(now.Add(-ageOf(part.Value.Job)), part.Value.Job)
+		p.sched.Receive(now.Add(-ageOf(part.Value.Job)), part.Value.Job, part.Value.Progress)
 	}
 }
--- a/fold/entry/pool.go
+++ b/fold/entry/pool.go
@@ -57,6 +57,8 @@
 	searched fold.Instant
 	flushed  fold.Instant
 	cleaned  fold.Instant
+	moved    fold.Instant
+	moves    []transfer
 
 	decisions chan struct{}
 	records   chan struct{}
--- a/fold/entry/records.go
+++ b/fold/entry/records.go
@@ -20,6 +20,7 @@
 func (p *pool) exchange(ctx context.Context) {
 	p.readLimits(ctx)
 	p.takeParts(ctx)
+	p.moveParts(ctx)
 	p.adjustSplits(ctx)
 	p.poke()
 	if now := p.entry.clock.Now(); now.Sub(p.flushed) >= flushPeriod {
--- a/fold/sched/commands.go
+++ b/fold/sched/commands.go
@@ -9,6 +9,8 @@
 	Done    []byte `json:"done,omitempty"`
 	Failed  []byte `json:"failed,omitempty"`
 	Unknown []byte `json:"unknown,omitempty"`
+	// Moved are tasks of the range that another part runs.
+	Moved []byte `json:"moved,omitempty"`
 	// Cancelled says that the job was cancelled.
 	Cancelled bool `json:"cancelled,omitempty"`
 	// Parked says that the job failed on several workers and does not start any more.
@@ -21,10 +23,19 @@
 	p.add(newJob(now, spec, false))
 }
 
+// Receive adds a part that the owner of another pool moved here.
+func (p *Pool) Receive(now fold.Instant, spec fold.Job, done Progress) {
+	p.advance(now)
+	p.restore(newJob(now, spec, false), done)
+}
+
 // Restore adds a job accepted under an earlier owner.
 func (p *Pool) Restore(now fold.Instant, spec fold.Job, done Progress) {
 	p.advance(now)
-	j := newJob(now, spec, true)
+	p.restore(newJob(now, spec, true), done)
+}
+
+func (p *Pool) restore(j *job, done Progress) {
 	if !p.add(j) {
 		return
 	}
@@ -36,6 +47,8 @@
 			p.move(&j.tasks[i], phaseFailed)
 		case bit(done.Unknown, i):
 			p.move(&j.tasks[i], phaseUnknown)
+		case bit(done.Moved, i):
+			p.move(&j.tasks[i], phaseMoved)
 		}
 	}
 	if done.Cancelled {
@@ -121,19 +134,18 @@
 }
 
 func (j *job) progress() Progress {
-	bytes := (len(j.tasks) + 7) / 8
-	done := Progress{
-		Done: make([]byte, bytes), Failed: make([]byte, bytes), Unknown: make([]byte, bytes),
-		Cancelled: j.cancelled, Parked: j.parked,
-	}
+	done := j.blank()
+	done.Cancelled, done.Parked = j.cancelled, j.parked
 	for i := range j.tasks {
 		switch j.tasks[i].phase {
 		case phaseDone:
-			done.Done[i/8] |= 1 << (i % 8)
+			setBit(done.Done, i)
 		case phaseFailed:
-			done.Failed[i/8] |= 1 << (i % 8)
+			setBit(done.Failed, i)
 		case phaseUnknown:
-			done.Unknown[i/8] |= 1 << (i % 8)
+			setBit(done.Unknown, i)
+		case phaseMoved:
+			setBit(done.Moved, i)
 		default:
 		}
 	}
--- a/fold/sched/job.go
+++ b/fold/sched/job.go
@@ -18,6 +18,9 @@
 	phaseDone
 	phaseFailed
 	phaseUnknown
+	// phaseMoving is on the way to another pool, phaseMoved belongs to another pool.
+	phaseMoving
+	phaseMoved
 	phaseCount
 )
 
@@ -142,6 +145,11 @@
 	return j.counts[phaseStarting] + j.counts[phaseRunning]
 }
 
+// waiting counts tasks that wait, those on their way to another pool included.
+func (j *job) waiting() int {
+	return j.counts[phaseWaiting] + j.counts[phaseMoving]
+}
+
 // state derives the state of the job from its tasks.
 func (j *job) state() fold.Outcome {
 	switch {
@@ -151,7 +159,7 @@
 		return fold.Cancelled
 	case j.parked && j.counts[phaseWaiting] > 0:
 		return fold.Parked
-	case j.counts[phaseWaiting] > 0:
+	case j.waiting() > 0:
 		return fold.Waiting
 	case j.counts[phaseUnknown] > 0:
 		return fold.Lost
@@ -167,7 +175,7 @@
 		Job:     j.spec,
 		Pool:    pool,
 		State:   j.state(),
-		Waiting: j.counts[phaseWaiting],
+		Waiting: j.waiting(),
 		Running: j.active(),
 		Done:    j.counts[phaseDone],
 		Failed:  j.counts[phaseFailed],
--- a/fold/spread/plan.go
+++ b/fold/spread/plan.go
@@ -155,3 +155,21 @@
 	}
 	return out
 }
+
+// Target returns the pool with the most room for waiting tasks of a job, and how many of them fit there now. A gang fits
+// as a whole or not at all.
+func Target(j fold.Job, waiting int, rooms []Room) (string, int) {
+	best, most := "", 0
+	for _, r := range rooms {
+		if !r.canHold(j) {
+			continue
+		}
+		if n := spare(j.Resources, r); n > most {
+			best, most = r.Pool, n
+		}
+	}
+	if j.Kind == fold.Gang && most < j.Count {
+		return "", 0
+	}
+	return best, min(most, waiting)
+}
--- a/fold/store/jobs.go
+++ b/fold/store/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -145,3 +146,28 @@
 func Parts(ctx context.Context, t fold.Table, pool string) ([]owner.Seen[JobPart], error) {
 	return Scan[JobPart](ctx, t, JobPrefix+pool+"/")
 }
+
+// MoveTxn returns the transaction that moves tasks of a job from one pool to another. The index row comes first, because
+// lost replies are settled by it.
+func MoveTxn(index owner.Seen[JobIndex], from string, fromEpoch int64, to string, toEpoch int64, m sched.Move) (fold.Txn, error) {
+	x := index.Value
+	x.Parts = append(slices.Clone(x.Parts), fold.Part{Pool: to, From: m.Part.From, Count: m.Part.Count})
+	txn := fold.Txn{Checks: []fold.Check{
+		{Key: index.Key, Version: index.Version},
+		{Key: PoolPrefix + from, Version: fromEpoch},
+		{Key: PoolPrefix + to, Version: toEpoch},
+		{Key: JobKey(to, m.Part.ID)},
+		{Key: OutcomeKey(m.Part, to)},
+	}}
+	indexPut, err := PutOf(index.Key, x)
+	if err != nil {
+		return txn, err
+	}
+	leftPut, err := PutOf(JobKey(from, m.Part.ID), JobPart{Job: m.Part, Progress: m.Left})
+	if err != nil {
+		return txn, err
+	}
+	restPut, err := PutOf(JobKey(to, m.Part.ID), JobPart{Job: m.Part, Progress: m.Rest})
+	txn.Puts = []fold.Put{indexPut, leftPut, restPut}
+	return txn, err
+}
