--- a/fold/audit/requests.go
+++ b/fold/audit/requests.go
@@ -54,15 +54,16 @@
 	for _, j := range h.Jobs {
 		jobs[j.Job.ID] = !j.Job.Idempotent && j.Job.Kind != fold.Service
 	}
-	ran := make(map[fold.TaskID]bool)
+	ran := make(map[fold.TaskID]Run)
 	for _, e := range edges(h.Runs) {
 		if !e.begin || !jobs[e.run.Task.Job] {
 			continue
 		}
-		if ran[e.run.Task] {
-			r.add("task %s of a non-idempotent job ran again on %s", e.run.Task, e.run.Worker)
+		if before, again := ran[e.run.Task]; again && before.State != fold.Failed {
+			r.add("task %s of a non-idempotent job ran again on %s at %d; it began on %s at %d and was %s at %d",
+				e.run.Task, e.run.Worker, e.run.Begin, before.Worker, before.Begin, before.State, before.End)
 		}
-		ran[e.run.Task] = e.run.State != fold.Failed
+		ran[e.run.Task] = e.run
 	}
 }
 
--- a/fold/worker/control.go
+++ b/fold/worker/control.go
@@ -37,7 +37,8 @@
 	w.tasks = make(map[fold.TaskID]running)
 	w.used = fold.Resources{}
 	w.events = nil
-	w.sequence = 0
+	// Owners acknowledge events by number, so a number from before the restart must not come again.
+	w.sequence = max(w.sequence, sessionBase(now))
 	w.owner = ""
 	w.epoch = 0
 	clear(w.past)
