Give moved parts ids of their own, and count tasks while they move

Two moves of one job in the same round chose the same part id; the second was refused, found that id in the index and took its own tasks as gone. A status read between two parts also reported a job as ended while tasks were on their way, a job that had a part everywhere could not move, and tasks that waited for their team's limit moved back and forth. Change: a moved part runs under an id of its own; a status that does not count every task is asked again; work that has room where it is does not move. Ruled out: lost announcements; every part that the index listed was received (traced). Conclusion: a lost rack no longer holds work, and the test that found the loss stays.

--- a/fold/audit/check.go
+++ b/fold/audit/check.go
@@ -33,6 +33,7 @@
 
 // Check returns the breaches that the history shows.
 func Check(h History) []Finding {
+	h.Runs = baseRuns(h.Runs)
 	checks := []func(*report, History){
 		checkWork, checkCapacity, checkPlaces, checkKeys, checkLimits, checkAnswers,
 		checkRefusals, checkOnce, checkLeaving, checkStops, checkRevisions,
--- a/fold/audit/runs.go
+++ b/fold/audit/runs.go
@@ -152,3 +152,14 @@
 	}
 	return finished
 }
+
+// baseRuns returns the runs with the ids of jobs in place of those of moved parts, so that a task is the same wherever
+// it runs.
+func baseRuns(runs []Run) []Run {
+	base := make([]Run, len(runs))
+	for i, r := range runs {
+		r.Task.Job = fold.BaseID(r.Task.Job)
+		base[i] = r
+	}
+	return base
+}
--- a/fold/caller.go
+++ b/fold/caller.go
@@ -51,6 +51,11 @@
 // precedence orders the states of parts: the first one found is the state of the whole job.
 var precedence = []Outcome{Running, Waiting, Parked, Lost, Failed, Cancelled, Done}
 
+// Tasks returns the number of tasks that the status counts.
+func (s JobStatus) Tasks() int {
+	return s.Waiting + s.Running + s.Done + s.Failed + s.Unknown
+}
+
 // WithPart returns the status of the work of s and o together.
 func (s JobStatus) WithPart(o JobStatus) JobStatus {
 	s.Waiting += o.Waiting
--- a/fold/entry/conf.go
+++ b/fold/entry/conf.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	e.replace(ctx, func(old *revision) *revision {
+	e.replace(func(old *revision) *revision {
 		if old.number >= head.Revision {
 			return nil
 		}
@@ -133,7 +133,7 @@
 func (e *Entry) advance(ctx context.Context, d delta) (bool, error) {
 	var failed error
 	known := true
-	e.replace(ctx, func(old *revision) *revision {
+	e.replace(func(old *revision) *revision {
 		if old.number >= d.Head.Revision {
 			return nil
 		}
@@ -150,7 +150,7 @@
 
 // replace puts the revision of next in force unless it is nil. The revision in force never goes down, because next
 // sees the one that it replaces.
-func (e *Entry) replace(ctx context.Context, next func(old *revision) *revision) {
+func (e *Entry) replace(next func(old *revision) *revision) {
 	for {
 		old := e.current.Load()
 		r := next(old)
--- a/fold/entry/fault_test.go
+++ b/fold/entry/fault_test.go
@@ -16,6 +16,7 @@
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/audit"
 	"plantainfold.example/fold/plat"
+	"plantainfold.example/fold/store"
 	"plantainfold.example/fold/worker"
 )
 
@@ -205,7 +206,7 @@
 	for _, w := range c.real {
 		for _, run := range w.Runs() {
 			c.history.Runs = append(c.history.Runs, audit.Run{
-				Worker: run.Worker, Task: run.Task, Resources: resources[run.Task.Job],
+				Worker: run.Worker, Task: run.Task, Resources: resources[fold.BaseID(run.Task.Job)],
 				Begin: run.Begin, End: run.End, State: run.State,
 			})
 		}
@@ -244,6 +245,39 @@
 	}
 }
 
+// Guards against work that waits for ever in a pool whose racks are lost while another pool has room.
+func TestWorkLeavesLostRack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(3, 1))
+		c := newTestCell(t, random)
+		c.apply(t)
+		for n := range 6 {
+			c.submit(t, random, fold.Job{
+				ID: fmt.Sprint(n), Queue: "nightly", Kind: fold.Batch, Count: 6, Duration: 20_000,
+				Resources: fold.Resources{CPU: 1000, Memory: 256}, Idempotent: true, Retries: 1,
+			})
+		}
+		c.heal()
+		time.Sleep(5 * time.Second)
+		for _, name := range []string{"w0", "w1", "w2"} {
+			c.flaky[name].setLossy(1)
+		}
+		c.finish(t)
+		moved := false
+		for _, j := range c.history.Jobs {
+			s, err := c.entry.Job(context.Background(), testCaller, j.Job.ID)
+			if err != nil || s.Done != 6 {
+				t.Errorf("job %s: %d of 6 done, %v", j.Job.ID, s.Done, err)
+			}
+			index, err := store.Get[store.JobIndex](context.Background(), c.entry.table, store.IndexPrefix+j.Job.ID)
+			moved = moved || (err == nil && len(index.Value.Parts) > 1)
+		}
+		if !moved {
+			t.Error("no job has a part in the other pool")
+		}
+	})
+}
+
 // Guards against work that goes on above a lowered limit, and against tasks that are lost when it is stopped.
 func TestLoweredLimitStopsWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/fold/entry/jobs.go
+++ b/fold/entry/jobs.go
@@ -23,6 +23,8 @@
 	acceptTries = 3
 	// partCalls bounds the calls to owners of the parts of one job at the same time.
 	partCalls = 8
+	// askTries bounds how often the parts of a job are asked again because tasks moved between them.
+	askTries = 3
 )
 
 // Submit accepts a job durably; the same id of the same team always names the same job.
@@ -172,14 +174,21 @@
 
 // ask finds the parts of a job by its index row and passes the call on to their owners.
 func (e *Entry) ask(ctx context.Context, c fold.Caller, id, kind string) (jobAnswer, error) {
-	row, err := store.Get[store.JobIndex](ctx, e.table, store.IndexPrefix+id)
-	if errorx.IsOfType(err, fold.NotFound) || (err == nil && !mayRead(c, row.Value.Job)) {
-		return jobAnswer{}, fold.Refuse(fold.NotFound, "check the id and the key", "no job %q of this team", id)
-	}
-	if err != nil {
-		return jobAnswer{}, err
+	for range askTries {
+		row, err := store.Get[store.JobIndex](ctx, e.table, store.IndexPrefix+id)
+		if errorx.IsOfType(err, fold.NotFound) || (err == nil && !mayRead(c, row.Value.Job)) {
+			return jobAnswer{}, fold.Refuse(fold.NotFound, "check the id and the key", "no job %q of this team", id)
+		}
+		if err != nil {
+			return jobAnswer{}, err
+		}
+		answer, err := e.askParts(ctx, row.Value, kind)
+		if err != nil || answer.Status.Tasks() == row.Value.Job.Count {
+			return answer, err
+		}
+		// Tasks moved to a part that the index did not list yet when it was read.
 	}
-	return e.askParts(ctx, row.Value, kind)
+	return jobAnswer{}, fold.Refuse(fold.Unavailable, "retry", "tasks of job %s are being moved", id)
 }
 
 // askParts collects the answers of the owners of all parts. The outcomes of ended parts are read last, because a part
@@ -191,7 +200,7 @@
 	calls.SetLimit(partCalls)
 	for i, part := range x.Parts {
 		calls.Go(func() error {
-			answers[i], failed[i] = e.askPart(ctx, jobCall{Pool: part.Pool, Job: x.Job.ID}, kind)
+			answers[i], failed[i] = e.askPart(ctx, jobCall{Pool: part.Pool, Job: part.IDOf(x.Job.ID)}, kind)
 			return nil
 		})
 	}
@@ -213,8 +222,8 @@
 
 // settlePart replaces a failed answer by the outcome of the part. A part that its owner does not hold and that has not
 // ended is durable and waits to be read by the owner.
-func settlePart(j fold.Job, part fold.Part, ended map[string]fold.JobStatus, a jobAnswer, failed error) (jobAnswer, error) {
-	if status, ok := ended[part.Pool]; ok {
+func settlePart(j fold.Job, part fold.Part, ended store.Outcomes, a jobAnswer, failed error) (jobAnswer, error) {
+	if status, ok := ended.Of(j.ID, part); ok {
 		return endedAnswer(status), nil
 	}
 	if !errorx.IsOfType(failed, fold.NotFound) {
--- a/fold/entry/move.go
+++ b/fold/entry/move.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
 
 	"plantainfold.example/fold"
@@ -21,13 +23,17 @@
 	movePeriod = 2 * time.Second
 	// maxMoves bounds the jobs moved by one search.
 	maxMoves = 8
+	// maxParts bounds the parts of one job.
+	maxParts = 64
 )
 
 // transfer is a move whose transaction may be under way.
 type transfer struct {
 	move sched.Move
 	to   string
-	txn  fold.Txn
+	// id is the id of the new part.
+	id  string
+	txn fold.Txn
 }
 
 // moveParts moves tasks that found no room for moveAge to pools with room. One transaction takes them out of the part
@@ -40,7 +46,10 @@
 	}
 	p.moved = now
 	p.mu.Lock()
-	movables := p.sched.Movables(now, moveAge, maxMoves)
+	movables := slices.DeleteFunc(p.sched.Movables(now, moveAge, maxMoves), func(m sched.Movable) bool {
+		// Work that has room here waits for something else, such as the limit of its team.
+		return p.sched.HasRoom(m.Spec.Resources)
+	})
 	p.mu.Unlock()
 	if len(movables) == 0 {
 		return
@@ -57,15 +66,15 @@
 
 // movePart prepares the transfer of tasks of one job.
 func (p *pool) movePart(ctx context.Context, m sched.Movable, rooms []spread.Room) error {
-	index, err := store.Get[store.JobIndex](ctx, p.entry.table, store.IndexPrefix+m.Spec.ID)
+	to, count := spread.Target(m.Spec, m.Waiting, rooms)
+	if count == 0 {
+		return nil
+	}
+	index, err := store.Get[store.JobIndex](ctx, p.entry.table, store.IndexPrefix+fold.BaseID(m.Spec.ID))
 	if err != nil {
 		return err
 	}
-	free := slices.DeleteFunc(slices.Clone(rooms), func(r spread.Room) bool {
-		return slices.ContainsFunc(index.Value.Parts, func(part fold.Part) bool { return part.Pool == r.Pool })
-	})
-	to, count := spread.Target(m.Spec, m.Waiting, free)
-	if count == 0 {
+	if len(index.Value.Parts) >= maxParts {
 		return nil
 	}
 	p.mu.Lock()
@@ -74,12 +83,14 @@
 	if !ok {
 		return nil
 	}
-	txn, err := store.MoveTxn(index, p.id, p.epoch, to, p.entry.epochOf(to), move)
+	// The id is of this transfer alone, so that its outcome can be told from that of another.
+	id := fold.MovedID(m.Spec.ID, strings.ReplaceAll(uuid.NewString(), "-", ""))
+	txn, err := store.MoveTxn(index, p.id, p.epoch, to, p.entry.epochOf(to), id, move)
 	if err != nil {
 		p.settle(move, false)
 		return err
 	}
-	p.moves = append(p.moves, transfer{move: move, to: to, txn: txn})
+	p.moves = append(p.moves, transfer{move: move, to: to, id: id, txn: txn})
 	return nil
 }
 
@@ -111,11 +122,11 @@
 		p.log.Warn("A move has no certain outcome. Trying again.", "job", t.move.Part.ID, "error", err)
 		return false, false
 	}
-	index, err := store.Get[store.JobIndex](ctx, p.entry.table, store.IndexPrefix+t.move.Part.ID)
+	index, err := store.Get[store.JobIndex](ctx, p.entry.table, store.IndexPrefix+fold.BaseID(t.id))
 	if err != nil {
 		return false, errorx.IsOfType(err, fold.NotFound)
 	}
-	gone := slices.ContainsFunc(index.Value.Parts, func(part fold.Part) bool { return part.Pool == t.to })
+	gone := slices.ContainsFunc(index.Value.Parts, func(part fold.Part) bool { return part.Pool == t.to && part.Job == t.id })
 	return gone, true
 }
 
@@ -128,19 +139,18 @@
 
 // tellTarget announces the part to its new owner, and passes on a cancellation that came in between.
 func (p *pool) tellTarget(ctx context.Context, t transfer) {
-	id := t.move.Part.ID
-	p.log.Info("Moved waiting tasks to another pool.", "job", id, "to", t.to)
-	if err := p.entry.assign(ctx, assignCall{Pool: t.to, Epoch: p.entry.epochOf(t.to), Job: id}); err != nil {
+	p.log.Info("Moved waiting tasks to another pool.", "part", t.id, "to", t.to)
+	if err := p.entry.assign(ctx, assignCall{Pool: t.to, Epoch: p.entry.epochOf(t.to), Job: t.id}); err != nil {
 		p.log.Debug("Cannot tell the owner of a moved part.", "pool", t.to, "error", err)
 	}
 	p.mu.Lock()
-	cancelled := p.sched.Cancelled(id)
+	cancelled := p.sched.Cancelled(t.move.Part.ID)
 	p.mu.Unlock()
 	if !cancelled {
 		return
 	}
-	if _, err := p.entry.askPart(ctx, jobCall{Pool: t.to, Job: id}, kindCancel); err != nil {
-		p.log.Warn("Cannot pass a cancellation on to a moved part.", "job", id, "pool", t.to, "error", err)
+	if _, err := p.entry.askPart(ctx, jobCall{Pool: t.to, Job: t.id}, kindCancel); err != nil {
+		p.log.Warn("Cannot pass a cancellation on to a moved part.", "part", t.id, "pool", t.to, "error", err)
 	}
 }
 
--- a/fold/job.go
+++ b/fold/job.go
@@ -115,4 +115,29 @@
 	Pool  string `json:"pool"`
 	From  int    `json:"from"`
 	Count int    `json:"count"`
+	// Job is the id under which the pool runs the part; empty is the id of the job itself.
+	Job string `json:"job,omitempty"`
+}
+
+// partMark stands between the id of a job and the token of a part that was moved, so that one pool can run several
+// parts of a job.
+const partMark = "~"
+
+// MovedID returns the id under which a part of a job runs after it was moved; the token is of that move alone.
+func MovedID(job, token string) string {
+	return BaseID(job) + partMark + token
+}
+
+// BaseID returns the id of the job to which the part with the id belongs.
+func BaseID(part string) string {
+	base, _, _ := strings.Cut(part, partMark)
+	return base
+}
+
+// IDOf returns the id under which the pool runs the part of the job.
+func (p Part) IDOf(job string) string {
+	if p.Job != "" {
+		return p.Job
+	}
+	return job
 }
--- a/fold/sched/move.go
+++ b/fold/sched/move.go
@@ -84,6 +84,12 @@
 	}
 }
 
+// HasRoom reports whether a task of the size could be placed here now.
+func (p *Pool) HasRoom(size fold.Resources) bool {
+	_, ok := p.index.Choose(size, nil)
+	return ok
+}
+
 // Cancelled reports whether a job was cancelled.
 func (p *Pool) Cancelled(id string) bool {
 	j, ok := p.jobs[id]
--- a/fold/store/clean.go
+++ b/fold/store/clean.go
@@ -107,7 +107,7 @@
 // index reports whether the outcome of this pool's part is needed no more. The pool of the first part removes the index
 // once all parts have ended; the others wait for that.
 func (c *cleaning) index(ctx context.Context, j fold.Job) (bool, error) {
-	row, err := Get[JobIndex](ctx, c.table, IndexPrefix+j.ID)
+	row, err := Get[JobIndex](ctx, c.table, IndexPrefix+fold.BaseID(j.ID))
 	if errorx.IsOfType(err, fold.NotFound) {
 		return true, nil
 	}
@@ -121,7 +121,7 @@
 	if err != nil {
 		return false, err
 	}
-	if row.Value.Parts[0].Pool != c.pool || len(ended) < len(row.Value.Parts) {
+	if row.Value.Parts[0].Pool != c.pool || j.ID != row.Value.Job.ID || len(ended) < len(row.Value.Parts) {
 		return false, nil
 	}
 	c.txn.Checks = append(c.txn.Checks, fold.Check{Key: row.Key, Version: row.Version})
--- a/fold/store/jobs.go
+++ b/fold/store/jobs.go
@@ -14,7 +14,7 @@
 	"plantainfold.example/fold/sched"
 )
 
-// OutcomePrefix is the prefix of the rows outcome/<job>/<accepted>/<pool>.
+// OutcomePrefix is the prefix of the rows outcome/<job>/<accepted>/<pool>/<part>.
 const OutcomePrefix = "outcome/"
 
 // JobIndex is the row jobid/<id>: the job and the pools that run its parts.
@@ -34,7 +34,7 @@
 	return JobPrefix + pool + "/" + id
 }
 
-// JobOutcome is the row outcome/<id>/<accepted>/<pool>: how the part of a job ended.
+// JobOutcome is the row outcome/<id>/<accepted>/<pool>/<part>: how the part of a job ended.
 type JobOutcome struct {
 	Status fold.JobStatus `json:"status"`
 	// EndedAt is when the end was recorded, in milliseconds since the Unix epoch.
@@ -43,7 +43,12 @@
 
 // OutcomeKey returns the key of the outcome of a job part. The time of accept tells apart jobs of the same id.
 func OutcomeKey(j fold.Job, pool string) string {
-	return outcomesOf(j.ID, j.Accepted) + pool
+	return outcomesOf(fold.BaseID(j.ID), j.Accepted) + partKey(pool, j.ID)
+}
+
+// partKey tells apart the parts of a job.
+func partKey(pool, part string) string {
+	return pool + "/" + part
 }
 
 func outcomesOf(id string, accepted int64) string {
@@ -129,15 +134,25 @@
 	return []fold.Put{outcome, listed}, err
 }
 
-// Ended returns the outcomes of the parts of a job that have ended, by pool.
-func Ended(ctx context.Context, t fold.Table, j fold.Job) (map[string]fold.JobStatus, error) {
-	rows, err := Scan[JobOutcome](ctx, t, outcomesOf(j.ID, j.Accepted))
+// Outcomes are the outcomes of the parts of a job that have ended.
+type Outcomes map[string]fold.JobStatus
+
+// Of returns the outcome of a part of the job.
+func (o Outcomes) Of(job string, part fold.Part) (fold.JobStatus, bool) {
+	s, ok := o[partKey(part.Pool, part.IDOf(job))]
+	return s, ok
+}
+
+// Ended returns the outcomes of the parts of a job that have ended.
+func Ended(ctx context.Context, t fold.Table, j fold.Job) (Outcomes, error) {
+	rows, err := Scan[JobOutcome](ctx, t, outcomesOf(fold.BaseID(j.ID), j.Accepted))
 	if err != nil {
 		return nil, err
 	}
-	ended := make(map[string]fold.JobStatus, len(rows))
+	ended := make(Outcomes, len(rows))
 	for _, row := range rows {
-		ended[row.Value.Status.Pool] = row.Value.Status
+		s := row.Value.Status
+		ended[partKey(s.Pool, s.Job.ID)] = s
 	}
 	return ended, nil
 }
@@ -147,17 +162,18 @@
 	return Scan[JobPart](ctx, t, JobPrefix+pool+"/")
 }
 
-// MoveTxn returns the transaction that moves tasks of a job from one pool to another. The index row comes first, because
+// MoveTxn returns the transaction that moves tasks of a job from one pool to another, where they run under the id. The index row comes first, because
 // lost replies are settled by it.
-func MoveTxn(index owner.Seen[JobIndex], from string, fromEpoch int64, to string, toEpoch int64, m sched.Move) (fold.Txn, error) {
+func MoveTxn(index owner.Seen[JobIndex], from string, fromEpoch int64, to string, toEpoch int64, id string, m sched.Move) (fold.Txn, error) {
 	x := index.Value
-	x.Parts = append(slices.Clone(x.Parts), fold.Part{Pool: to, From: m.Part.From, Count: m.Part.Count})
+	rest := m.Part
+	rest.ID = id
+	x.Parts = append(slices.Clone(x.Parts), fold.Part{Pool: to, From: rest.From, Count: rest.Count, Job: rest.ID})
 	txn := fold.Txn{Checks: []fold.Check{
 		{Key: index.Key, Version: index.Version},
 		{Key: PoolPrefix + from, Version: fromEpoch},
 		{Key: PoolPrefix + to, Version: toEpoch},
-		{Key: JobKey(to, m.Part.ID)},
-		{Key: OutcomeKey(m.Part, to)},
+		{Key: JobKey(to, rest.ID)},
 	}}
 	indexPut, err := PutOf(index.Key, x)
 	if err != nil {
@@ -167,7 +183,7 @@
 	if err != nil {
 		return txn, err
 	}
-	restPut, err := PutOf(JobKey(to, m.Part.ID), JobPart{Job: m.Part, Progress: m.Rest})
+	restPut, err := PutOf(JobKey(to, rest.ID), JobPart{Job: rest, Progress: m.Rest})
 	txn.Puts = []fold.Put{indexPut, leftPut, restPut}
 	return txn, err
 }
