--- a/cmd/pfcap/internal/app/main.go
+++ b/cmd/pfcap/internal/app/main.go
@@ -1,19 +1,11 @@
 package app
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"text/tabwriter"
 
-	"github.com/jessevdk/go-flags"
-)
-
-// Exit codes.
-const (
-	exitOK    = 0
-	exitFail  = 1
-	exitUsage = 2
+	"plantainfold.example/fold/launch"
 )
 
 // options are the flags of the program.
@@ -24,13 +16,8 @@
 // Main measures, prints the tables and returns the exit code. It fails when a figure exceeds its bound.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var opts options
-	if _, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
-		if usage, ok := errors.AsType[*flags.Error](err); ok && usage.Type == flags.ErrHelp {
-			_, _ = fmt.Fprintln(stdout, usage.Message)
-			return exitOK
-		}
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitUsage
+	if code, ok := launch.Options(&opts, args, stdout, stderr); !ok {
+		return code
 	}
 	scale := 1
 	if opts.Quick {
@@ -38,14 +25,13 @@
 	}
 	slopes, err := takeSlopes(scale)
 	if err != nil {
-		_, _ = fmt.Fprintf(stderr, "pfcap: %v\n", err)
-		return exitFail
+		return launch.Exit("pfcap", err, stderr)
 	}
 	printSlopes(stdout, slopes)
 	if !printCosts(stdout, costsOf(slopes)) {
-		return exitFail
+		return launch.Failed
 	}
-	return exitOK
+	return launch.OK
 }
 
 func printSlopes(out io.Writer, slopes map[string]slope) {
--- a/cmd/pfdemo/internal/app/main.go
+++ b/cmd/pfdemo/internal/app/main.go
@@ -1,22 +1,12 @@
 package app
 
 import (
-	"errors"
-	"fmt"
 	"io"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/cell"
-)
-
-// Exit codes.
-const (
-	exitOK    = 0
-	exitFail  = 1
-	exitUsage = 2
+	"plantainfold.example/fold/launch"
 )
 
 // options are the flags of the demonstration.
@@ -30,23 +20,14 @@
 // Main runs the demonstration and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var opts options
-	if _, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
-		if usage, ok := errors.AsType[*flags.Error](err); ok && usage.Type == flags.ErrHelp {
-			_, _ = fmt.Fprintln(stdout, usage.Message)
-			return exitOK
-		}
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitUsage
+	if code, ok := launch.Options(&opts, args, stdout, stderr); !ok {
+		return code
 	}
 	logs := io.Discard
 	if opts.Verbose {
 		logs = stderr
 	}
-	if err := demonstrate(opts, stdout, logs); err != nil {
-		_, _ = fmt.Fprintf(stderr, "pfdemo: %v\n", err)
-		return exitFail
-	}
-	return exitOK
+	return launch.Exit("pfdemo", demonstrate(opts, stdout, logs), stderr)
 }
 
 func demonstrate(opts options, stdout, logs io.Writer) error {
--- a/cmd/pfwork/internal/app/main.go
+++ b/cmd/pfwork/internal/app/main.go
@@ -4,29 +4,17 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/httpd"
+	"plantainfold.example/fold/launch"
 	"plantainfold.example/fold/worker"
 )
 
-// Exit codes.
-const (
-	exitOK    = 0
-	exitFail  = 1
-	exitUsage = 2
-)
-
 // options are the flags of the stand-in workers.
 type options struct {
 	Listen   string        `long:"listen" default:"127.0.0.1:7100" description:"IP address and port"`
@@ -45,22 +33,13 @@
 
 // Main serves the workers until SIGTERM and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := launch.Context()
 	defer stop()
 	var opts options
-	if _, err := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
-		if usage, ok := errors.AsType[*flags.Error](err); ok && usage.Type == flags.ErrHelp {
-			_, _ = fmt.Fprintln(stdout, usage.Message)
-			return exitOK
-		}
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-	if err := serve(ctx, opts, stdout); err != nil {
-		_, _ = fmt.Fprintf(stderr, "pfwork: %v\n", err)
-		return exitFail
+	if code, ok := launch.Options(&opts, args, stdout, stderr); !ok {
+		return code
 	}
-	return exitOK
+	return launch.Exit("pfwork", serve(ctx, opts, stdout), stderr)
 }
 
 func serve(ctx context.Context, opts options, stdout io.Writer) error {
--- a/fold/httpd/callers.go
+++ b/fold/httpd/callers.go
@@ -37,36 +37,11 @@
 	mux.HandleFunc("GET /v1/jobs/{job}/watch", a.watch)
 }
 
-// submission is the body of a new job.
-type submission struct {
-	ID         string         `json:"id"`
-	Queue      string         `json:"queue"`
-	Kind       fold.Kind      `json:"kind"`
-	Count      int            `json:"count"`
-	Resources  fold.Resources `json:"resources"`
-	Duration   int64          `json:"duration"`
-	Deadline   int64          `json:"deadline"`
-	Priority   int            `json:"priority"`
-	Retries    int            `json:"retries"`
-	Idempotent bool           `json:"idempotent"`
-}
-
-func (a *API) submit(ctx context.Context, c fold.Caller, _ *http.Request, in submission) (fold.JobStatus, error) {
+func (a *API) submit(ctx context.Context, c fold.Caller, _ *http.Request, in fold.Submission) (fold.JobStatus, error) {
 	if strings.HasPrefix(in.ID, systemPrefix) {
 		return fold.JobStatus{}, fold.Refuse(fold.Invalid, "choose another id", "ids that begin with %s belong to declared work", systemPrefix)
 	}
-	return a.commands.Submit(ctx, c, fold.Job{
-		ID:         in.ID,
-		Queue:      in.Queue,
-		Kind:       in.Kind,
-		Count:      in.Count,
-		Resources:  in.Resources,
-		Duration:   in.Duration,
-		Deadline:   in.Deadline,
-		Priority:   in.Priority,
-		Retries:    in.Retries,
-		Idempotent: in.Idempotent,
-	})
+	return a.commands.Submit(ctx, c, in.Job())
 }
 
 // serve passes a synchronous request on and answers with the endpoint's body.
--- /dev/null
+++ b/fold/owner/proc_plan_test.go
@@ -0,0 +1,254 @@
+package owner
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/once"
+)
+
+// plan carries out what the machine plans.
+func (p *proc) plan() {
+	p.m.Tick(p.now())
+	p.world.broken.beforePlan(p)
+	plan := p.m.Plan(p.now())
+	switch {
+	case plan.Change != nil:
+		p.changeView(*plan.Change)
+	case len(plan.Takes) > 0:
+		self := p.m.Self()
+		checks, puts := make(map[string]int64), make(map[string]any)
+		for _, t := range plan.Takes {
+			checks[t.Unit], puts[t.Unit] = t.Version, t.RowOf(self)
+		}
+		p.commit(plan.Takes[0].Unit, checks, puts, func(int64, error) { p.readUnits(p.finish) })
+	case len(plan.Gives) > 0:
+		p.give(plan.Gives, func(error) { p.readUnits(p.finish) })
+	case len(plan.Drops) > 0:
+		key := plan.Drops[0].Key
+		p.commit(key, map[string]int64{key: plan.Drops[0].Version}, map[string]any{key: nil}, func(int64, error) { p.finish() })
+	default:
+		p.finish()
+	}
+}
+
+func (p *proc) changeView(c Change) {
+	checks, puts := map[string]int64{ViewKey: c.Version}, map[string]any{ViewKey: c.View}
+	for _, f := range c.Fences {
+		checks[f.Key], puts[f.Key] = f.Version, f.Value.WithState(StateFenced)
+	}
+	p.commit(ViewKey, checks, puts, func(int64, error) { p.readView(p.finish) })
+}
+
+// give ends the use of units, sends the claims to the next owners and writes the rows.
+func (p *proc) give(gives []Give, then func(error)) {
+	p.m.Release(gives)
+	checks, puts := make(map[string]int64), make(map[string]any)
+	for _, g := range gives {
+		checks[g.Unit], puts[g.Unit] = g.Version, g.RowOf()
+		if o, ok := p.opened[g.Unit]; ok && o.book != nil {
+			record := o.book.Record()
+			p.world.send(p.name, g.To.ID, func(to *proc) { to.handed[g.Unit] = handed{epoch: g.Version, book: record} })
+		}
+	}
+	p.sync()
+	p.after(20*time.Millisecond, func() {
+		p.commit(gives[0].Unit, checks, puts, func(_ int64, err error) {
+			for _, g := range gives {
+				p.world.send(p.name, g.To.ID, func(to *proc) { to.readUnits(to.sync) })
+			}
+			then(err)
+		})
+	})
+}
+
+// stop is a planned stop.
+func (p *proc) stop() {
+	p.stopping = true
+	if p.stepping {
+		p.after(50*time.Millisecond, p.stop)
+		return
+	}
+	p.m.Leave()
+	p.bequeath(p.now())
+}
+
+// bequeath gives all units away, and waits while no peer can take them yet.
+func (p *proc) bequeath(begin fold.Instant) {
+	gives := p.m.Gives(p.now())
+	switch {
+	case len(gives) == 0 && len(p.m.Owned()) > 0 && p.m.Heirs(p.now()) && p.now().Sub(begin) < 7*time.Second:
+		p.scanEntries(func(error) {
+			p.renew(func() {
+				p.readView(func() { p.after(500*time.Millisecond, func() { p.bequeath(begin) }) })
+			})
+		})
+		return
+	case len(gives) == 0:
+		p.left()
+		return
+	}
+	p.give(gives, func(err error) {
+		if err != nil && !errors.Is(err, errConflict) {
+			p.world.kill(p)
+			return
+		}
+		p.left()
+	})
+}
+
+func (p *proc) left() {
+	r := p.m.Renewal(p.now())
+	p.m.Left()
+	p.sync()
+	if !r.Due {
+		p.world.kill(p)
+		return
+	}
+	key := EntryPrefix + p.name
+	p.commit(key, map[string]int64{key: r.Version}, map[string]any{key: r.Row.WithState(StateLeft)}, func(int64, error) { p.world.kill(p) })
+}
+
+// sync opens and closes units to match what the entry owns.
+func (p *proc) sync() {
+	owned := p.m.Owned()
+	for unit := range p.opened {
+		if owned[unit].Epoch != p.opened[unit].epoch {
+			delete(p.opened, unit)
+		}
+	}
+	for _, unit := range slices.Sorted(maps.Keys(owned)) {
+		h := owned[unit]
+		if _, ok := p.opened[unit]; ok {
+			continue
+		}
+		o := opening{epoch: h.Epoch, at: p.now()}
+		if strings.HasPrefix(unit, "pool/") {
+			o.pool = newSimPool(p, unit, h.Epoch)
+		} else {
+			o.book = p.openBook(unit, h)
+		}
+		p.opened[unit] = o
+		p.world.checkEpoch(unit, h.Epoch, p)
+	}
+}
+
+func (p *proc) openBook(unit string, h Holding) *once.Book {
+	old, ok := p.handed[unit]
+	delete(p.handed, unit)
+	switch {
+	case ok && h.Handed != 0 && old.epoch == h.Handed:
+		p.world.counts["claims inherited"]++
+		return once.Restore(old.book)
+	case h.First || p.world.broken.trustful:
+		return once.New(time.Time{})
+	default:
+		return once.New(p.wall().Add(HeardTime))
+	}
+}
+
+// beat sends heartbeats to the peers that have no heartbeat under way.
+func (p *proc) beat() {
+	p.m.Tick(p.now())
+	mine := p.m.Beat(p.now(), p.revision)
+	peers := p.m.Peers(p.now())
+	slices.SortFunc(peers, func(a, b Entry) int { return strings.Compare(a.ID, b.ID) })
+	for _, to := range peers {
+		if at, ok := p.beating[to.ID]; ok && p.now().Sub(at) < callTime {
+			continue
+		}
+		sent := p.now()
+		p.beating[to.ID] = sent
+		p.world.send(p.name, to.ID, func(q *proc) {
+			q.world.broken.told(q, mine)
+			q.m.Told(q.now(), mine)
+			q.behind(mine)
+			answer := q.m.Beat(q.now(), q.revision)
+			q.world.broken.answer(&answer)
+			q.world.carry(q.name, p.name, func() {
+				p.deliver(func() {
+					delete(p.beating, to.ID)
+					if p.world.broken.arrival {
+						sent = p.now()
+					}
+					p.m.Heard(sent, answer)
+					p.behind(answer)
+				})
+			})
+		})
+	}
+}
+
+func (p *proc) behind(b Beat) {
+	if b.Known > p.revision && !p.stepping {
+		p.readHead(func() {})
+	}
+}
+
+func (p *proc) fleet() {
+	w := p.world
+	if w.noList > 0 {
+		return
+	}
+	var names []string
+	for name, ok := range w.listed {
+		if ok && w.omitted[name] <= 0 {
+			names = append(names, name)
+		}
+	}
+	p.m.Listed(p.now(), names)
+}
+
+func (p *proc) standing() Mode {
+	if p.world.broken.alone && p.m.registered && p.now().Sub(p.m.contact.at) > TTL {
+		return ModeOutage
+	}
+	return p.m.Standing(p.now())
+}
+
+func (p *proc) fresh() Mode {
+	if mode := p.m.Fresh(p.now(), p.revision); mode != ModeNone {
+		return mode
+	}
+	if p.world.broken.alone && p.standing() == ModeOutage {
+		return ModeOutage
+	}
+	return ModeNone
+}
+
+// change makes a configuration change; it is accepted once a majority knows its revision.
+func (p *proc) change() {
+	if !p.m.Eligible(p.now()) {
+		return
+	}
+	p.get("config/head", func(r row, err error) {
+		if err != nil {
+			return
+		}
+		number, _ := r.value.(int64)
+		p.commit("config/head", map[string]int64{"config/head": r.version}, map[string]any{"config/head": number + 1}, func(_ int64, err error) {
+			if err != nil {
+				return
+			}
+			p.revision = max(p.revision, number+1)
+			p.m.revision = max(p.m.revision, p.revision)
+			p.announce(number+1, p.now())
+		})
+	})
+}
+
+func (p *proc) announce(number int64, begin fold.Instant) {
+	if p.m.KnownByMajority(p.now(), number) || p.world.broken.early {
+		p.world.accepted = append(p.world.accepted, acceptance{revision: number, at: p.now()})
+		p.world.counts["configurations accepted"]++
+		return
+	}
+	if p.now().Sub(begin) < 3*time.Second {
+		p.beat()
+		p.after(20*time.Millisecond, func() { p.announce(number, begin) })
+	}
+}
--- a/fold/remote/client.go
+++ b/fold/remote/client.go
@@ -64,18 +64,7 @@
 
 // Submit submits a job.
 func (c *Client) Submit(ctx context.Context, j fold.Job) (fold.JobStatus, error) {
-	return call[fold.JobStatus](ctx, c, http.MethodPost, "/v1/jobs", struct {
-		ID         string         `json:"id"`
-		Queue      string         `json:"queue"`
-		Kind       fold.Kind      `json:"kind"`
-		Count      int            `json:"count"`
-		Resources  fold.Resources `json:"resources"`
-		Duration   int64          `json:"duration"`
-		Deadline   int64          `json:"deadline"`
-		Priority   int            `json:"priority"`
-		Retries    int            `json:"retries"`
-		Idempotent bool           `json:"idempotent"`
-	}{j.ID, j.Queue, j.Kind, j.Count, j.Resources, j.Duration, j.Deadline, j.Priority, j.Retries, j.Idempotent})
+	return call[fold.JobStatus](ctx, c, http.MethodPost, "/v1/jobs", fold.SubmissionOf(j))
 }
 
 // Job returns the status of a job.
