Ask for allotment at once instead of waiting for heartbeats

Cause: a pool that lacked allotment was heard of with the next heartbeats only, and then every other pool was held to an equal part of the limit for up to 2 s although returned allotment would have been enough. Change: the pool calls the owners of the pools that hold some (kind short); they return what they do not need at once, and it asks again after 150 ms. The limit is divided equally only while a lack lasts until the next heartbeats. Conclusion: below the limit a team waits for one exchange, not for heartbeats.

--- a/fold/entry/peers.go
+++ b/fold/entry/peers.go
@@ -16,6 +16,7 @@
 	kindCancel = "cancel"
 	kindClaim  = "claim"
 	kindOwner  = "owner"
+	kindShort  = "short"
 )
 
 // assignCall tells the owner of a pool about a job part that was accepted under the epoch.
@@ -53,6 +54,10 @@
 	peer.Handle(e.node, kindBeat, e.answerBeat)
 	peer.Handle(e.node, kindClaim, e.answerClaim)
 	peer.Handle(e.node, kindAssign, e.assignHere)
+	peer.Handle(e.node, kindShort, func(_ context.Context, _ string, call shortCall) (done, error) {
+		e.giveWay(call)
+		return done{}, nil
+	})
 	peer.Handle(e.node, kindOwner, func(_ context.Context, _ string, call ownerCall) (ownerAnswer, error) {
 		if len(call.Claims) > 0 {
 			e.claims.inherit(call.Claims)
--- a/fold/entry/splits.go
+++ b/fold/entry/splits.go
@@ -9,6 +9,7 @@
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/owner"
+	"plantainfold.example/fold/peer"
 	"plantainfold.example/fold/quota"
 	"plantainfold.example/fold/sched"
 	"plantainfold.example/fold/store"
@@ -17,6 +18,13 @@
 // limitGrace is how long work above a lowered limit may go on before it is checkpointed and stopped.
 const limitGrace = 10 * time.Second
 
+const (
+	// contendTime is how long a pool gives way after another one has said that it lacks allotment.
+	contendTime = 2 * time.Second
+	// shortRetry is when a pool that lacks allotment asks again after the others were told.
+	shortRetry = 150 * time.Millisecond
+)
+
 // splitTries bounds how often an allotment is changed again after a conflict with another pool.
 const splitTries = 4
 
@@ -30,6 +38,8 @@
 	since fold.Instant
 	// fair is what the pool may take while other pools lack allotment of the team.
 	fair fold.Resources
+	// contended is until when the pool returns what it does not need at once, because another pool lacks allotment.
+	contended fold.Instant
 }
 
 // usable returns what the team may use in the pool.
@@ -151,9 +161,11 @@
 		case a.lowered:
 			need = need.Min(a.ceiling.Max(used))
 		case contended[team]:
+			// Only a lack that lasts until the next heartbeats divides the limit; a short one ends when unneeded
+			// allotment comes back.
 			need = need.Min(a.fair.Max(used))
 		}
-		want, ask := a.holder.Want(now, need, contended[team] || a.lowered)
+		want, ask := a.holder.Want(now, need, contended[team] || a.lowered || now < a.contended)
 		if !ask {
 			continue
 		}
@@ -206,8 +218,66 @@
 func (p *pool) gotSplit(c splitChange, s quota.Split) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.allot(c.team).holder.Got(p.entry.clock.Now(), s.Held[p.id], c.need)
+	a := p.allot(c.team)
+	a.holder.Got(p.entry.clock.Now(), s.Held[p.id], c.need)
 	p.sawSplit(c.team, s)
+	if !a.holder.Short() {
+		return
+	}
+	p.running.Go(func() {
+		p.tellShort(c.team, s)
+		select {
+		case <-p.entry.clock.After(shortRetry):
+			nudge(p.records)
+		case <-p.ctx.Done():
+		}
+	})
+}
+
+// shortCall says that a pool lacks allotment of a team of which the given pools hold some.
+type shortCall struct {
+	Team  string   `json:"team"`
+	Pools []string `json:"pools"`
+}
+
+// tellShort asks the owners of other pools to return allotment that they do not need.
+func (p *pool) tellShort(team string, s quota.Split) {
+	holders := make(map[string]shortCall)
+	addresses := make(map[string]string)
+	for pool := range s.Held {
+		at, ok := p.entry.ownerOf(store.PoolPrefix + pool)
+		if !ok || pool == p.id {
+			continue
+		}
+		addresses[at.ID] = at.Address
+		call := holders[at.ID]
+		holders[at.ID] = shortCall{Team: team, Pools: append(call.Pools, pool)}
+	}
+	for id, call := range holders {
+		if id == p.entry.settings.Name {
+			p.entry.giveWay(call)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(p.ctx, peerTime)
+		if _, err := peer.Call[shortCall, done](ctx, p.entry.node, addresses[id], kindShort, call); err != nil {
+			p.log.Debug("Cannot ask for allotment.", "team", team, "entry", id, "error", err)
+		}
+		cancel()
+	}
+}
+
+// giveWay makes pools of this entry return allotment of a team that they do not need.
+func (e *Entry) giveWay(call shortCall) {
+	for _, id := range call.Pools {
+		p := e.pool(id)
+		if p == nil {
+			continue
+		}
+		p.mu.Lock()
+		p.allot(call.Team).contended = e.clock.Now().Add(contendTime)
+		p.mu.Unlock()
+		nudge(p.records)
+	}
 }
 
 // contended returns the teams that lack allotment in other pools of this entry or in pools of peers.
