Doubt old work only until all workers of a takeover are adopted

Cause: whenever a worker fell silent or joined, at any time after a takeover, waiting non-idempotent tasks of the earlier owner were reported as unknown, although they had certainly not run. Change: the set of workers to adopt is that of the takeover; once all of it is adopted or the wait is over, the question is closed. Conclusion: the rule holds for the takeover itself and for nothing later.

--- a/fold/entry/fault_test.go
+++ b/fold/entry/fault_test.go
@@ -87,11 +87,13 @@
 
 // testCell is one entry with workers in memory and in virtual time.
 type testCell struct {
-	entry   *Entry
-	table   *plat.Switch
-	real    map[string]*worker.Worker
-	flaky   map[string]*flakyWorker
-	history audit.History
+	entry    *Entry
+	platform Platform
+	fleet    *plat.Fleet
+	table    *plat.Switch
+	real     map[string]*worker.Worker
+	flaky    map[string]*flakyWorker
+	history  audit.History
 }
 
 var _ fold.Workers = &testCell{}
@@ -108,25 +110,17 @@
 	clock := testClock{}
 	c := &testCell{table: plat.NewSwitch(clock), real: make(map[string]*worker.Worker), flaky: make(map[string]*flakyWorker)}
 	c.history.Capacity = make(map[string]fold.Resources)
-	fleet := plat.NewFleet()
+	c.fleet = plat.NewFleet()
 	for n := range 6 {
-		name := fmt.Sprintf("w%d", n)
-		c.real[name] = worker.New(name, testCapacity, clock)
-		c.flaky[name] = &flakyWorker{Worker: c.real[name], random: rand.New(rand.NewPCG(random.Uint64(), 0))}
-		c.history.Capacity[name] = testCapacity
-		fleet.Set(fold.Instance{
-			Name: name, Role: fold.RoleWorker, Address: name, Region: "r", Domain: "d",
-			Rack: fmt.Sprintf("rack%d", n/3), State: fold.Live, Capacity: testCapacity,
-		})
+		c.addWorker(fmt.Sprintf("w%d", n), fmt.Sprintf("rack%d", n/3), random)
 	}
-	settings := Settings{Name: "e", Region: "r", Domain: "x", Listen: "127.0.0.1:1", Cellkey: "0123456789abcdef", Rootkey: "0123456789abcdef"}
-	c.entry = New(settings.WithDefaults(), Platform{
+	c.platform = Platform{
 		Table:   plat.NewFaultyTable(plat.NewTable(), c.table),
 		Objects: plat.NewObjects(),
-		Fleet:   fleet,
+		Fleet:   c.fleet,
 		Workers: c,
-	}, clock, hclog.New(&hclog.LoggerOptions{Output: io.Discard}))
-	c.entry.Start(context.Background())
+	}
+	c.start()
 	t.Cleanup(func() {
 		if err := c.entry.Close(); err != nil {
 			t.Error(err)
@@ -137,6 +131,24 @@
 	return c
 }
 
+// addWorker adds a worker to the instance list.
+func (c *testCell) addWorker(name, rack string, random *rand.Rand) {
+	c.real[name] = worker.New(name, testCapacity, testClock{})
+	c.flaky[name] = &flakyWorker{Worker: c.real[name], random: rand.New(rand.NewPCG(random.Uint64(), 0))}
+	c.history.Capacity[name] = testCapacity
+	c.fleet.Set(fold.Instance{
+		Name: name, Role: fold.RoleWorker, Address: name, Region: "r", Domain: "d",
+		Rack: rack, State: fold.Live, Capacity: testCapacity,
+	})
+}
+
+// start starts an entry on the platform of the cell.
+func (c *testCell) start() {
+	settings := Settings{Name: "e", Region: "r", Domain: "x", Listen: "127.0.0.1:1", Cellkey: "0123456789abcdef", Rootkey: "0123456789abcdef"}
+	c.entry = New(settings.WithDefaults(), c.platform, testClock{}, hclog.New(&hclog.LoggerOptions{Output: io.Discard}))
+	c.entry.Start(context.Background())
+}
+
 const testManifest = `{
 	"teams": [{"name": "crews", "share": 1, "limit": {"cpu": 16000, "memory": 16384}}],
 	"queues": [{"name": "nightly", "teams": ["crews"]}],
@@ -278,6 +290,37 @@
 	})
 }
 
+// Guards against waiting non-idempotent tasks that are reported as unknown because, long after a restart of the entry, a
+// worker falls silent or a new one joins.
+func TestRestartKeepsWaitingWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(5, 1))
+		c := newTestCell(t, random)
+		c.apply(t)
+		c.submit(t, random, fold.Job{
+			ID: "queue", Queue: "nightly", Kind: fold.Batch, Count: 32, Duration: 200_000,
+			Resources: fold.Resources{CPU: 1000, Memory: 256},
+		})
+		c.heal()
+		time.Sleep(10 * time.Second)
+		if err := c.entry.Close(); err != nil {
+			t.Fatal(err)
+		}
+		c.start()
+		time.Sleep(90 * time.Second)
+		c.addWorker("w6", "rack0", random)
+		c.flaky["w1"].setLossy(1)
+		time.Sleep(30 * time.Second)
+		c.heal()
+		c.finish(t)
+		s, err := c.entry.Job(context.Background(), testCaller, c.history.Jobs[0].Job.ID)
+		// Only what ran on the silent worker may be unknown.
+		if err != nil || s.Unknown > 4 {
+			t.Errorf("%d of 32 tasks are unknown, %v", s.Unknown, err)
+		}
+	})
+}
+
 // Guards against work that goes on above a lowered limit, and against tasks that are lost when it is stopped.
 func TestLoweredLimitStopsWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/fold/entry/pool.go
+++ b/fold/entry/pool.go
@@ -43,7 +43,8 @@
 	links      map[string]*link
 	allotments map[string]*allotment
 	members    map[string]fold.Instance
-	// recorded are the workers on which an earlier owner may have started tasks, with the last boot that was recorded.
+	// recorded are the workers on which an earlier owner may have started tasks, with the last boot that was recorded. It
+	// is nil once no task of an earlier owner is in doubt any more.
 	recorded map[string]string
 	// incoming are parts that entries told of and that are not read yet.
 	incoming map[string]bool
@@ -179,13 +180,20 @@
 // updateHeld lets work accepted under an earlier owner start once that owner can no longer run it anywhere; p.mu is
 // held.
 func (p *pool) updateHeld() {
+	if p.recorded == nil {
+		return
+	}
 	wait := p.entry.settings.Keep.Std() + 2*sched.TaskLease + 2*sessionTime + evidenceTime
 	held := p.entry.clock.Now().Sub(p.began) < wait
 	adopted := p.allAdopted()
-	if !held && !adopted {
+	if held && !adopted {
+		return
+	}
+	if !adopted {
 		p.sched.DoubtOld()
 	}
-	p.sched.SetHeld(held && !adopted)
+	p.recorded = nil
+	p.sched.SetHeld(false)
 }
 
 // allAdopted reports whether every worker on which an earlier owner may have started tasks is adopted; p.mu is held.
--- a/fold/entry/pools.go
+++ b/fold/entry/pools.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"strings"
 	"time"
 
@@ -93,9 +92,7 @@
 	members := membersOf(l, *e.instances.Load())
 	for _, p := range e.allPools() {
 		p.setMembers(members[p.id])
-		recorded := l.workersOf(p.id)
-		maps.DeleteFunc(recorded, func(name, _ string) bool { return e.isGone(name) })
-		p.setRecorded(recorded)
+		p.dropGone(e.isGone)
 	}
 }
 
--- a/fold/entry/records.go
+++ b/fold/entry/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"plantainfold.example/fold"
@@ -120,7 +121,9 @@
 	}
 	l := newLayout(rows, 1)
 	p.setMembers(membersOf(l, *p.entry.instances.Load())[p.id])
-	p.setRecorded(l.workersOf(p.id))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.recorded = l.workersOf(p.id)
 	return nil
 }
 
@@ -138,11 +141,11 @@
 	}
 }
 
-// setRecorded sets the workers that must be adopted before work of an earlier owner may start.
-func (p *pool) setRecorded(recorded map[string]string) {
+// dropGone stops waiting for workers that are gone.
+func (p *pool) dropGone(gone func(name string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.recorded = recorded
+	maps.DeleteFunc(p.recorded, func(name, _ string) bool { return gone(name) })
 }
 
 // boot returns what a worker told when it was adopted, and whether the pool still counts on the worker.
