Find the job of a pfctl command in one place

Change: jobArg.find returns the client and the id. Conclusion: a new command on a job needs one call.

--- a/cmd/pfctl/internal/app/cancel.go
+++ b/cmd/pfctl/internal/app/cancel.go
@@ -17,11 +17,7 @@
 
 // Execute cancels and prints the job.
 func (c *cancelCommand) Execute([]string) error {
-	id, err := named(c.Args.Job)
-	if err != nil {
-		return err
-	}
-	client, err := c.session.client()
+	client, id, err := c.Args.find(c.session)
 	if err != nil {
 		return err
 	}
--- a/cmd/pfctl/internal/app/explain.go
+++ b/cmd/pfctl/internal/app/explain.go
@@ -18,11 +18,7 @@
 
 // Execute prints reason, evidence and remedy.
 func (c *explainCommand) Execute([]string) error {
-	id, err := named(c.Args.Job)
-	if err != nil {
-		return err
-	}
-	client, err := c.session.client()
+	client, id, err := c.Args.find(c.session)
 	if err != nil {
 		return err
 	}
--- a/cmd/pfctl/internal/app/job.go
+++ b/cmd/pfctl/internal/app/job.go
@@ -7,6 +7,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/remote"
 )
 
 // jobArg names a job.
@@ -14,6 +15,16 @@
 	Job string `positional-arg-name:"JOB" description:"job, or @FILE that submit --out wrote"`
 }
 
+// find returns a client and the id of the job.
+func (a jobArg) find(s *session) (*remote.Client, string, error) {
+	id, err := named(a.Job)
+	if err != nil {
+		return nil, "", err
+	}
+	client, err := s.client()
+	return client, id, err
+}
+
 // jobCommand shows a job.
 type jobCommand struct {
 	Args jobArg `positional-args:"yes" required:"yes"`
@@ -25,11 +36,7 @@
 
 // Execute prints the job.
 func (c *jobCommand) Execute([]string) error {
-	id, err := named(c.Args.Job)
-	if err != nil {
-		return err
-	}
-	client, err := c.session.client()
+	client, id, err := c.Args.find(c.session)
 	if err != nil {
 		return err
 	}
--- a/cmd/pfctl/internal/app/watch.go
+++ b/cmd/pfctl/internal/app/watch.go
@@ -24,11 +24,7 @@
 
 // Execute prints each change until the job ends, watching again when an entry leaves.
 func (c *watchCommand) Execute([]string) error {
-	id, err := named(c.Args.Job)
-	if err != nil {
-		return err
-	}
-	client, err := c.session.client()
+	client, id, err := c.Args.find(c.session)
 	if err != nil {
 		return err
 	}
