Roll 8 entries under idempotent and non-idempotent requests

Cause: the test of planned stops replaced 3 entries and sent idempotent requests only, which an entry may repeat. Change: every other request is non-idempotent; PLANTAINFOLD_ROLLING sets the number of entries.

--- a/fold/entry/rolling_test.go
+++ b/fold/entry/rolling_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -43,7 +45,8 @@
 // load; callers count answers, refusals as not run, and cuts, which are all other ends.
 func TestRollingReplacementCutsNothing(t *testing.T) {
 	t.Parallel()
-	c := newCell(t, 3, io.Discard)
+	entries := rollingEntries(t)
+	c := newCell(t, entries, io.Discard)
 	ops := operators(c)
 	apply(t, ops[0], manifest)
 	issued, err := ops[0].Grant(context.Background(), fold.KeyGrant{Team: "crews"})
@@ -54,7 +57,7 @@
 	b.look(c.Addresses())
 	var seen counts
 	stop := load(t, &b, issued.Key, &seen)
-	for n := range 3 {
+	for n := range entries {
 		replace(t, c, &b, fmt.Sprintf("entry-%d", n), fmt.Sprintf("next-%d", n))
 	}
 	stop()
@@ -64,6 +67,20 @@
 	}
 }
 
+// rollingEntries returns how many entries are replaced; PLANTAINFOLD_ROLLING sets another number than 3.
+func rollingEntries(t *testing.T) int {
+	t.Helper()
+	text := os.Getenv("PLANTAINFOLD_ROLLING")
+	if text == "" {
+		return 3
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 {
+		t.Fatalf("PLANTAINFOLD_ROLLING is %q, want a number", text)
+	}
+	return n
+}
+
 // replace starts a new entry, waits until it is ready, and stops the old one while the balancer looks on.
 func replace(t *testing.T, c *cell.Cell, b *balancer, old, next string) {
 	t.Helper()
@@ -88,7 +105,7 @@
 	}
 }
 
-// load sends idempotent requests from 12 callers until the returned function is called.
+// load sends requests, every other one non-idempotent, from 12 callers until the returned function is called.
 func load(t *testing.T, b *balancer, key string, seen *counts) func() {
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
@@ -102,7 +119,7 @@
 				if clients[url] == nil {
 					clients[url] = remote.New(url, key)
 				}
-				one := fold.Request{ID: fmt.Sprintf("%d-%d", n, i), Idempotent: true, Timeout: 10 * time.Second, Body: []byte("x")}
+				one := fold.Request{ID: fmt.Sprintf("%d-%d", n, i), Idempotent: i%2 == 0, Issued: time.Now(), Timeout: 10 * time.Second, Body: []byte("x")}
 				reply, err := clients[url].Serve(context.Background(), "planning", one)
 				switch {
 				case err == nil && string(reply.Body) == "x":
