Use the usual terms for signals and uncertain work

Cause: names such as nudge, poke, giveWay, doubt and bequeath had to be explained to a newcomer. Change: wake, wakeDecisions, returnUnused, MarkOldUncertain, MarkStartsUncertain, handOverClaims; no behaviour changed. Conclusion: the names say what happens.

--- a/fold/entry/beats.go
+++ b/fold/entry/beats.go
@@ -54,7 +54,7 @@
 // learnRevision reads the configuration soon when a peer knows a newer one.
 func (e *Entry) learnRevision(b owner.Beat) {
 	if b.Known > e.current.Load().number {
-		nudge(e.nudges.head)
+		wake(e.wakeups.head)
 	}
 }
 
--- a/fold/entry/claims.go
+++ b/fold/entry/claims.go
@@ -215,7 +215,7 @@
 		if !errorx.IsOfType(err, fold.Unavailable) || try == claimTries {
 			return answer, err
 		}
-		nudge(e.nudges.units)
+		wake(e.wakeups.units)
 		select {
 		case <-e.clock.After(claimPause):
 		case <-ctx.Done():
--- a/fold/entry/contend.go
+++ b/fold/entry/contend.go
@@ -37,7 +37,7 @@
 	}
 	for id, call := range holders {
 		if id == p.entry.settings.Name {
-			p.entry.giveWay(call)
+			p.entry.returnUnused(call)
 			continue
 		}
 		ctx, cancel := context.WithTimeout(p.ctx, peerTime)
@@ -48,8 +48,8 @@
 	}
 }
 
-// giveWay makes pools of this entry return allotment of a team that they do not need.
-func (e *Entry) giveWay(call shortCall) {
+// returnUnused makes pools of this entry return allotment of a team that they do not need.
+func (e *Entry) returnUnused(call shortCall) {
 	for _, id := range call.Pools {
 		p := e.pool(id)
 		if p == nil {
@@ -58,7 +58,7 @@
 		p.mu.Lock()
 		p.allot(call.Team).contended = e.clock.Now().Add(contendTime)
 		p.mu.Unlock()
-		nudge(p.records)
+		wake(p.records)
 	}
 }
 
--- a/fold/entry/drains.go
+++ b/fold/entry/drains.go
@@ -228,7 +228,7 @@
 		}
 		p.mu.Unlock()
 		if len(left) > 0 {
-			p.poke()
+			p.wakeDecisions()
 		}
 	}
 }
--- a/fold/entry/entry.go
+++ b/fold/entry/entry.go
@@ -42,7 +42,7 @@
 	machine  *owner.Machine
 	// beating names the peers that a heartbeat is under way to.
 	beating map[string]bool
-	nudges  nudges
+	wakeups wakeups
 
 	current   atomic.Pointer[revision]
 	instances atomic.Pointer[[]fold.Instance]
@@ -104,7 +104,7 @@
 			State:       owner.StateLive,
 		}),
 		beating: make(map[string]bool),
-		nudges:  newNudges(),
+		wakeups: newWakeups(),
 		pools:   make(map[string]*pool),
 		claims:  newClaims(),
 		told:    &told{newer: make(map[string]int64)},
--- a/fold/entry/jobs.go
+++ b/fold/entry/jobs.go
@@ -294,7 +294,7 @@
 		p.mu.Lock()
 		p.sched.Cancel(call.Job)
 		p.mu.Unlock()
-		p.poke()
+		p.wakeDecisions()
 	}
 	return e.lookupHere(call)
 }
--- a/fold/entry/limits.go
+++ b/fold/entry/limits.go
@@ -16,7 +16,7 @@
 func (e *Entry) refreshLimits() {
 	for _, p := range e.allPools() {
 		p.stale.Store(true)
-		nudge(p.records)
+		wake(p.records)
 	}
 }
 
--- a/fold/entry/link.go
+++ b/fold/entry/link.go
@@ -74,13 +74,13 @@
 		at, _ := slices.BinarySearch(l.ends, end)
 		l.ends = slices.Insert(l.ends, at, end)
 	}
-	nudge(l.wake)
+	wake(l.wake)
 }
 
 // addStop queues a stop; p.mu is held.
 func (l *link) addStop(s sched.Stop) {
 	l.stops = append(l.stops, fold.StopRequest{Task: s.Task, Checkpoint: s.Checkpoint, Grace: cmp.Or(s.Grace, stopGrace).Milliseconds()})
-	nudge(l.wake)
+	wake(l.wake)
 }
 
 func (l *link) run(ctx context.Context) {
@@ -156,7 +156,7 @@
 	if reply.Session != l.session {
 		// Starts under way in the old session are refused by the worker; adopting again settles them.
 		l.adopted = false
-		nudge(l.wake)
+		wake(l.wake)
 		return
 	}
 	l.observe(reply.Events)
@@ -172,8 +172,8 @@
 	for _, e := range events {
 		l.seen = max(l.seen, e.Sequence)
 	}
-	p.poke()
-	nudge(p.records)
+	p.wakeDecisions()
+	wake(p.records)
 }
 
 // adopt makes this epoch the worker's owner and learns what runs there, which settles starts of unknown outcome. It
@@ -197,20 +197,20 @@
 	l.seen, l.acked = 0, 0
 	// The scheduler takes starts that are still queued as not run.
 	l.starts = nil
-	p.doubt(l, adoption)
+	p.markUncertain(l, adoption)
 	p.sched.Adopt(p.entry.clock.Now(), nodeOf(l.instance), adoption)
 	p.sched.SetLeaving(l.instance.Name, l.instance.State == fold.Leaving)
 	l.observe(adoption.Events)
-	p.poke()
+	p.wakeDecisions()
 }
 
-// doubt tells the scheduler which tasks may have run without a trace; p.mu is held.
-func (p *pool) doubt(l *link, a fold.Adoption) {
+// markUncertain tells the scheduler which tasks may have run without a trace; p.mu is held.
+func (p *pool) markUncertain(l *link, a fold.Adoption) {
 	if a.Boot == "" || a.Boot != l.boot {
-		p.sched.DoubtStarts(l.instance.Name)
+		p.sched.MarkStartsUncertain(l.instance.Name)
 	}
 	if recorded, known := p.recorded[l.instance.Name]; l.boot == "" && known && (a.Boot == "" || a.Boot != recorded) {
-		p.sched.DoubtOld()
+		p.sched.MarkOldUncertain()
 	}
 	l.boot = a.Boot
 }
@@ -271,7 +271,7 @@
 	p.mu.Unlock()
 	l.dropLapsed()
 	if errorx.IsOfType(err, fold.Fenced) {
-		nudge(l.wake)
+		wake(l.wake)
 	}
 }
 
@@ -294,7 +294,7 @@
 		close(l.done)
 		delete(p.links, l.instance.Name)
 	}
-	p.poke()
+	p.wakeDecisions()
 }
 
 // dropEnds forgets ends that the heartbeat sent at now will report; p.mu is held.
--- a/fold/entry/move.go
+++ b/fold/entry/move.go
@@ -134,7 +134,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sched.Settle(m, gone)
-	p.poke()
+	p.wakeDecisions()
 }
 
 // tellTarget announces the part to its new owner, and passes on a cancellation that came in between.
--- a/fold/entry/parts.go
+++ b/fold/entry/parts.go
@@ -34,7 +34,7 @@
 		return
 	}
 	p.incoming[id] = true
-	nudge(p.records)
+	wake(p.records)
 }
 
 // takeParts schedules parts that were accepted for this epoch.
--- a/fold/entry/peers.go
+++ b/fold/entry/peers.go
@@ -55,7 +55,7 @@
 	peer.Handle(e.node, kindClaim, e.answerClaim)
 	peer.Handle(e.node, kindAssign, e.assignHere)
 	peer.Handle(e.node, kindShort, func(_ context.Context, _ string, call shortCall) (done, error) {
-		e.giveWay(call)
+		e.returnUnused(call)
 		return done{}, nil
 	})
 	peer.Handle(e.node, kindOwner, func(_ context.Context, _ string, call ownerCall) (ownerAnswer, error) {
@@ -63,7 +63,7 @@
 			e.claims.inherit(call.Claims)
 			return ownerAnswer{}, nil
 		}
-		nudge(e.nudges.units)
+		wake(e.wakeups.units)
 		return ownerAnswer{}, nil
 	})
 	peer.Handle(e.node, kindLookup, func(_ context.Context, _ string, call jobCall) (jobAnswer, error) {
--- a/fold/entry/pool.go
+++ b/fold/entry/pool.go
@@ -44,12 +44,12 @@
 	allotments map[string]*allotment
 	members    map[string]fold.Instance
 	// recorded are the workers on which an earlier owner may have started tasks, with the last boot that was recorded. It
-	// is nil once no task of an earlier owner is in doubt any more.
+	// is nil once no task of an earlier owner is uncertain any more.
 	recorded map[string]string
 	// incoming are parts that entries told of and that are not read yet.
 	incoming map[string]bool
-	// stood is when the entry was last seen to have standing.
-	stood fold.Instant
+	// lastStanding is when the entry was last seen to have standing.
+	lastStanding fold.Instant
 
 	// stale says that the limits of teams must be read again.
 	stale atomic.Bool
@@ -72,19 +72,19 @@
 // newPool returns the pool with its durable jobs loaded; nothing starts before workers are adopted.
 func newPool(ctx context.Context, e *Entry, id string, epoch int64) (*pool, error) {
 	p := &pool{
-		entry:      e,
-		id:         id,
-		epoch:      epoch,
-		began:      e.clock.Now(),
-		stood:      e.clock.Now(),
-		log:        e.log.Named("pool").With("pool", id, "epoch", epoch),
-		sched:      sched.New(id),
-		links:      make(map[string]*link),
-		allotments: make(map[string]*allotment),
-		members:    make(map[string]fold.Instance),
-		incoming:   make(map[string]bool),
-		decisions:  make(chan struct{}, 1),
-		records:    make(chan struct{}, 1),
+		entry:        e,
+		id:           id,
+		epoch:        epoch,
+		began:        e.clock.Now(),
+		lastStanding: e.clock.Now(),
+		log:          e.log.Named("pool").With("pool", id, "epoch", epoch),
+		sched:        sched.New(id),
+		links:        make(map[string]*link),
+		allotments:   make(map[string]*allotment),
+		members:      make(map[string]fold.Instance),
+		incoming:     make(map[string]bool),
+		decisions:    make(chan struct{}, 1),
+		records:      make(chan struct{}, 1),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	parts, err := store.Parts(ctx, e.table, id)
@@ -141,9 +141,9 @@
 	}
 }
 
-// poke asks for a round of decisions.
-func (p *pool) poke() {
-	nudge(p.decisions)
+// wakeDecisions asks for a round of decisions.
+func (p *pool) wakeDecisions() {
+	wake(p.decisions)
 }
 
 // decide starts and stops tasks while the entry has standing.
@@ -169,11 +169,11 @@
 		}
 	}
 	if len(starts) == maxStarts {
-		p.poke()
+		p.wakeDecisions()
 	}
 	if len(starts) > 0 {
 		// Starting changes what a team needs of its limit.
-		nudge(p.records)
+		wake(p.records)
 	}
 }
 
@@ -190,7 +190,7 @@
 		return
 	}
 	if !adopted {
-		p.sched.DoubtOld()
+		p.sched.MarkOldUncertain()
 	}
 	p.recorded = nil
 	p.sched.SetHeld(false)
@@ -212,9 +212,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if standing {
-		p.stood = now
+		p.lastStanding = now
 	}
-	return now.Sub(p.stood) <= p.entry.settings.Keep.Std()
+	return now.Sub(p.lastStanding) <= p.entry.settings.Keep.Std()
 }
 
 func (p *pool) status() fold.PoolStatus {
--- a/fold/entry/racks.go
+++ b/fold/entry/racks.go
@@ -81,7 +81,7 @@
 	return nil
 }
 
-// recordBoots writes what the pool knows of its workers, so that the next owner does not doubt work of this one.
+// recordBoots writes what the pool knows of its workers, so that the next owner does not report work of this one as unknown.
 func (e *Entry) recordBoots(ctx context.Context, p *pool) error {
 	e.racksMu.Lock()
 	defer e.racksMu.Unlock()
--- a/fold/entry/records.go
+++ b/fold/entry/records.go
@@ -24,7 +24,7 @@
 	p.takeParts(ctx)
 	p.moveParts(ctx)
 	p.adjustSplits(ctx)
-	p.poke()
+	p.wakeDecisions()
 	if p.flushDue.CompareAndSwap(true, false) {
 		p.flush(ctx)
 	}
@@ -43,7 +43,7 @@
 	e.flushed = now
 	for _, p := range e.allPools() {
 		p.flushDue.Store(true)
-		nudge(p.records)
+		wake(p.records)
 	}
 }
 
--- a/fold/entry/splits.go
+++ b/fold/entry/splits.go
@@ -59,7 +59,7 @@
 	for _, row := range rows {
 		p.sawSplit(strings.TrimPrefix(row.Key, store.LimitPrefix), row.Value)
 	}
-	p.poke()
+	p.wakeDecisions()
 }
 
 // sawSplit tells the scheduler what a team may use; p.mu is held, or the pool has not started.
@@ -191,7 +191,7 @@
 		p.tellShort(c.team, s)
 		select {
 		case <-p.entry.clock.After(shortRetry):
-			nudge(p.records)
+			wake(p.records)
 		case <-p.ctx.Done():
 		}
 	})
--- a/fold/entry/nudges.go
+++ b/fold/entry/wakeups.go
@@ -5,8 +5,8 @@
 	"sync/atomic"
 )
 
-// nudges wake the membership loop before its period is over.
-type nudges struct {
+// wakeups are signals that run the membership loop before its period is over.
+type wakeups struct {
 	head  chan struct{}
 	units chan struct{}
 	stop  chan struct{}
@@ -14,8 +14,8 @@
 	begun *atomic.Bool
 }
 
-func newNudges() nudges {
-	return nudges{
+func newWakeups() wakeups {
+	return wakeups{
 		head:  make(chan struct{}, 1),
 		units: make(chan struct{}, 1),
 		stop:  make(chan struct{}),
@@ -24,8 +24,8 @@
 	}
 }
 
-// nudge wakes the loop; a nudge that waits already is enough.
-func nudge(c chan struct{}) {
+// wake signals a loop; a signal that is pending already is enough.
+func wake(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
 	default:
@@ -35,8 +35,8 @@
 // runMember takes a membership step every period. In between it reads the configuration when a peer knows a newer one,
 // and the owners when a peer has handed something over.
 func (e *Entry) runMember(ctx context.Context) {
-	e.nudges.begun.Store(true)
-	defer close(e.nudges.ended)
+	e.wakeups.begun.Store(true)
+	defer close(e.wakeups.ended)
 	for ctx.Err() == nil {
 		e.memberStep(ctx)
 		due := e.clock.After(memberPeriod)
@@ -44,12 +44,12 @@
 			select {
 			case <-due:
 				waiting = false
-			case <-e.nudges.head:
+			case <-e.wakeups.head:
 				e.report("Cannot read the configuration.", e.readHead(ctx))
-			case <-e.nudges.units:
+			case <-e.wakeups.units:
 				e.report("Cannot read the owners.", e.scanUnits(ctx))
 				e.syncUnits()
-			case <-e.nudges.stop:
+			case <-e.wakeups.stop:
 				return
 			case <-ctx.Done():
 				return
@@ -61,9 +61,9 @@
 // stopMember ends the membership loop after the step under way, so that no read from before a hand-over brings back
 // what was handed over.
 func (e *Entry) stopMember() {
-	close(e.nudges.stop)
-	if e.nudges.begun.Load() {
-		<-e.nudges.ended
+	close(e.wakeups.stop)
+	if e.wakeups.begun.Load() {
+		<-e.wakeups.ended
 	}
 }
 
--- a/fold/owner/proc_plan_test.go
+++ b/fold/owner/proc_plan_test.go
@@ -74,17 +74,17 @@
 		return
 	}
 	p.m.Leave()
-	p.bequeath(p.now())
+	p.handOverClaims(p.now())
 }
 
-// bequeath gives all units away, and waits while no peer can take them yet.
-func (p *proc) bequeath(begin fold.Instant) {
+// handOverClaims gives all units away, and waits while no peer can take them yet.
+func (p *proc) handOverClaims(begin fold.Instant) {
 	gives := p.m.Gives(p.now())
 	switch {
 	case len(gives) == 0 && len(p.m.Owned()) > 0 && p.m.Heirs(p.now()) && p.now().Sub(begin) < 7*time.Second:
 		p.scanEntries(func(error) {
 			p.renew(func() {
-				p.readView(func() { p.after(500*time.Millisecond, func() { p.bequeath(begin) }) })
+				p.readView(func() { p.after(500*time.Millisecond, func() { p.handOverClaims(begin) }) })
 			})
 		})
 		return
