--- /dev/null
+++ b/cmd/pfnode/internal/app/doc.go
@@ -0,0 +1,2 @@
+// Package app is the command line of the entry daemon.
+package app
--- /dev/null
+++ b/fold/core/ask.go
@@ -0,0 +1,265 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"plantainfold.example/fold"
+)
+
+// approvals is what the adviser has said of a step.
+type approvals struct {
+	grants map[*host]grant
+	// yes and no hold the hosts whose answer is known; it does not change.
+	yes, no map[string]bool
+	asking  bool
+	// again is when the next call may be made.
+	again fold.Instant
+	// room is when work may next be stopped for the part.
+	room fold.Instant
+}
+
+// grant is a ticket for one life of a host.
+type grant struct {
+	ticket string
+	born   int64
+	until  fold.Instant
+}
+
+const (
+	// ticketMargin is the least time that a ticket must be left, for the record and the order to arrive.
+	ticketMargin = 150 * time.Millisecond
+	// maxAsked bounds the hosts in a call; the platform takes 100.
+	maxAsked = 40
+	// minAsked is the least number of hosts in a call, as long as there are more.
+	minAsked = 4
+	// askSpare is how much more room is asked for than is needed, because others take some meanwhile.
+	askSpare = 1.6
+	// askPause separates calls for one step after an answer that approved of too few hosts.
+	askPause = 100 * time.Millisecond
+	// askFailed separates calls for one step after a call that failed.
+	askFailed = 200 * time.Millisecond
+	// quickCall bounds the calls that count as quick.
+	quickCall = 150 * time.Millisecond
+	// goodPrior is the share of approved hosts that is expected at first.
+	goodPrior = 0.5
+)
+
+// granted reports whether the step may start on the host now.
+func (p *part) granted(h *host, now fold.Instant) bool {
+	if p.job.queue.Advice == nil {
+		return true
+	}
+	g, ok := p.advice.grants[h]
+	return ok && g.born == h.info.Born && now.Add(ticketMargin) < g.until
+}
+
+// Ask is a call to the adviser.
+type Ask struct {
+	Step  string
+	Hosts []string
+	// Takes is how long the adviser needs for it.
+	Takes time.Duration
+	part  *part
+}
+
+// NextAsk returns the most urgent call to the adviser; slow calls are left out unless allowed.
+func (c *Cell) NextAsk(slow bool) (Ask, bool) {
+	open := c.openHosts()
+	for _, p := range c.active {
+		if ask, ok := c.ask(p, open, slow); ok {
+			return ask, true
+		}
+	}
+	for _, p := range c.active {
+		for _, n := range p.next {
+			if n.blocked == 1 && c.soon(p, n) {
+				if ask, ok := c.ask(n, open, slow); ok {
+					return ask, true
+				}
+			}
+		}
+	}
+	return Ask{}, false
+}
+
+// soon reports whether the part ends by the time in which the next one has its approvals.
+func (c *Cell) soon(p, n *part) bool {
+	if n.job.queue.Advice == nil || p.free > 0 || p.step.Lasting {
+		return false
+	}
+	takes := n.job.queue.Advice.Decide + adviceUsual/2*n.job.queue.Advice.Each
+	for i := range p.tasks {
+		for _, r := range p.tasks[i].runs {
+			if r.phase != phaseRunning || c.left(r) > takes {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// ask makes the call that a part needs, if any.
+func (c *Cell) ask(p *part, open map[string][]*host, slow bool) (Ask, bool) {
+	policy := p.job.queue.Advice
+	if policy == nil || p.free == 0 && !c.wantsCopies(p) || p.advice.asking || c.now < p.advice.again || p.job.state.Final() {
+		return Ask{}, false
+	}
+	if !slow && policy.Decide+minAsked*policy.Each > quickCall {
+		return Ask{}, false
+	}
+	if !c.team(p.job.spec.Team).within(p.step.Size) {
+		return Ask{}, false
+	}
+	hosts := c.askHosts(p, open[p.job.queue.Service])
+	if len(hosts) == 0 {
+		return Ask{}, false
+	}
+	p.advice.asking = true
+	c.asks++
+	return Ask{Step: p.stepName(), Hosts: hosts, Takes: policy.Decide + time.Duration(len(hosts))*policy.Each, part: p}, true
+}
+
+func (c *Cell) wantsCopies(p *part) bool {
+	if !p.step.Copies {
+		return false
+	}
+	for i := range p.tasks {
+		t := &p.tasks[i]
+		if !t.done && len(t.runs) == 1 && t.runs[0].phase == phaseRunning && c.heldUp(t.runs[0]) {
+			return true
+		}
+	}
+	return false
+}
+
+// candidate is a host that may be named in a call, with the tasks that it would take if approved.
+type candidate struct {
+	host  *host
+	slots float64
+}
+
+// askHosts chooses hosts with room for the waiting tasks of a part: known approvals first, then those with most room.
+func (c *Cell) askHosts(p *part, open []*host) []string {
+	need := float64(max(1, p.free))
+	good := c.goodShare(p.job.queue.Name)
+	var found []candidate
+	for _, h := range open {
+		if !p.allowed(h) || p.advice.no[h.info.ID] {
+			continue
+		}
+		slots := c.slots(p, h)
+		if p.granted(h, c.now) {
+			// What is approved already needs no call.
+			need -= slots
+			continue
+		}
+		if slots == 0 {
+			continue
+		}
+		if !p.advice.yes[h.info.ID] {
+			slots *= good
+		}
+		found = append(found, candidate{host: h, slots: slots})
+	}
+	if need <= 0 {
+		return nil
+	}
+	slices.SortStableFunc(found, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.rank(p), a.rank(p)), cmp.Compare(b.slots, a.slots))
+	})
+	var hosts []string
+	room := 0.0
+	for _, f := range found {
+		if len(hosts) >= maxAsked || room >= need*askSpare && len(hosts) >= minAsked {
+			break
+		}
+		room += f.slots
+		hosts = append(hosts, f.host.info.ID)
+	}
+	return hosts
+}
+
+// rank prefers hosts near the data, then hosts that were approved before.
+func (f candidate) rank(p *part) int {
+	rank := 0
+	if p.step.Rack != "" && f.host.info.Rack() == p.step.Rack {
+		rank += 2
+	}
+	if p.advice.yes[f.host.info.ID] {
+		rank++
+	}
+	return rank
+}
+
+// slots is how many of the waiting tasks have room on the host.
+func (c *Cell) slots(p *part, h *host) float64 {
+	free, claim := h.info.Capacity.Sub(h.used), p.step.Claim()
+	n := int64(max(1, p.free))
+	if claim.CPU > 0 {
+		n = min(n, free.CPU/claim.CPU)
+	}
+	if claim.Memory > 0 {
+		n = min(n, free.Memory/claim.Memory)
+	}
+	if claim.Accel > 0 {
+		n = min(n, free.Accel/claim.Accel)
+	}
+	if p.step.PerHost > 0 {
+		n = min(n, int64(p.step.PerHost-p.perHost[h]))
+	}
+	return float64(max(0, n))
+}
+
+func (c *Cell) goodShare(queue string) float64 {
+	if g, ok := c.good[queue]; ok {
+		return g
+	}
+	return goodPrior
+}
+
+// goodMemory is the weight of one answer in the share of approved hosts.
+const goodMemory = 0.1
+
+// Slow reports whether the call takes long enough to hold up quick ones.
+func (a Ask) Slow() bool {
+	return a.Takes > quickCall
+}
+
+// Advised takes the answer to a call; issued is when its tickets were made at the latest.
+func (c *Cell) Advised(ask Ask, advice fold.Advice, issued fold.Instant, err error) {
+	p := ask.part
+	valid := advice.Valid
+	if valid == 0 {
+		valid = p.job.queue.Advice.Valid
+	}
+	until := issued.Add(valid)
+	p.advice.asking = false
+	c.asks--
+	if err != nil {
+		p.advice.again = c.now.Add(askFailed)
+		return
+	}
+	if p.advice.grants == nil {
+		p.advice.grants = make(map[*host]grant)
+		p.advice.yes, p.advice.no = make(map[string]bool), make(map[string]bool)
+	}
+	for _, id := range ask.Hosts {
+		p.advice.no[id] = true
+	}
+	for _, g := range advice.Grants {
+		delete(p.advice.no, g.Host)
+		p.advice.yes[g.Host] = true
+		if h, ok := c.hosts[g.Host]; ok {
+			p.advice.grants[h] = grant{ticket: g.Ticket, born: h.info.Born, until: until}
+		}
+	}
+	queue := p.job.queue.Name
+	share := float64(len(advice.Grants)) / float64(max(1, len(ask.Hosts)))
+	c.good[queue] = max(0.05, c.goodShare(queue)*(1-goodMemory)+share*goodMemory)
+	p.advice.again = c.now.Add(askPause)
+	if len(advice.Grants) > 0 {
+		p.advice.again = c.now
+	}
+}
--- /dev/null
+++ b/fold/core/cell.go
@@ -0,0 +1,171 @@
+package core
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/flow"
+)
+
+// Times are the bounds that the platform gives for its hosts.
+type Times struct {
+	// Lease is the longest lease that a host grants.
+	Lease time.Duration
+	// Stop is how long a host takes at most to stop a run.
+	Stop time.Duration
+	// Restore is how long a run takes to resume from a checkpoint.
+	Restore time.Duration
+	// Save is the time between checkpoints.
+	Save time.Duration
+	// Early is how much earlier than due an occurrence may start.
+	Early time.Duration
+	// Keep is how long an owner that cannot reach the table goes on renewing leases.
+	Keep time.Duration
+}
+
+// Cell is the state of all hosts and jobs. It is not safe for concurrent use.
+type Cell struct {
+	times Times
+	log   hclog.Logger
+
+	now fold.Instant
+	// wall is the time of day in milliseconds since the Unix epoch.
+	wall int64
+
+	rules  fold.Rules
+	queues map[string]fold.Queue
+	teams  map[string]*team
+
+	jobs  map[string]*job
+	hosts map[string]*host
+	// active lists the parts whose turn has come and that are not done.
+	active []*part
+	// later lists the occurrences that are not due.
+	later []*part
+
+	dirty []*job
+	// orders collects what the driver is to send.
+	orders Orders
+	// planned are runs that wait for their record, recorded those whose record is being written.
+	planned, recorded []*run
+	// gauges learns how long tasks of a queue take compared with their estimates.
+	gauges map[string]*gauge
+	// good is the share of hosts that the adviser approved of, by queue.
+	good map[string]float64
+	// asks counts calls to the adviser that are under way.
+	asks int
+	// stats counts what happened since the start.
+	stats Stats
+}
+
+// Stats counts decisions.
+type Stats struct {
+	Starts, Stops, Lost, Refused, Done, Failed, Preempted, Copies int64
+}
+
+// team is a client account's use of the hosts.
+type team struct {
+	rule fold.TeamRule
+	used fold.Resources
+	// tokens and at implement the rate of jobs up to which the team's work is served first.
+	tokens float64
+	at     fold.Instant
+}
+
+// New returns a cell without hosts and jobs.
+func New(times Times, log hclog.Logger) *Cell {
+	return &Cell{
+		times:  times,
+		log:    log,
+		queues: make(map[string]fold.Queue),
+		teams:  make(map[string]*team),
+		jobs:   make(map[string]*job),
+		hosts:  make(map[string]*host),
+		gauges: make(map[string]*gauge),
+		good:   make(map[string]float64),
+	}
+}
+
+// SetTime tells the steady clock and the time of day in milliseconds since the Unix epoch.
+func (c *Cell) SetTime(now fold.Instant, wall int64) {
+	c.now = max(c.now, now)
+	c.wall = wall
+}
+
+// SetRules puts a revision of the configuration in force.
+func (c *Cell) SetRules(rules fold.Rules) {
+	if rules.Revision < c.rules.Revision {
+		return
+	}
+	c.rules = rules
+	clear(c.queues)
+	for _, q := range rules.Queues {
+		c.queues[q.Name] = q
+	}
+	for _, t := range c.teams {
+		t.rule.Limit = fold.Resources{}
+	}
+	for _, rule := range rules.Teams {
+		c.team(rule.Name).rule = rule
+	}
+	for _, j := range c.jobs {
+		if q, ok := c.queues[j.spec.Queue.Name]; ok {
+			j.queue = q
+		}
+	}
+}
+
+// team returns the account of a team, also of one that the rules do not name.
+func (c *Cell) team(name string) *team {
+	t, ok := c.teams[name]
+	if !ok {
+		t = &team{rule: fold.TeamRule{Name: name}, at: c.now}
+		c.teams[name] = t
+	}
+	return t
+}
+
+// Stats returns the counts since the start.
+func (c *Cell) Stats() Stats {
+	return c.stats
+}
+
+// Waiting counts, for each queue, the jobs without times of which no task has started.
+func (c *Cell) Waiting() map[string]int {
+	counts := make(map[string]int)
+	for _, j := range c.jobs {
+		if !j.begun && !j.state.Final() && j.spec.Times == 0 {
+			counts[j.spec.Queue.Name]++
+		}
+	}
+	return counts
+}
+
+// Usage returns the committed and the whole capacity of the hosts in use.
+func (c *Cell) Usage() (used, capacity fold.Resources) {
+	for _, h := range c.hosts {
+		if h.open(c.now) {
+			used, capacity = used.Add(h.used), capacity.Add(h.info.Capacity)
+		}
+	}
+	return used, capacity
+}
+
+// within reports whether the team may use size more.
+func (t *team) within(size fold.Resources) bool {
+	limit, next := t.rule.Limit, t.used.Add(size)
+	return (limit.CPU == 0 || next.CPU <= limit.CPU) &&
+		(limit.Memory == 0 || next.Memory <= limit.Memory) &&
+		(limit.Accel == 0 || next.Accel <= limit.Accel)
+}
+
+// state returns the state of a job, if the cell holds it.
+func (c *Cell) State(id string) (flow.State, bool) {
+	j, ok := c.jobs[id]
+	if !ok {
+		return "", false
+	}
+	return j.state, true
+}
--- /dev/null
+++ b/fold/core/host.go
@@ -0,0 +1,339 @@
+package core
+
+import (
+	"time"
+
+	"plantainfold.example/fold"
+)
+
+// drift is how much slower a host's clock may run, as a share.
+const drift = 0.02
+
+// host is one worker: its current life and what may run there.
+type host struct {
+	info fold.Host
+	// listed says that the roster named the host last time; gone is since when it does not.
+	listed bool
+	gone   fold.Instant
+	// adopted says that this life has answered under this owner's fence, so that no order of an earlier owner counts.
+	adopted bool
+	runs    map[runKey]*run
+	// used is what live runs take of the capacity, soft what filling tasks declare of its processors.
+	used fold.Resources
+	soft int64
+	// serving and filling count the live runs of tasks with a target and of tasks that fill.
+	serving, filling int
+	// strays is when a run without a record was last reported.
+	strays fold.Instant
+
+	// clock is the host's clock in milliseconds when it last answered, at is when that answer arrived.
+	clock int64
+	at    fold.Instant
+	// until is the longest lease that was asked for, on the host's clock.
+	until int64
+	// foreign is when leases that an earlier owner renewed have surely ended.
+	foreign fold.Instant
+	// silent is since when calls go unanswered, or 0.
+	silent fold.Instant
+
+	// seen is the highest end that was taken in, ackNext goes into the next acknowledgement, acked was recorded.
+	seen, ackNext, acked int64
+
+	health health
+}
+
+// runKey identifies a run on a host.
+type runKey struct {
+	task string
+	run  int
+}
+
+func (r *run) key() runKey {
+	return runKey{task: r.task.name().String(), run: r.number}
+}
+
+// host returns the worker with the id, also one that the roster has not named.
+func (c *Cell) host(id string) *host {
+	h, ok := c.hosts[id]
+	if !ok {
+		h = &host{info: fold.Host{ID: id}, runs: make(map[runKey]*run), foreign: c.now.Add(c.foreignLease()), gone: c.now}
+		c.hosts[id] = h
+	}
+	return h
+}
+
+// foreignLease is how long after the start of this owner an earlier one may have kept runs alive: it renews leases for
+// as long as it may act without the table.
+func (c *Cell) foreignLease() time.Duration {
+	return c.times.Keep + stretch(c.times.Lease)
+}
+
+// stretch returns the time that a lease may last on a slow clock.
+func stretch(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease) / (1 - drift))
+}
+
+// SetHosts takes a complete reading of the roster.
+func (c *Cell) SetHosts(hosts []fold.Host) {
+	named := make(map[string]bool, len(hosts))
+	for _, info := range hosts {
+		named[info.ID] = true
+		h := c.host(info.ID)
+		if info.Born < h.info.Born {
+			continue
+		}
+		if info.Born > h.info.Born {
+			c.reborn(h, info.Born)
+		}
+		if info.Draining && !h.info.Draining {
+			c.log.Info("Host drains.", "host", info.ID, "remaining", info.Remaining.String(), "runs", len(h.runs))
+		}
+		if info.Draining && info.Remaining > 0 {
+			h.health.leaves = c.now.Add(info.Remaining)
+		}
+		h.info = info
+		h.listed = true
+	}
+	for id, h := range c.hosts {
+		if named[id] {
+			continue
+		}
+		if h.listed {
+			h.listed, h.gone = false, c.now
+			c.log.Info("Host left the roster.", "host", id, "runs", len(h.runs))
+		}
+		if len(h.runs) == 0 && c.now.Sub(h.gone) > forgetHost {
+			delete(c.hosts, id)
+		}
+	}
+}
+
+// forgetHost is how long a host without runs is kept after it left the roster, so that a short gap in the roster does
+// not forget which ends were taken in.
+const forgetHost = 30 * time.Second
+
+// reborn notes that a new life of the worker runs under its id: the earlier one runs nothing any more.
+func (c *Cell) reborn(h *host, born int64) {
+	first := h.info.Born == 0
+	h.info.Born = born
+	h.adopted, h.clock, h.at, h.until = false, 0, 0, 0
+	h.seen, h.ackNext, h.acked = 0, 0, 0
+	h.health = health{}
+	if first {
+		return
+	}
+	c.log.Info("Host started again.", "host", h.info.ID, "born", born, "runs", len(h.runs))
+	for _, r := range h.list() {
+		if r.phase == phaseOrdered && !r.inherited {
+			// The order may still arrive, at the new life; a stop there makes sure that it does nothing.
+			r.born = born
+			c.stop(r)
+			continue
+		}
+		c.lose(r, "host started again")
+	}
+}
+
+// list returns the live runs, so that they can be changed meanwhile.
+func (h *host) list() []*run {
+	runs := make([]*run, 0, len(h.runs))
+	for _, r := range h.runs {
+		runs = append(runs, r)
+	}
+	return runs
+}
+
+// open reports whether the host takes new work.
+func (h *host) open(now fold.Instant) bool {
+	return h.listed && h.adopted && !h.info.Draining && h.silent == 0 && !h.health.barred(now) &&
+		(h.strays == 0 || now.Sub(h.strays) > strayTime)
+}
+
+// strayTime closes a host after it reported a run without a record, whose size is not known; it is longer than a stop
+// and a report take.
+const strayTime = 2 * time.Second
+
+// leaseEnd is when everything on the host has surely lapsed unless a lease is renewed.
+func (h *host) leaseEnd() fold.Instant {
+	end := h.foreign
+	if h.adopted {
+		end = 0
+	}
+	if h.at != 0 && h.until > h.clock {
+		end = max(end, h.at.Add(stretch(time.Duration(h.until-h.clock)*time.Millisecond)+leaseMargin))
+	}
+	return end
+}
+
+// leaseMargin covers the rounding of clocks in milliseconds.
+const leaseMargin = 20 * time.Millisecond
+
+// Hold returns the next request to a host: it renews the leases if the owner may.
+func (c *Cell) Hold(id string, fence int64, renew bool) (fold.Host, fold.HoldRequest, bool) {
+	h, ok := c.hosts[id]
+	if !ok || h.info.Address == "" || (!h.listed && len(h.runs) == 0) {
+		return fold.Host{}, fold.HoldRequest{}, false
+	}
+	req := fold.HoldRequest{Fence: fence, Acked: h.acked, Until: c.lease(h, renew)}
+	if h.adopted && h.silent == 0 {
+		req.Wait = c.patience(h)
+	}
+	return h.info, req, true
+}
+
+// lease returns the lease to ask a host for, in milliseconds of its clock, or 0 for none.
+func (c *Cell) lease(h *host, renew bool) int64 {
+	if !renew || h.at == 0 {
+		return 0
+	}
+	until := h.clock + (c.now.Sub(h.at) + c.times.Lease).Milliseconds()
+	h.until = max(h.until, until)
+	return until
+}
+
+const (
+	// busyWait bounds the time between two looks at a host with runs, which tells progress and the load of tasks that
+	// serve; idleWait bounds it for other hosts. Both stay well below a lease.
+	busyWait = time.Second
+	idleWait = 1500 * time.Millisecond
+	// watchWait is used while filling tasks share a host with tasks that have a target.
+	watchWait = 500 * time.Millisecond
+)
+
+// patience is how long the host may wait for an end before it reports.
+func (c *Cell) patience(h *host) time.Duration {
+	if len(h.runs) == 0 {
+		return idleWait
+	}
+	serves, fills := h.mix()
+	if serves && fills {
+		return watchWait
+	}
+	return busyWait
+}
+
+// mix reports whether tasks with a target and filling tasks share the host.
+func (h *host) mix() (serves, fills bool) {
+	return h.serving > 0, h.filling > 0
+}
+
+// HoldFailed notes that a host did not answer.
+func (c *Cell) HoldFailed(id string, born int64) {
+	h, ok := c.hosts[id]
+	if !ok || h.info.Born != born {
+		return
+	}
+	if h.silent == 0 {
+		h.silent = c.now
+		if len(h.runs) > 0 || h.listed {
+			c.log.Warn("Host does not answer.", "host", id, "runs", len(h.runs))
+		}
+	}
+}
+
+// Report takes a host's answer to a request that was sent at the given instant.
+func (c *Cell) Report(id string, sent fold.Instant, reply fold.HoldReply) {
+	h, ok := c.hosts[id]
+	if !ok || reply.Born < h.info.Born {
+		return
+	}
+	if reply.Born > h.info.Born {
+		c.reborn(h, reply.Born)
+	}
+	if h.silent != 0 {
+		c.log.Info("Host answers again.", "host", id, "after", c.now.Sub(h.silent).String())
+		h.silent = 0
+	}
+	// Answers may overtake each other; the clock only moves forward.
+	if reply.Clock > h.clock {
+		h.clock, h.at = reply.Clock, c.now
+	}
+	first := !h.adopted
+	h.adopted = true
+	c.takeEnds(h, reply.Ends)
+	c.takeRuns(h, sent, reply, first)
+}
+
+// takeEnds takes the ends that were not seen before, in order.
+func (c *Cell) takeEnds(h *host, ends []fold.HostEnd) {
+	for _, e := range ends {
+		if e.Number <= h.seen {
+			continue
+		}
+		h.seen = e.Number
+		c.ended(h, e)
+	}
+}
+
+// takeRuns compares what runs on the host with what was ordered.
+func (c *Cell) takeRuns(h *host, sent fold.Instant, reply fold.HoldReply, first bool) {
+	listed := make(map[runKey]bool, len(reply.Runs))
+	for _, hr := range reply.Runs {
+		key := runKey{task: hr.Task, run: hr.Run}
+		listed[key] = true
+		r, ok := h.runs[key]
+		if !ok {
+			c.stray(h, hr)
+			continue
+		}
+		c.progress(r, hr)
+	}
+	for key, r := range h.runs {
+		if listed[key] || r.phase == phasePlanned {
+			continue
+		}
+		c.missing(r, sent, first)
+	}
+}
+
+// missing handles a run that its host does not list.
+func (c *Cell) missing(r *run, sent fold.Instant, first bool) {
+	switch {
+	case r.inherited && first:
+		// The fence of this owner is in force there, so an order of an earlier owner arrives in vain from now on.
+		c.lose(r, "host does not know it")
+	case r.stopAcked != 0 && r.stopAcked < sent:
+		c.lose(r, "stopped before it began")
+	case r.phase == phaseRunning && r.began < sent && !r.stopping:
+		// It runs no more, and its end was not told.
+		c.stop(r)
+	}
+}
+
+// stray handles a run that this owner has no record of: it takes capacity until it is stopped.
+func (c *Cell) stray(h *host, hr fold.HostRun) {
+	h.strays = c.now
+	c.orders.Stops = append(c.orders.Stops, Stop{Host: h.info, Task: hr.Task, Run: hr.Run})
+	c.log.Warn("Stopped a run without a record.", "task", hr.Task, "run", hr.Run, "host", h.info.ID)
+}
+
+// progress notes what a host says of a run.
+func (c *Cell) progress(r *run, hr fold.HostRun) {
+	if r.phase != phaseRunning {
+		r.phase, r.began = phaseRunning, c.now
+		r.moved, r.first = c.now, hr.Percent
+	}
+	if hr.Percent > r.percent || r.seen == 0 {
+		r.moved = c.now
+	}
+	r.percent, r.seen, r.load = hr.Percent, c.now, hr.Load
+	if hr.Saved != "" {
+		r.task.saved = hr.Saved
+	}
+}
+
+// lapse gives up the runs of hosts whose leases have ended.
+func (c *Cell) lapse() {
+	for _, h := range c.hosts {
+		if len(h.runs) == 0 || h.silent == 0 && h.adopted {
+			continue
+		}
+		if end := h.leaseEnd(); end != 0 && c.now > end {
+			for _, r := range h.list() {
+				if r.phase != phasePlanned {
+					c.lose(r, "lease ended")
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/fold/core/orders.go
@@ -0,0 +1,172 @@
+package core
+
+import (
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"plantainfold.example/fold"
+)
+
+// Start is an order to start a run; its record is durable.
+type Start struct {
+	Host fold.Host
+	Req  fold.StartRequest
+}
+
+// Stop is an order to stop a run.
+type Stop struct {
+	Host fold.Host
+	Task string
+	Run  int
+}
+
+// Pace is an order to let a run work at a share of its speed, in percent.
+type Pace struct {
+	Host    fold.Host
+	Task    string
+	Run     int
+	Percent int
+}
+
+// Orders is what the driver is to send.
+type Orders struct {
+	Starts []Start
+	Stops  []Stop
+	Paces  []Pace
+}
+
+const (
+	// maxTries is how often a start without an answer is sent before the run is given up.
+	maxTries = 3
+	// sickTime closes a host that says that it is unhealthy, or that has less room than it declares.
+	sickTime = time.Second
+	// stopAgain is when an order to stop without an answer is repeated; a host stops a run within the time of the settings.
+	stopAgain = 500 * time.Millisecond
+)
+
+// Orders returns what has to be sent now.
+func (c *Cell) Orders() Orders {
+	out := c.orders
+	c.orders = Orders{}
+	return out
+}
+
+// order sends the start of a run.
+func (c *Cell) order(r *run) {
+	r.tries++
+	r.ordered = c.now
+	c.stats.Starts++
+	p := r.task.part
+	c.orders.Starts = append(c.orders.Starts, Start{Host: r.host.info, Req: fold.StartRequest{
+		Task: r.key().task, Run: r.number, Spec: p.job.spec.Spec, Until: c.lease(r.host, true), Saved: r.task.saved, Ticket: r.ticket,
+	}})
+}
+
+// stop ends a run; its capacity is free once the host has told of the end.
+func (c *Cell) stop(r *run) {
+	if r.stopping {
+		return
+	}
+	r.stopping = true
+	c.stats.Stops++
+	c.mark(r.task.part.job)
+	if r.phase != phasePlanned {
+		c.sendStop(r)
+	}
+}
+
+func (c *Cell) sendStop(r *run) {
+	r.stopAsked = c.now
+	c.orders.Stops = append(c.orders.Stops, Stop{Host: r.host.info, Task: r.key().task, Run: r.number})
+}
+
+// Stopped takes the answer to an order to stop.
+func (c *Cell) Stopped(s Stop, err error) {
+	h, ok := c.hosts[s.Host.ID]
+	if !ok || h.info.Born != s.Host.Born || err != nil {
+		return
+	}
+	if r, ok := h.runs[runKey{task: s.Task, run: s.Run}]; ok && r.stopAcked == 0 {
+		r.stopAcked = c.now
+	}
+}
+
+// Started takes the answer to an order to start.
+func (c *Cell) Started(s Start, err error) {
+	h, ok := c.hosts[s.Host.ID]
+	if !ok || h.info.Born != s.Host.Born {
+		return
+	}
+	r, ok := h.runs[runKey{task: s.Req.Task, run: s.Req.Run}]
+	if !ok || r.phase == phaseRunning {
+		return
+	}
+	if err == nil {
+		r.phase, r.began, r.moved = phaseRunning, c.now, c.now
+		return
+	}
+	c.stats.Refused++
+	c.log.Debug("Start failed.", "task", s.Req.Task, "run", s.Req.Run, "host", h.info.ID, "try", r.tries, "error", err)
+	switch {
+	case r.stopping, errorx.IsOfType(err, fold.HostFenced):
+		return
+	case errorx.IsOfType(err, fold.HostLate):
+		c.retry(r)
+	case !fold.DidNotRun(err):
+		c.retry(r)
+	default:
+		c.refused(r, err)
+	}
+}
+
+// retry sends a start again: the host answers the same for a run that is there already.
+func (c *Cell) retry(r *run) {
+	if r.tries < maxTries {
+		c.order(r)
+		return
+	}
+	c.giveUp(r)
+}
+
+// giveUp gives up a run whose start may yet arrive.
+func (c *Cell) giveUp(r *run) {
+	c.stop(r)
+	c.breakGang(r)
+}
+
+// refused handles a start that the host has rejected.
+func (c *Cell) refused(r *run, err error) {
+	h := r.host
+	switch {
+	case errorx.IsOfType(err, fold.HostSick), errorx.IsOfType(err, fold.HostFull):
+		h.health.until = max(h.health.until, c.now.Add(sickTime))
+	case errorx.IsOfType(err, fold.HostReborn):
+		// Nothing is sent there until the host has told who it is.
+		h.adopted = false
+	case errorx.IsOfType(err, fold.BadTicket):
+		delete(r.task.part.advice.grants, h)
+	}
+	if r.tries > 1 || errorx.IsOfType(err, fold.HostReborn) {
+		// An earlier order of the same run may have been carried out, or may yet be.
+		c.giveUp(r)
+		return
+	}
+	c.log.Info("Start refused.", "task", r.key().task, "run", r.number, "host", h.info.ID, "error", err)
+	c.drop(r)
+	c.breakGang(r)
+}
+
+// resend repeats orders to stop that were not carried out.
+func (c *Cell) resend() {
+	for _, h := range c.hosts {
+		for _, r := range h.runs {
+			if r.stopping && r.phase != phasePlanned && c.now.Sub(r.stopAsked) > stopAgain+c.times.Stop {
+				c.sendStop(r)
+			}
+			if r.stopping && r.stopAcked == 0 && r.phase != phasePlanned && c.now.Sub(r.stopAsked) > stopAgain {
+				c.sendStop(r)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/fold/core/room.go
@@ -0,0 +1,133 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"plantainfold.example/fold"
+)
+
+const (
+	// roomAfter is how long a task waits before others are stopped for it.
+	roomAfter = 400 * time.Millisecond
+	// roomPause separates two rounds of stops for one part: what was stopped must have ended first.
+	roomPause = 1300 * time.Millisecond
+	// roomStops bounds the runs that are stopped in one round of decisions.
+	roomStops = 16
+)
+
+// makeRoom stops work of lower rank for tasks that last and for urgent jobs that wait although hosts are approved.
+func (c *Cell) makeRoom(open map[string][]*host) {
+	stops := roomStops
+	for _, p := range c.active {
+		if stops <= 0 {
+			return
+		}
+		if p.free == 0 || p.step.Gang || c.now < p.roomAt() || !c.pressing(p) {
+			continue
+		}
+		stops -= c.roomFor(p, open[p.job.queue.Service])
+	}
+}
+
+// pressing reports whether other work is stopped for the part.
+func (c *Cell) pressing(p *part) bool {
+	return p.step.Lasting
+}
+
+func (p *part) roomAt() fold.Instant {
+	at := p.readyAt.Add(roomAfter)
+	for i := range p.tasks {
+		if t := &p.tasks[i]; t.waiting() && t.lost != 0 {
+			at = max(at, t.lost.Add(roomAfter))
+		}
+	}
+	return max(at, p.advice.room)
+}
+
+// roomFor stops what holds the room for the waiting tasks of the part and returns how many runs it stopped.
+func (c *Cell) roomFor(p *part, hosts []*host) int {
+	if !c.team(p.job.spec.Team).within(p.step.Size) {
+		return 0
+	}
+	stopped := 0
+	for need := p.free; need > 0; need-- {
+		victims := c.cheapest(p, hosts)
+		if victims == nil {
+			break
+		}
+		for _, v := range victims {
+			c.log.Info("Stopped a task for one that lasts.", "task", v.key().task, "run", v.number, "host", v.host.info.ID, "for", p.stepName())
+			c.stats.Preempted++
+			c.stop(v)
+			stopped++
+		}
+	}
+	if stopped > 0 {
+		p.advice.room = c.now.Add(roomPause)
+	}
+	return stopped
+}
+
+// cheapest returns the runs on one host whose end makes room for a task at the least loss of work, or nil.
+func (c *Cell) cheapest(p *part, hosts []*host) []*run {
+	var best []*run
+	var bestLoss float64
+	for _, h := range hosts {
+		if !p.allowed(h) || p.job.queue.Advice != nil && !p.advice.yes[h.info.ID] {
+			continue
+		}
+		if p.step.PerHost > 0 && p.perHost[h] >= p.step.PerHost {
+			continue
+		}
+		runs, loss := c.victims(p, h)
+		if runs != nil && (best == nil || loss < bestLoss) {
+			best, bestLoss = runs, loss
+		}
+	}
+	return best
+}
+
+// victims returns runs of lower rank on the host that free the claim of the step, and the core-seconds that are lost.
+func (c *Cell) victims(p *part, h *host) ([]*run, float64) {
+	free := h.info.Capacity.Sub(h.used)
+	claim := p.step.Claim()
+	var able []*run
+	for _, r := range h.runs {
+		s := r.task.part.step
+		if r.stopping {
+			// Its room is spoken for.
+			continue
+		}
+		if r.phase == phaseRunning && !s.Lasting && !s.Gang && r.task.part.job.queue.Priority >= p.job.queue.Priority {
+			able = append(able, r)
+		}
+	}
+	slices.SortFunc(able, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(c.loss(a), c.loss(b)), cmp.Compare(a.key().task, b.key().task))
+	})
+	var chosen []*run
+	loss := 0.0
+	for _, r := range able {
+		if claim.Fits(free) {
+			break
+		}
+		free = free.Add(r.task.part.step.Claim())
+		loss += c.loss(r)
+		chosen = append(chosen, r)
+	}
+	if !claim.Fits(free) || len(chosen) == 0 {
+		return nil, 0
+	}
+	return chosen, loss
+}
+
+// loss is the work in core-seconds that is lost when the run is stopped.
+func (c *Cell) loss(r *run) float64 {
+	lost := c.now.Sub(r.began)
+	if r.task.part.step.Saves {
+		lost = min(lost, c.times.Save/2+c.times.Restore)
+	}
+	return lost.Seconds() * float64(r.task.part.step.Size.CPU) / 1000
+}
--- /dev/null
+++ b/fold/drive/driver.go
@@ -0,0 +1,225 @@
+package drive
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/core"
+	"plantainfold.example/fold/lead"
+)
+
+// Parts are what a driver works with.
+type Parts struct {
+	Table  fold.Table
+	Log    fold.Log
+	Runner fold.Runner
+	Roster fold.Roster
+	// Askers returns the entries that can call the adviser now, this one included.
+	Askers func() []Asker
+	Clock  fold.Clock
+	Logger hclog.Logger
+	Times  core.Times
+	Meter  Meter
+}
+
+// Asker calls the adviser from one entry.
+type Asker interface {
+	Name() string
+	Advise(ctx context.Context, step string, hosts []string) (fold.Advice, error)
+}
+
+// Meter takes the figures of a driver.
+type Meter interface {
+	Commit(took time.Duration, rows int)
+	Start(took time.Duration, err error)
+	Hold(took time.Duration, err error)
+	Ask(took time.Duration, err error)
+	Decide(took time.Duration)
+}
+
+const (
+	// tick is how often decisions are made without an event, for what depends on time alone.
+	tick = 100 * time.Millisecond
+	// rosterEvery is how often the roster is read; a leaving host must be known within the platform's two seconds.
+	rosterEvery = 700 * time.Millisecond
+	// feedWait bounds the wait for new jobs, and so the age of what is known of cancelled ones.
+	feedWait = time.Second
+	// feedTime bounds a call of the feed beyond its wait, so that a silent connection is noticed.
+	feedTime = 600 * time.Millisecond
+	// pauseAfterError separates tries of calls to the platform that failed.
+	pauseAfterError = 100 * time.Millisecond
+)
+
+// Driver owns the pool for one term.
+type Driver struct {
+	parts Parts
+	log   hclog.Logger
+	term  *lead.Term
+
+	mu   sync.Mutex
+	cell *core.Cell
+	// committed is when the last commit that succeeded was sent; leases are renewed for a bounded time after it.
+	committed fold.Instant
+	// holders are the hosts with a loop that reads their reports.
+	holders map[string]bool
+	// rows are rows of ended jobs that are to be removed.
+	rows []string
+
+	wake    chan struct{}
+	record  chan struct{}
+	askWake chan struct{}
+	deposed chan error
+	group   sync.WaitGroup
+}
+
+// New returns a driver for the term; Run starts it.
+func New(parts Parts, term *lead.Term, rules fold.Rules) *Driver {
+	d := &Driver{
+		parts:     parts,
+		log:       parts.Logger.Named("drive").With("epoch", term.Epoch()),
+		term:      term,
+		cell:      core.New(parts.Times, parts.Logger.Named("core")),
+		committed: parts.Clock.Now(),
+		holders:   make(map[string]bool),
+		wake:      make(chan struct{}, 1),
+		record:    make(chan struct{}, 1),
+		askWake:   make(chan struct{}, 1),
+		deposed:   make(chan error, 1),
+	}
+	d.tell()
+	d.cell.SetRules(rules)
+	return d
+}
+
+// Run owns the pool until ctx ends or another entry takes over, and waits for everything that it started.
+func (d *Driver) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer d.group.Wait()
+	defer cancel()
+	version, err := d.load(ctx)
+	if err != nil {
+		return err
+	}
+	d.spawn(func() { d.follow(ctx, version) })
+	d.spawn(func() { d.readRoster(ctx) })
+	d.spawn(func() { d.commit(ctx) })
+	d.spawn(func() { d.ask(ctx) })
+	return d.decide(ctx)
+}
+
+func (d *Driver) spawn(fn func()) {
+	d.group.Add(1)
+	go func() {
+		defer d.group.Done()
+		fn()
+	}()
+}
+
+// tell gives the cell the time; the caller holds the lock or is alone.
+func (d *Driver) tell() {
+	d.cell.SetTime(d.parts.Clock.Now(), time.Now().UnixMilli())
+}
+
+// with changes the cell under its lock.
+func (d *Driver) with(fn func(*core.Cell)) {
+	d.mu.Lock()
+	d.tell()
+	fn(d.cell)
+	d.mu.Unlock()
+}
+
+// update changes the cell and lets it decide again.
+func (d *Driver) update(fn func(*core.Cell)) {
+	d.with(fn)
+	poke(d.wake)
+}
+
+func poke(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// SetRules puts a revision of the configuration in force.
+func (d *Driver) SetRules(rules fold.Rules) {
+	d.update(func(c *core.Cell) { c.SetRules(rules) })
+}
+
+// Waiting returns, for each queue, the number of jobs of which no task has started.
+func (d *Driver) Waiting() map[string]int {
+	var waiting map[string]int
+	d.with(func(c *core.Cell) { waiting = c.Waiting() })
+	return waiting
+}
+
+// Stats returns the counts of this term and the used and whole capacity.
+func (d *Driver) Stats() (stats core.Stats, used, capacity fold.Resources) {
+	d.with(func(c *core.Cell) {
+		stats = c.Stats()
+		used, capacity = c.Usage()
+	})
+	return stats, used, capacity
+}
+
+// decide makes decisions after each event and at least every tick.
+func (d *Driver) decide(ctx context.Context) error {
+	for {
+		var orders core.Orders
+		d.with(func(c *core.Cell) {
+			began := time.Now()
+			c.Decide()
+			orders = c.Orders()
+			d.parts.Meter.Decide(time.Since(began))
+		})
+		d.send(ctx, orders)
+		poke(d.record)
+		poke(d.askWake)
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-d.deposed:
+			return err
+		case <-d.wake:
+		case <-d.parts.Clock.After(tick):
+		}
+	}
+}
+
+// depose ends the term.
+func (d *Driver) depose(err error) {
+	select {
+	case d.deposed <- err:
+	default:
+	}
+}
+
+// mayRenew reports whether leases may be renewed: an owner that cannot commit goes on for a bounded time, on which a
+// later owner relies.
+func (d *Driver) mayRenew() bool {
+	return d.parts.Clock.Now().Sub(d.committed) < d.parts.Times.Keep
+}
+
+// pause waits for d or the end of ctx and reports whether ctx goes on.
+func (d *Driver) pause(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-d.parts.Clock.After(wait):
+		return true
+	}
+}
+
+// fenced ends the term when a host answers that it obeys a newer owner.
+func (d *Driver) fenced(err error) bool {
+	if errorx.IsOfType(err, fold.HostFenced) {
+		d.depose(err)
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/fold/drive/orders.go
@@ -0,0 +1,97 @@
+package drive
+
+import (
+	"context"
+	"time"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/core"
+)
+
+const (
+	// orderTime bounds a call to a host; hosts answer within milliseconds, and a start can be repeated safely.
+	orderTime = 300 * time.Millisecond
+	// holdTime bounds a look at a host beyond the wait that was asked for.
+	holdTime = 700 * time.Millisecond
+	// holdPause separates looks at a host that does not answer.
+	holdPause = 250 * time.Millisecond
+	// idlePause separates checks whether a host without an address is back.
+	idlePause = 500 * time.Millisecond
+)
+
+// send carries orders out, each on its own, and gives the answers to the cell.
+func (d *Driver) send(ctx context.Context, orders core.Orders) {
+	for _, s := range orders.Starts {
+		d.spawn(func() { d.start(ctx, s) })
+	}
+	for _, s := range orders.Stops {
+		d.spawn(func() {
+			err := d.call(ctx, func(ctx context.Context) error {
+				return d.parts.Runner.Stop(ctx, s.Host, s.Task, s.Run, d.term.Epoch())
+			})
+			d.with(func(c *core.Cell) { c.Stopped(s, err) })
+		})
+	}
+	for _, p := range orders.Paces {
+		d.spawn(func() {
+			err := d.call(ctx, func(ctx context.Context) error {
+				return d.parts.Runner.Pace(ctx, p.Host, p.Task, p.Run, p.Percent, d.term.Epoch())
+			})
+			d.with(func(c *core.Cell) { c.Paced(p, err) })
+		})
+	}
+}
+
+func (d *Driver) start(ctx context.Context, s core.Start) {
+	s.Req.Fence = d.term.Epoch()
+	sent := d.parts.Clock.Now()
+	err := d.call(ctx, func(ctx context.Context) error { return d.parts.Runner.Start(ctx, s.Host, s.Req) })
+	d.parts.Meter.Start(d.parts.Clock.Now().Sub(sent), err)
+	var orders core.Orders
+	d.with(func(c *core.Cell) {
+		c.Started(s, err)
+		orders = c.Orders()
+	})
+	d.send(ctx, orders)
+	if err != nil {
+		poke(d.wake)
+	}
+}
+
+func (d *Driver) call(ctx context.Context, fn func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	err := fn(ctx)
+	d.fenced(err)
+	return err
+}
+
+// hold renews the leases of one host and reads its reports until the host is gone.
+func (d *Driver) hold(ctx context.Context, id string) {
+	for ctx.Err() == nil {
+		var host fold.Host
+		var req fold.HoldRequest
+		var ok bool
+		d.with(func(c *core.Cell) { host, req, ok = c.Hold(id, d.term.Epoch(), d.mayRenew()) })
+		if !ok {
+			if !d.pause(ctx, idlePause) {
+				return
+			}
+			continue
+		}
+		sent := d.parts.Clock.Now()
+		call, cancel := context.WithTimeout(ctx, req.Wait+holdTime)
+		reply, err := d.parts.Runner.Hold(call, host, req)
+		cancel()
+		d.parts.Meter.Hold(d.parts.Clock.Now().Sub(sent), err)
+		if err != nil {
+			if ctx.Err() != nil || d.fenced(err) {
+				return
+			}
+			d.update(func(c *core.Cell) { c.HoldFailed(id, host.Born) })
+			d.pause(ctx, holdPause)
+			continue
+		}
+		d.update(func(c *core.Cell) { c.Report(id, sent, reply) })
+	}
+}
--- a/fold/errors.go
+++ b/fold/errors.go
@@ -19,6 +19,7 @@
 	Unauthorized = Errors.NewType("unauthorized", NotRun)
 	Forbidden    = Errors.NewType("forbidden", NotRun)
 	NotFound     = Errors.NewType("not found", NotRun)
+	Gone         = Errors.NewType("gone", NotRun)
 	Conflict     = Errors.NewType("conflict", NotRun)
 	Outdated     = Errors.NewType("outdated revision", NotRun)
 	TooLarge     = Errors.NewType("too large", NotRun)
--- /dev/null
+++ b/fold/lead/lead.go
@@ -0,0 +1,160 @@
+package lead
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/codec"
+)
+
+// Key is the row that names the owner.
+const Key = "lead/owner"
+
+const (
+	// Renew is how often the owner rewrites its row at least.
+	Renew = 500 * time.Millisecond
+	// Lapse is how long the row stays unchanged before another entry takes over; it covers two renewals that are lost or
+	// slow.
+	Lapse = 1600 * time.Millisecond
+	// Poll is how often the other entries read the row; it bounds the delay after an owner has handed over.
+	Poll = 400 * time.Millisecond
+	// commitTime bounds one try of a commit; the table usually answers within milliseconds.
+	commitTime = 900 * time.Millisecond
+	// commitPause separates tries of a commit.
+	commitPause = 60 * time.Millisecond
+)
+
+// Owner is the content of the row.
+type Owner struct {
+	// Entry and Incarnation name one run of an entry; Entry is empty after an owner has handed over.
+	Entry       string `json:"entry"`
+	Incarnation string `json:"incarnation"`
+	// Epoch grows with each takeover; hosts refuse orders of an older epoch.
+	Epoch int64 `json:"epoch"`
+	// Count numbers the commits of an epoch, by which a lost answer is settled.
+	Count int64 `json:"count"`
+	// Waiting counts, for each queue, the jobs of which no task has started.
+	Waiting map[string]int `json:"waiting,omitempty"`
+}
+
+// Read returns the row and its version; a row that does not exist has version 0.
+func Read(ctx context.Context, table fold.Table) (Owner, int64, error) {
+	row, err := table.Get(ctx, Key)
+	if errorx.IsOfType(err, fold.NotFound) {
+		return Owner{}, 0, nil
+	}
+	if err != nil {
+		return Owner{}, 0, err
+	}
+	owner, err := codec.Decode[Owner](row.Value)
+	return owner, row.Version, err
+}
+
+// Term is the ownership of one epoch. Commit must not be called concurrently.
+type Term struct {
+	table   fold.Table
+	clock   fold.Clock
+	owner   Owner
+	version int64
+}
+
+// Take takes the row over from the owner that it had at the version. A Conflict error means that another entry was
+// faster.
+func Take(ctx context.Context, table fold.Table, clock fold.Clock, previous Owner, version int64, entry, incarnation string) (*Term, error) {
+	t := &Term{
+		table:   table,
+		clock:   clock,
+		owner:   Owner{Entry: entry, Incarnation: incarnation, Epoch: previous.Epoch + 1, Waiting: previous.Waiting},
+		version: version,
+	}
+	if err := t.settle(ctx, fold.Txn{}, t.owner); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// Epoch returns the epoch of the term.
+func (t *Term) Epoch() int64 {
+	return t.owner.Epoch
+}
+
+// Commit writes the rows and renews the ownership. It tries until the outcome is known; a Fenced error means that
+// another entry has taken over and nothing was written.
+func (t *Term) Commit(ctx context.Context, puts []fold.Put, deletes []string, waiting map[string]int) error {
+	next := t.owner
+	next.Count++
+	next.Waiting = waiting
+	return t.settle(ctx, fold.Txn{Puts: puts, Deletes: deletes}, next)
+}
+
+// Release hands the ownership over.
+func (t *Term) Release(ctx context.Context) error {
+	next := t.owner
+	next.Count++
+	next.Entry = ""
+	return t.settle(ctx, fold.Txn{}, next)
+}
+
+// settle commits the transaction together with the row. A try without an answer may still take effect later, but only
+// as long as the row has the version that it expects; so repeating the same transaction is safe, and once the row names
+// its count one of the tries has succeeded.
+func (t *Term) settle(ctx context.Context, txn fold.Txn, next Owner) error {
+	value, err := codec.Encode(next)
+	if err != nil {
+		return err
+	}
+	txn.Checks = append(txn.Checks, fold.Check{Key: Key, Version: t.version})
+	txn.Puts = append(txn.Puts, fold.Put{Key: Key, Value: value})
+	for {
+		version, err := t.try(ctx, txn)
+		if err == nil {
+			t.owner, t.version = next, version
+			return nil
+		}
+		if errorx.IsOfType(err, fold.Conflict) {
+			return t.conflict(ctx, next)
+		}
+		if errorx.IsOfType(err, fold.Invalid) || errorx.IsOfType(err, fold.TooLarge) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return fold.Unknown.Wrap(err, "commit of epoch %d", next.Epoch)
+		case <-t.clock.After(commitPause):
+		}
+	}
+}
+
+func (t *Term) try(ctx context.Context, txn fold.Txn) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTime)
+	defer cancel()
+	return t.table.Commit(ctx, txn)
+}
+
+// conflict reads the row to tell an earlier try that has succeeded from another owner.
+func (t *Term) conflict(ctx context.Context, next Owner) error {
+	for {
+		found, version, err := t.read(ctx)
+		switch {
+		case err == nil && found.Incarnation == next.Incarnation && found.Epoch == next.Epoch && found.Count == next.Count:
+			t.owner, t.version = next, version
+			return nil
+		case err == nil:
+			return fold.Refuse(fold.Fenced, "let the newer owner go on", "entry %q owns the pool in epoch %d", found.Entry, found.Epoch)
+		}
+		select {
+		case <-ctx.Done():
+			return fold.Unknown.Wrap(err, "read the owner after a conflict in epoch %d", next.Epoch)
+		case <-t.clock.After(commitPause):
+		}
+	}
+}
+
+func (t *Term) read(ctx context.Context) (Owner, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTime)
+	defer cancel()
+	return Read(ctx, t.table)
+}
--- /dev/null
+++ b/fold/node/owner.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/drive"
+	"plantainfold.example/fold/lead"
+)
+
+const (
+	// takeJitter spreads the entries that want to take over, so that one of them is usually first.
+	takeJitter = 120 * time.Millisecond
+	// releaseTime bounds the hand-over of the pool.
+	releaseTime = 1500 * time.Millisecond
+	// countsOld is how old the owner's counts of waiting jobs may be when they are told.
+	countsOld = 4 * time.Second
+)
+
+// seat is what an entry knows of the ownership of the pool.
+type seat struct {
+	owner   lead.Owner
+	version int64
+	// changed is when the row was first seen with this version.
+	changed fold.Instant
+	// read is when the row was last read.
+	read fold.Instant
+}
+
+// own watches the ownership and owns the pool whenever this entry's turn has come, until ctx ends.
+func (n *Node) own(ctx context.Context) {
+	for ctx.Err() == nil {
+		owner, version, err := n.watch(ctx)
+		if err != nil {
+			return
+		}
+		term, err := n.take(ctx, owner, version)
+		switch {
+		case err == nil:
+			n.serveTerm(ctx, term)
+		case ctx.Err() == nil:
+			n.log.Info("Did not take over the pool.", "owner", owner.Entry, "epoch", owner.Epoch, "error", err)
+		}
+	}
+}
+
+// watch reads the row until its owner has lapsed; it returns an error only when ctx ends.
+func (n *Node) watch(ctx context.Context) (lead.Owner, int64, error) {
+	var s seat
+	for first := true; ; {
+		call, cancel := context.WithTimeout(ctx, tableTime)
+		owner, version, err := lead.Read(call, n.parts.Table)
+		cancel()
+		now := n.clock.Now()
+		if err == nil {
+			if first || version != s.version {
+				if s.owner.Epoch != owner.Epoch {
+					n.log.Info("The pool has an owner.", "owner", owner.Entry, "epoch", owner.Epoch)
+				}
+				s.changed = now
+			}
+			first = false
+			s.owner, s.version, s.read = owner, version, now
+			n.setSeat(s)
+			if owner.Entry == "" || now.Sub(s.changed) > lead.Lapse {
+				return owner, version, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return lead.Owner{}, 0, ctx.Err()
+		case <-n.clock.After(lead.Poll):
+		}
+	}
+}
+
+func (n *Node) setSeat(s seat) {
+	n.mu.Lock()
+	n.seat = s
+	n.mu.Unlock()
+}
+
+func (n *Node) take(ctx context.Context, owner lead.Owner, version int64) (*lead.Term, error) {
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-n.clock.After(time.Duration(rand.Int64N(int64(takeJitter)))):
+	}
+	if b, _, _ := n.rules.Now(); b == nil {
+		return nil, fold.Refuse(fold.Unavailable, "wait for the configuration", "the configuration is not known yet")
+	}
+	return lead.Take(ctx, n.parts.Table, n.clock, owner, version, n.settings.Name, n.incarnation)
+}
+
+// serveTerm owns the pool until another entry takes over or ctx ends; then it hands over.
+func (n *Node) serveTerm(ctx context.Context, term *lead.Term) {
+	n.log.Info("Owner of the pool.", "epoch", term.Epoch())
+	b, _, _ := n.rules.Now()
+	driver := drive.New(drive.Parts{
+		Table: n.parts.Table, Log: n.parts.Log, Runner: n.parts.Runner, Roster: n.parts.Roster,
+		Askers: n.peers.askers, Clock: n.clock, Logger: n.log, Times: n.settings.Times(), Meter: n.meter,
+	}, term, b.Rules())
+	following, stop := context.WithCancel(ctx)
+	defer stop()
+	go n.peers.follow(following)
+	n.setDriver(driver)
+	err := driver.Run(ctx)
+	n.setDriver(nil)
+	if err != nil {
+		n.log.Warn("No longer owner of the pool.", "epoch", term.Epoch(), "error", err)
+	}
+	if errorx.IsOfType(err, fold.Fenced) || errorx.IsOfType(err, fold.HostFenced) {
+		return
+	}
+	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTime)
+	defer cancel()
+	if err := term.Release(release); err != nil {
+		n.log.Warn("Could not hand the pool over.", "epoch", term.Epoch(), "error", err)
+		return
+	}
+	n.log.Info("Handed the pool over.", "epoch", term.Epoch())
+}
+
+func (n *Node) setDriver(d *drive.Driver) {
+	n.mu.Lock()
+	n.driver = d
+	n.mu.Unlock()
+}
+
+// waiting returns how many jobs of a queue have not begun, by this entry's own count or the owner's.
+func (n *Node) waiting(queue string) (int, bool) {
+	n.mu.Lock()
+	driver, s := n.driver, n.seat
+	n.mu.Unlock()
+	if driver != nil {
+		return driver.Waiting()[queue], true
+	}
+	if s.version == 0 || n.clock.Now().Sub(s.read) > countsOld {
+		return 0, false
+	}
+	return s.owner.Waiting[queue], true
+}
+
+// ruled gives a new configuration to the driver, if there is one.
+func (n *Node) ruled(rules fold.Rules) {
+	n.mu.Lock()
+	driver := n.driver
+	n.mu.Unlock()
+	if driver != nil {
+		driver.SetRules(rules)
+	}
+}
--- a/fold/table.go
+++ b/fold/table.go
@@ -1,6 +1,9 @@
 package fold
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Row is one record of the table service.
 type Row struct {
@@ -39,3 +42,12 @@
 	// any other error leaves the outcome unknown.
 	Commit(ctx context.Context, t Txn) (int64, error)
 }
+
+// Log follows the changes of a Table. The first part of a key, up to a slash, is followed as a whole.
+type Log interface {
+	// Snapshot returns all rows of a table and the version that they have at least.
+	Snapshot(ctx context.Context, table string) ([]Row, int64, error)
+	// Changes waits up to wait for changes after the version and returns them with the version to go on from; an Outdated
+	// error means that the history is gone and a snapshot is needed.
+	Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]RowChange, int64, error)
+}
