--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -181,6 +181,12 @@
 	return h.info, req, true
 }
 
+// Settled reports whether all ends that the host has told are recorded, so that its next report waits for a new one.
+func (c *Cell) Settled(id string) bool {
+	h, ok := c.hosts[id]
+	return !ok || h.acked >= h.seen
+}
+
 // lease returns the lease to ask a host for, in milliseconds of its clock, or 0 for none.
 func (c *Cell) lease(h *host, renew bool) int64 {
 	if !renew || h.at == 0 {
--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -93,6 +93,8 @@
 		c.Recorded(writes)
 		orders = c.Orders()
 		d.rows = d.rows[len(deletes):]
+		close(d.recorded)
+		d.recorded = make(chan struct{})
 		for _, w := range writes {
 			if w.Record.State.Final() && len(w.Record.Parts) == 0 {
 				d.rows = append(d.rows, JobTable+w.Job, JobTable+w.Job+CancelMark)
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -70,6 +70,9 @@
 	// rows are rows of ended jobs that are to be removed.
 	rows []string
 
+	// recorded is closed and replaced after each commit.
+	recorded chan struct{}
+
 	wake    chan struct{}
 	record  chan struct{}
 	askWake chan struct{}
@@ -86,6 +89,7 @@
 		cell:      core.New(parts.Times, parts.Logger.Named("core")),
 		committed: parts.Clock.Now(),
 		holders:   make(map[string]bool),
+		recorded:  make(chan struct{}),
 		wake:      make(chan struct{}, 1),
 		record:    make(chan struct{}, 1),
 		askWake:   make(chan struct{}, 1),
--- a/fold/drive/orders.go
+++ b/fold/drive/orders.go
@@ -15,6 +15,8 @@
 	holdTime = 700 * time.Millisecond
 	// holdPause separates looks at a host that does not answer.
 	holdPause = 250 * time.Millisecond
+	// recordWait bounds the wait for the record of ends between two looks at a host.
+	recordWait = 300 * time.Millisecond
 	// idlePause separates checks whether a host without an address is back.
 	idlePause = 500 * time.Millisecond
 )
@@ -93,5 +95,27 @@
 			continue
 		}
 		d.update(func(c *core.Cell) { c.Report(id, sent, reply) })
+		d.awaitRecord(ctx, id)
+	}
+}
+
+// awaitRecord waits until the ends that the host has told are recorded, because it repeats them at once before; without
+// a record it goes on after a while, so that leases are renewed.
+func (d *Driver) awaitRecord(ctx context.Context, id string) {
+	limit := d.parts.Clock.After(recordWait)
+	for {
+		var settled bool
+		var recorded chan struct{}
+		d.with(func(c *core.Cell) { settled, recorded = c.Settled(id), d.recorded })
+		if settled {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-limit:
+			return
+		case <-recorded:
+		}
 	}
 }
