End the leases of hosts that do not answer, and count a failed end once

Ruled out: the advice and the limit of the team, by the new lines on why tasks wait. Change: no renewal while a host is silent; the first report bounds earlier leases; a failed end counts for a live run only.

--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -56,6 +56,8 @@
 	good map[string]float64
 	// asks counts calls to the adviser that are under way.
 	asks int
+	// explained is when the log last said why tasks wait.
+	explained fold.Instant
 	// stats counts what happened since the start.
 	stats Stats
 }
--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -21,6 +21,7 @@
 	}
 	c.makeRoom(open)
 	c.pace()
+	c.explain(open)
 }
 
 // sortActive orders the active parts by what their jobs are still worth and drops those that are done.
--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -120,7 +120,10 @@
 			c.log.Warn("Host barred after failures.", "host", h.info.ID, "job", name.Job)
 		}
 		c.stats.Failed++
-		c.failedRun(t, e.Run)
+		if r != nil {
+			// Without a live run the end was counted before, by an earlier owner, or its lease had lapsed.
+			c.failedRun(t, e.Run)
+		}
 	case fold.EndAlone, fold.EndBroken, fold.EndLapsed, fold.EndStopped:
 		c.stats.Lost++
 	}
--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -31,7 +31,7 @@
 	at    fold.Instant
 	// until is the longest lease that was asked for, on the host's clock.
 	until int64
-	// foreign is when leases that an earlier owner renewed have surely ended.
+	// foreign is when leases that this owner did not renew have surely ended.
 	foreign fold.Instant
 	// silent is since when calls go unanswered, or 0.
 	silent fold.Instant
@@ -116,7 +116,7 @@
 func (c *Cell) reborn(h *host, born int64) {
 	first := h.info.Born == 0
 	h.info.Born = born
-	h.adopted, h.clock, h.at, h.until = false, 0, 0, 0
+	h.adopted, h.clock, h.at, h.until, h.foreign = false, 0, 0, 0, c.now.Add(stretch(c.times.Lease))
 	h.seen, h.ackNext, h.acked = 0, 0, 0
 	h.health = health{}
 	if first {
@@ -156,9 +156,6 @@
 // leaseEnd is when everything on the host has surely lapsed unless a lease is renewed.
 func (h *host) leaseEnd() fold.Instant {
 	end := h.foreign
-	if h.adopted {
-		end = 0
-	}
 	if h.at != 0 && h.until > h.clock {
 		end = max(end, h.at.Add(stretch(time.Duration(h.until-h.clock)*time.Millisecond)+leaseMargin))
 	}
@@ -174,7 +171,8 @@
 	if !ok || h.info.Address == "" || (!h.listed && len(h.runs) == 0) {
 		return fold.Host{}, fold.HoldRequest{}, false
 	}
-	req := fold.HoldRequest{Fence: fence, Acked: h.acked, Until: c.lease(h, renew)}
+	// A host that does not answer may still receive renewals; without them its leases end, and its tasks can go elsewhere.
+	req := fold.HoldRequest{Fence: fence, Acked: h.acked, Until: c.lease(h, renew && h.silent == 0)}
 	if h.adopted && h.silent == 0 {
 		req.Wait = c.patience(h)
 	}
@@ -255,7 +253,10 @@
 		h.clock, h.at = reply.Clock, c.now
 	}
 	first := !h.adopted
-	h.adopted = true
+	if first {
+		// The fence of this owner is in force there: no earlier owner renews leases any more.
+		h.adopted, h.foreign = true, c.now.Add(stretch(c.times.Lease))
+	}
 	c.takeEnds(h, reply.Ends)
 	c.takeRuns(h, sent, reply, first)
 }
@@ -334,7 +335,7 @@
 		if len(h.runs) == 0 || h.silent == 0 && h.adopted {
 			continue
 		}
-		if end := h.leaseEnd(); end != 0 && c.now > end {
+		if c.now > h.leaseEnd() {
 			for _, r := range h.list() {
 				if r.phase != phasePlanned {
 					c.lose(r, "lease ended")
--- a/fold/core/orders.go
+++ b/fold/core/orders.go
@@ -81,10 +81,10 @@
 	c.orders.Stops = append(c.orders.Stops, Stop{Host: r.host.info, Task: r.key().task, Run: r.number})
 }
 
-// Stopped takes the answer to an order to stop.
+// Stopped takes the answer to an order to stop; a host that calls the run old has stopped it before.
 func (c *Cell) Stopped(s Stop, err error) {
 	h, ok := c.hosts[s.Host.ID]
-	if !ok || h.info.Born != s.Host.Born || err != nil {
+	if !ok || h.info.Born != s.Host.Born || err != nil && !errorx.IsOfType(err, fold.HostOld) {
 		return
 	}
 	if r, ok := h.runs[runKey{task: s.Task, run: s.Run}]; ok && r.stopAcked == 0 {
