Record submissions with the owner's commits and notice a dead owner at once

Cause 1: each entry wrote each submission in a transaction of its own. A connection that is refused, an entry that says it owns nothing, or an earlier process of the same entry ends the wait for the lapse.

--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -163,11 +163,11 @@
 		(limit.Accel == 0 || next.Accel <= limit.Accel)
 }
 
-// state returns the state of a job, if the cell holds it.
-func (c *Cell) State(id string) (flow.State, bool) {
+// Shown returns the recorded state of a job and its team, if the cell holds it.
+func (c *Cell) Shown(id string) (state flow.State, team string, ok bool) {
 	j, ok := c.jobs[id]
 	if !ok {
-		return "", false
+		return "", "", false
 	}
-	return j.state, true
+	return j.shown, j.spec.Team, true
 }
--- a/fold/core/job.go
+++ b/fold/core/job.go
@@ -12,6 +12,8 @@
 	spec  flow.Job
 	queue fold.Queue
 	state flow.State
+	// shown is the state that is recorded.
+	shown flow.State
 	ended int64
 	// parts are the steps of all occurrences, by occurrence and step.
 	parts [][]*part
@@ -122,7 +124,7 @@
 	if _, ok := c.jobs[spec.ID]; ok {
 		return
 	}
-	j := &job{spec: spec, queue: spec.Queue, state: flow.Queued}
+	j := &job{spec: spec, queue: spec.Queue, state: flow.Queued, shown: flow.Queued}
 	if q, ok := c.queues[spec.Queue.Name]; ok {
 		j.queue = q
 	}
--- a/fold/core/record.go
+++ b/fold/core/record.go
@@ -47,6 +47,9 @@
 	c.recorded = c.recorded[:0]
 	for _, w := range writes {
 		j, ok := c.jobs[w.Job]
+		if ok {
+			j.shown = w.Record.State
+		}
 		if ok && j.state.Final() && j.live == 0 && !j.dirty {
 			delete(c.jobs, w.Job)
 		}
@@ -136,7 +139,7 @@
 // restore takes the progress that an earlier owner recorded. Its live runs stay on their hosts until a report or the
 // end of the lease tells what became of them.
 func (c *Cell) restore(j *job, rec flow.Record) {
-	j.state, j.ended = rec.State, rec.Ended
+	j.state, j.shown, j.ended = rec.State, rec.State, rec.Ended
 	j.begun = j.state != flow.Queued
 	for _, pr := range rec.Parts {
 		if pr.Occurrence >= len(j.parts) || pr.Step >= len(j.spec.Steps) {
--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/codec"
 	"plantainfold.example/fold/core"
@@ -29,6 +31,8 @@
 	// sweepEvery is how often rows of ended jobs are removed, sweepRows how many at a time.
 	sweepEvery = 2 * time.Second
 	sweepRows  = 60
+	// entriesOfRequest is how many entries of a call a request takes: two conditions and a row.
+	entriesOfRequest = 3
 	// finishTime bounds how long a commit goes on after the driver was told to stop.
 	finishTime = time.Second
 	// gather is how long a commit waits for more decisions of the same moment.
@@ -67,36 +71,35 @@
 	}
 }
 
-// commitOnce writes what has changed, or only renews when that is due.
+// commitOnce writes what has changed and what callers wish, or only renews when that is due.
 func (d *Driver) commitOnce(ctx context.Context, due, sweep bool) error {
-	var writes []core.Write
-	var waiting map[string]int
-	var planned bool
-	var deletes []string
+	var b batch
 	d.with(func(c *core.Cell) {
-		writes = c.Snapshot()
-		planned = c.Pending()
-		waiting = c.Waiting()
+		b.writes = c.Snapshot()
+		b.planned = c.Pending()
+		b.waiting = c.Waiting()
 		if sweep {
-			n := min(len(d.rows), sweepRows)
-			deletes = d.rows[:n]
+			d.forget()
+			b.deletes = d.rows[:min(len(d.rows), sweepRows)]
 		}
 	})
-	if len(writes) == 0 && !due && !planned && len(deletes) == 0 {
+	b.requests = olderChecks(d.takeRequests())
+	if len(b.writes) == 0 && len(b.requests) == 0 && !due && !b.planned && len(b.deletes) == 0 {
 		return nil
 	}
-	if err := d.write(ctx, writes, deletes, waiting); err != nil {
+	if err := d.write(ctx, b); err != nil {
 		return err
 	}
 	var orders core.Orders
 	d.with(func(c *core.Cell) {
-		c.Recorded(writes)
+		c.Recorded(b.writes)
 		orders = c.Orders()
-		d.rows = d.rows[len(deletes):]
+		d.rows = d.rows[len(b.deletes):]
 		close(d.recorded)
 		d.recorded = make(chan struct{})
-		for _, w := range writes {
+		for _, w := range b.writes {
 			if w.Record.State.Final() && len(w.Record.Parts) == 0 {
+				d.ended[w.Job] = ended{state: w.Record.State, team: w.Record.Team, at: d.parts.Clock.Now()}
 				d.rows = append(d.rows, JobTable+w.Job, JobTable+w.Job+CancelMark)
 			}
 		}
@@ -105,37 +108,75 @@
 	return nil
 }
 
-// write commits the records in as many commits as they need.
-func (d *Driver) write(ctx context.Context, writes []core.Write, deletes []string, waiting map[string]int) error {
+// batch is what becomes durable together.
+type batch struct {
+	writes   []core.Write
+	requests []*request
+	deletes  []string
+	waiting  map[string]int
+	// planned says that orders wait for the commit although no record has changed.
+	planned bool
+}
+
+// write commits the batch in as many commits as it needs.
+func (d *Driver) write(ctx context.Context, b batch) error {
+	writes := b.writes
 	for first := true; first || len(writes) > 0; first = false {
-		var puts []fold.Put
+		txn := fold.Txn{Deletes: b.deletes}
+		room := maxRows - len(b.deletes) - entriesOfRequest*len(b.requests)
 		size := 0
-		for len(writes) > 0 && len(puts) < maxRows-len(deletes) && size < maxBytes {
+		for len(writes) > 0 && len(txn.Puts) < room && size < maxBytes {
 			value, err := codec.Encode[flow.Record](writes[0].Record)
 			if err != nil {
 				return err
 			}
 			size += len(value)
-			puts = append(puts, fold.Put{Key: StateTable + writes[0].Job, Value: value})
+			txn.Puts = append(txn.Puts, fold.Put{Key: StateTable + writes[0].Job, Value: value})
 			writes = writes[1:]
 		}
+		if err := d.try(ctx, txn, b.requests, b.waiting); err != nil {
+			return err
+		}
+		b.deletes, b.requests = nil, nil
+	}
+	return nil
+}
+
+// try commits a transaction with requests. Requests whose own conditions fail are answered, and the rest is tried again.
+func (d *Driver) try(ctx context.Context, records fold.Txn, requests []*request, waiting map[string]int) error {
+	for {
+		txn := records
+		addRequests(&txn, requests)
 		sent := d.parts.Clock.Now()
-		err := d.term.Commit(ctx, puts, deletes, waiting)
+		d.setStuck(sent)
+		err := d.term.Commit(ctx, txn, waiting)
+		d.setStuck(0)
 		took := d.parts.Clock.Now().Sub(sent)
-		d.parts.Meter.Commit(took, len(puts)+len(deletes))
-		if err != nil {
+		d.parts.Meter.Commit(took, len(txn.Puts)+len(txn.Deletes))
+		switch {
+		case err == nil:
+			if took > lead.Renew {
+				d.log.Warn("Commit was slow.", "rows", len(txn.Puts), "took", took.String())
+			}
+			d.mu.Lock()
+			d.committed = sent
+			d.mu.Unlock()
+			d.accepted(requests)
+			return nil
+		case errorx.IsOfType(err, fold.Conflict) && len(requests) > 0:
+			requests = conflicted(requests, err)
+		default:
 			if !errors.Is(err, context.Canceled) {
-				d.log.Warn("Commit failed.", "rows", len(puts), "took", took.String(), "error", err)
+				d.log.Warn("Commit failed.", "rows", len(txn.Puts), "took", took.String(), "error", err)
 			}
+			fail(requests, err)
 			return err
 		}
-		if took > lead.Renew {
-			d.log.Warn("Commit was slow.", "rows", len(puts), "took", took.String())
-		}
-		d.mu.Lock()
-		d.committed = sent
-		d.mu.Unlock()
-		deletes = nil
 	}
-	return nil
+}
+
+func (d *Driver) setStuck(at fold.Instant) {
+	d.intake.mu.Lock()
+	d.intake.stuck = at
+	d.intake.mu.Unlock()
 }
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -70,9 +70,13 @@
 	// rows are rows of ended jobs that are to be removed.
 	rows []string
 
+	// ended holds the states of jobs that ended lately.
+	ended map[string]ended
 	// recorded is closed and replaced after each commit.
 	recorded chan struct{}
 
+	intake  intake
+	loaded  chan struct{}
 	wake    chan struct{}
 	record  chan struct{}
 	askWake chan struct{}
@@ -89,7 +93,9 @@
 		cell:      core.New(parts.Times, parts.Logger.Named("core")),
 		committed: parts.Clock.Now(),
 		holders:   make(map[string]bool),
+		ended:     make(map[string]ended),
 		recorded:  make(chan struct{}),
+		loaded:    make(chan struct{}),
 		wake:      make(chan struct{}, 1),
 		record:    make(chan struct{}, 1),
 		askWake:   make(chan struct{}, 1),
@@ -113,9 +119,20 @@
 	d.spawn(func() { d.readRoster(ctx) })
 	d.spawn(func() { d.commit(ctx) })
 	d.spawn(func() { d.ask(ctx) })
+	close(d.loaded)
 	return d.decide(ctx)
 }
 
+// Epoch returns the epoch of the driver's term.
+func (d *Driver) Epoch() int64 {
+	return d.term.Epoch()
+}
+
+// Loaded is closed once the driver knows all jobs.
+func (d *Driver) Loaded() <-chan struct{} {
+	return d.loaded
+}
+
 func (d *Driver) spawn(fn func()) {
 	d.group.Add(1)
 	go func() {
--- a/fold/drive/load.go
+++ b/fold/drive/load.go
@@ -36,9 +36,14 @@
 			continue
 		}
 		records[strings.TrimPrefix(row.Key, StateTable)] = rec
-		if rec.State.Final() && rec.Ended != 0 && rec.Ended < old {
+		if !rec.State.Final() || len(rec.Parts) > 0 {
+			continue
+		}
+		if rec.Ended != 0 && rec.Ended < old {
 			d.rows = append(d.rows, row.Key)
+			continue
 		}
+		d.ended[strings.TrimPrefix(row.Key, StateTable)] = ended{state: rec.State, team: rec.Team, at: began}
 	}
 	d.with(func(c *core.Cell) {
 		for _, row := range jobs {
@@ -125,19 +130,15 @@
 	}
 }
 
-// takeChanges gives the cell jobs and wishes to cancel that were written. A job whose row is read again after its end is
-// known by its state, which the cell still holds or which Ended tells.
+// takeChanges gives the cell jobs and wishes to cancel that were written. The row of a job may be read again after the
+// job has ended; such a job does not run again.
 func (d *Driver) takeChanges(changes []fold.RowChange) {
 	if len(changes) == 0 {
 		return
 	}
 	d.update(func(c *core.Cell) {
-		ended := make(map[string]bool, len(d.rows))
-		for _, key := range d.rows {
-			ended[key] = true
-		}
 		for _, change := range changes {
-			if !change.Deleted && !ended[change.Key] {
+			if _, ended := d.ended[strings.TrimPrefix(change.Key, JobTable)]; !change.Deleted && !ended {
 				d.takeJob(c, change.Row, nil)
 			}
 		}
--- a/fold/front/front.go
+++ b/fold/front/front.go
@@ -23,10 +23,24 @@
 	freshEnough = 900 * time.Millisecond
 	// trustRules is how old the configuration may be when a key is accepted by it without asking the table again.
 	trustRules = 3 * time.Second
+	// ownerTime bounds a call to the owner; it waits for at most two commits.
+	ownerTime = 900 * time.Millisecond
+	// contactOld is how old the last contact to the table may be when an entry writes to it on behalf of a caller.
+	contactOld = 1500 * time.Millisecond
 	// refuseAfter is how long the table is tried before a job is refused: callers use another entry or come back.
 	refuseAfter = 600 * time.Millisecond
 )
 
+// Owner is the entry that owns the pool; it records what callers wish together with its own records.
+type Owner interface {
+	// Submit makes a job durable; known reports that it was before. A Conflict error means that the check failed.
+	Submit(ctx context.Context, job flow.Job, check fold.Check) (known bool, err error)
+	// Cancel makes the wish to cancel a job durable.
+	Cancel(ctx context.Context, id string, check fold.Check) error
+	// State returns the recorded state of a job and its team, or a Gone error when the owner does not know the job.
+	State(ctx context.Context, id string) (flow.State, string, error)
+}
+
 // Caller is who calls, by the key that came with the request.
 type Caller struct {
 	Key string
@@ -45,11 +59,14 @@
 	log   hclog.Logger
 	// waiting tells how many jobs of a queue wait, as the owner counted them.
 	waiting func(queue string) (int, bool)
+	// owner returns the owner of the pool, or nil when none can be reached.
+	owner func() Owner
 }
 
-// New returns a front; waiting tells how many jobs of a queue have not begun, if that is known.
-func New(table fold.Table, rules *Rules, rows fold.RuleBook, clock fold.Clock, log hclog.Logger, waiting func(string) (int, bool)) *Front {
-	return &Front{table: table, rules: rules, rows: rows, clock: clock, log: log.Named("front"), waiting: waiting}
+// New returns a front; waiting tells how many jobs of a queue have not begun, if that is known, and owner returns the
+// owner of the pool, or nil when none can be reached.
+func New(table fold.Table, rules *Rules, rows fold.RuleBook, clock fold.Clock, log hclog.Logger, waiting func(string) (int, bool), owner func() Owner) *Front {
+	return &Front{table: table, rules: rules, rows: rows, clock: clock, log: log.Named("front"), waiting: waiting, owner: owner}
 }
 
 // access is what a request may use.
@@ -154,9 +171,34 @@
 	return f.look(c)
 }
 
-// accept writes the job unless it is known; known reports that an earlier submission under its id was accepted.
+// accept makes the job durable unless it is known; known reports that an earlier submission under its id was accepted.
+// The owner of the pool records it together with others; without an answer of the owner the entry writes it itself.
 func (f *Front) accept(ctx context.Context, a access, job flow.Job) (known bool, err error) {
 	job.Team, job.Queue, job.Accepted = a.team, a.queue, time.Now().UnixMilli()
+	check := f.rows.Check(a.version)
+	owner := f.owner()
+	if owner == nil {
+		return f.write(ctx, job, check)
+	}
+	call, cancel := context.WithTimeout(ctx, ownerTime)
+	known, err = owner.Submit(call, job, check)
+	cancel()
+	if err == nil || errorx.IsOfType(err, fold.Conflict) {
+		return known, err
+	}
+	unsure := !fold.DidNotRun(err)
+	known, err = f.write(ctx, job, check)
+	if err != nil && unsure {
+		return false, fold.Unknown.Wrap(err, "the owner of the pool did not answer")
+	}
+	return known, err
+}
+
+// write makes the job durable without the owner, who finds it in the table.
+func (f *Front) write(ctx context.Context, job flow.Job, check fold.Check) (known bool, err error) {
+	if _, _, age := f.rules.Now(); age > contactOld {
+		return false, fold.Refuse(fold.Unavailable, "use another entry", "the entry has no contact to the table; the request has not run")
+	}
 	value, err := codec.Encode(job)
 	if err != nil {
 		return false, err
@@ -165,7 +207,7 @@
 	defer cancel()
 	key, state := drive.JobTable+job.ID, drive.StateTable+job.ID
 	_, err = f.table.Commit(call, fold.Txn{
-		Checks: []fold.Check{{Key: key}, {Key: state}, f.rows.Check(a.version)},
+		Checks: []fold.Check{{Key: key}, {Key: state}, check},
 		Puts:   []fold.Put{{Key: key, Value: value}},
 	})
 	if conflict := fold.ConflictKey(err); conflict == key || conflict == state {
@@ -191,37 +233,44 @@
 		return "", n, nil
 	}
 	state, err := retry(ctx, f, func(ctx context.Context) (flow.State, error) {
-		state, _, err := f.state(ctx, a)
-		return state, err
+		return f.state(ctx, a)
 	})
 	return state, 0, err
 }
 
-// state reads the state of a job and, while it has not ended, the version of its row.
-func (f *Front) state(ctx context.Context, a access) (flow.State, int64, error) {
+// state asks the owner for the state of a job, or reads it where the owner does not know.
+func (f *Front) state(ctx context.Context, a access) (flow.State, error) {
+	if owner := f.owner(); owner != nil {
+		call, cancel := context.WithTimeout(ctx, ownerTime)
+		state, team, err := owner.State(call, a.rest)
+		cancel()
+		if err == nil {
+			return state, f.owns(a, team)
+		}
+	}
 	row, err := f.table.Get(ctx, drive.StateTable+a.rest)
 	if err == nil {
 		rec, err := codec.Decode[flow.Record](row.Value)
 		if err != nil {
-			return "", 0, err
+			return "", err
 		}
-		return rec.State, 0, f.owns(a, rec.Team)
+		return rec.State, f.owns(a, rec.Team)
 	}
 	if !errorx.IsOfType(err, fold.NotFound) {
-		return "", 0, err
+		return "", err
 	}
 	row, err = f.table.Get(ctx, drive.JobTable+a.rest)
 	if errorx.IsOfType(err, fold.NotFound) {
-		return "", 0, fold.Refuse(fold.Gone, "check the id", "no job has the id %q", a.rest)
+		return "", fold.Refuse(fold.Gone, "check the id", "no job has the id %q", a.rest)
 	}
 	if err != nil {
-		return "", 0, err
+		return "", err
 	}
 	job, err := codec.Decode[flow.Job](row.Value)
 	if err != nil {
-		return "", 0, err
+		return "", err
 	}
-	return flow.Queued, row.Version, f.owns(a, job.Team)
+	return flow.Queued, f.owns(a, job.Team)
 }
 
 // owns refuses callers of another team.
@@ -249,17 +298,29 @@
 }
 
 func (f *Front) cancel(ctx context.Context, a access) error {
-	state, _, err := f.state(ctx, a)
+	state, err := f.state(ctx, a)
 	if err != nil || state.Final() {
 		return err
 	}
-	_, err = f.table.Commit(ctx, fold.Txn{
-		Checks: []fold.Check{f.rows.Check(a.version)},
-		Puts:   []fold.Put{{Key: drive.JobTable + a.rest + drive.CancelMark}},
-	})
+	check := f.rows.Check(a.version)
+	if owner := f.owner(); owner != nil {
+		call, cancel := context.WithTimeout(ctx, ownerTime)
+		err = owner.Cancel(call, a.rest, check)
+		cancel()
+	}
+	if owner := f.owner(); owner == nil || err != nil {
+		err = f.writeCancel(ctx, a.rest, check)
+	}
+	return err
+}
+
+// writeCancel makes the wish durable without the owner. The key was good by a revision that was in force when the
+// request came, so a newer one does not matter.
+func (f *Front) writeCancel(ctx context.Context, id string, check fold.Check) error {
+	put := fold.Put{Key: drive.JobTable + id + drive.CancelMark}
+	_, err := f.table.Commit(ctx, fold.Txn{Checks: []fold.Check{check}, Puts: []fold.Put{put}})
 	if errorx.IsOfType(err, fold.Conflict) {
-		// The key was good by a revision that was in force when the request came.
-		_, err = f.table.Commit(ctx, fold.Txn{Puts: []fold.Put{{Key: drive.JobTable + a.rest + drive.CancelMark}}})
+		_, err = f.table.Commit(ctx, fold.Txn{Puts: []fold.Put{put}})
 	}
 	return err
 }
--- a/fold/lead/lead.go
+++ b/fold/lead/lead.go
@@ -32,6 +32,8 @@
 	// Entry and Incarnation name one run of an entry; Entry is empty after an owner has handed over.
 	Entry       string `json:"entry"`
 	Incarnation string `json:"incarnation"`
+	// Address is where other entries reach the owner.
+	Address string `json:"address"`
 	// Epoch grows with each takeover; hosts refuse orders of an older epoch.
 	Epoch int64 `json:"epoch"`
 	// Count numbers the commits of an epoch, by which a lost answer is settled.
@@ -61,15 +63,11 @@
 	version int64
 }
 
-// Take takes the row over from the owner that it had at the version. A Conflict error means that another entry was
+// Take takes the row over from the owner that it had at the version; next names the new one. A Conflict error means that another entry was
 // faster.
-func Take(ctx context.Context, table fold.Table, clock fold.Clock, previous Owner, version int64, entry, incarnation string) (*Term, error) {
-	t := &Term{
-		table:   table,
-		clock:   clock,
-		owner:   Owner{Entry: entry, Incarnation: incarnation, Epoch: previous.Epoch + 1, Waiting: previous.Waiting},
-		version: version,
-	}
+func Take(ctx context.Context, table fold.Table, clock fold.Clock, previous Owner, version int64, next Owner) (*Term, error) {
+	next.Epoch, next.Count, next.Waiting = previous.Epoch+1, 0, previous.Waiting
+	t := &Term{table: table, clock: clock, owner: next, version: version}
 	if err := t.settle(ctx, fold.Txn{}, t.owner); err != nil {
 		return nil, err
 	}
@@ -81,13 +79,13 @@
 	return t.owner.Epoch
 }
 
-// Commit writes the rows and renews the ownership. It tries until the outcome is known; a Fenced error means that
-// another entry has taken over and nothing was written.
-func (t *Term) Commit(ctx context.Context, puts []fold.Put, deletes []string, waiting map[string]int) error {
+// Commit applies the transaction and renews the ownership. It tries until the outcome is known. A Fenced error means
+// that another entry has taken over, a Conflict error that a condition of txn itself has failed; nothing was written.
+func (t *Term) Commit(ctx context.Context, txn fold.Txn, waiting map[string]int) error {
 	next := t.owner
 	next.Count++
 	next.Waiting = waiting
-	return t.settle(ctx, fold.Txn{Puts: puts, Deletes: deletes}, next)
+	return t.settle(ctx, txn, next)
 }
 
 // Release hands the ownership over.
@@ -115,7 +113,7 @@
 			return nil
 		}
 		if errorx.IsOfType(err, fold.Conflict) {
-			return t.conflict(ctx, next)
+			return t.conflict(ctx, next, err)
 		}
 		if errorx.IsOfType(err, fold.Invalid) || errorx.IsOfType(err, fold.TooLarge) {
 			return err
@@ -134,14 +132,17 @@
 	return t.table.Commit(ctx, txn)
 }
 
-// conflict reads the row to tell an earlier try that has succeeded from another owner.
-func (t *Term) conflict(ctx context.Context, next Owner) error {
+// conflict reads the row to tell an earlier try that has succeeded and a condition of the transaction that has failed
+// from another owner.
+func (t *Term) conflict(ctx context.Context, next Owner, failed error) error {
 	for {
 		found, version, err := t.read(ctx)
 		switch {
 		case err == nil && found.Incarnation == next.Incarnation && found.Epoch == next.Epoch && found.Count == next.Count:
 			t.owner, t.version = next, version
 			return nil
+		case err == nil && version == t.version:
+			return failed
 		case err == nil:
 			return fold.Refuse(fold.Fenced, "let the newer owner go on", "entry %q owns the pool in epoch %d", found.Entry, found.Epoch)
 		}
--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -58,6 +58,7 @@
 	telemetry   *telem.Telemetry
 	meter       *meter
 	leaving     atomic.Bool
+	ownerUp     rest
 
 	mu     sync.Mutex
 	driver *drive.Driver
@@ -76,7 +77,7 @@
 	}
 	n := &Node{settings: s, parts: parts, clock: clock, log: log, incarnation: uuid.NewString(), telemetry: telemetry, meter: m}
 	n.rules = front.NewRules(parts.Rules, clock, log, n.ruled)
-	n.front = front.New(parts.Table, n.rules, parts.Rules, clock, log, n.waiting)
+	n.front = front.New(parts.Table, n.rules, parts.Rules, clock, log, n.waiting, n.owner)
 	n.peers = &peers{name: s.Name, address: s.Peers, table: parts.Table, adviser: parts.Adviser, clock: clock, log: log.Named("peers")}
 	return n, nil
 }
@@ -196,6 +197,7 @@
 	peer.Handle(node, adviseCall, func(ctx context.Context, _ string, q advising) (fold.Advice, error) {
 		return n.parts.Adviser.Advise(ctx, q.Step, q.Hosts)
 	})
+	n.handleOwner(node)
 	n.peers.setNode(node)
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, node)
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -15,6 +17,8 @@
 const (
 	// takeJitter spreads the entries that want to take over, so that one of them is usually first.
 	takeJitter = 120 * time.Millisecond
+	// pingTime bounds the question whether the owner is at work.
+	pingTime = 250 * time.Millisecond
 	// releaseTime bounds the hand-over of the pool.
 	releaseTime = 1500 * time.Millisecond
 	// countsOld is how old the owner's counts of waiting jobs may be when they are told.
@@ -66,7 +70,7 @@
 			first = false
 			s.owner, s.version, s.read = owner, version, now
 			n.setSeat(s)
-			if owner.Entry == "" || now.Sub(s.changed) > lead.Lapse {
+			if owner.Entry == "" || now.Sub(s.changed) > lead.Lapse || n.vacant(ctx, owner) {
 				return owner, version, nil
 			}
 		}
@@ -78,6 +82,19 @@
 	}
 }
 
+// vacant reports whether the owner that the row names surely does not own the pool any more: its process is gone or says
+// so itself. An owner that does not answer may still be at work.
+func (n *Node) vacant(ctx context.Context, owner lead.Owner) bool {
+	if owner.Entry == n.settings.Name {
+		// An earlier process of this entry.
+		return owner.Incarnation != n.incarnation
+	}
+	ctx, cancel := context.WithTimeout(ctx, pingTime)
+	defer cancel()
+	epoch, err := n.peers.owns(ctx, owner.Address)
+	return err == nil && epoch < owner.Epoch || err != nil && errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (n *Node) setSeat(s seat) {
 	n.mu.Lock()
 	n.seat = s
@@ -93,7 +110,8 @@
 	if b, _, _ := n.rules.Now(); b == nil {
 		return nil, fold.Refuse(fold.Unavailable, "wait for the configuration", "the configuration is not known yet")
 	}
-	return lead.Take(ctx, n.parts.Table, n.clock, owner, version, n.settings.Name, n.incarnation)
+	next := lead.Owner{Entry: n.settings.Name, Incarnation: n.incarnation, Address: n.settings.Peers}
+	return lead.Take(ctx, n.parts.Table, n.clock, owner, version, next)
 }
 
 // serveTerm owns the pool until another entry takes over or ctx ends; then it hands over.
--- a/fold/node/peers.go
+++ b/fold/node/peers.go
@@ -142,6 +142,22 @@
 	return nil
 }
 
+// link returns this entry's side of the connections to others, or nil before it serves them.
+func (p *peers) link() *peer.Node {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.node
+}
+
+// owns asks the entry at the address for the epoch in which it owns the pool; 0 means that it does not.
+func (p *peers) owns(ctx context.Context, address string) (int64, error) {
+	node := p.link()
+	if node == nil {
+		return 0, fold.Refuse(fold.Unavailable, "retry later", "the entry does not serve others yet")
+	}
+	return peer.Call[struct{}, int64](ctx, node, address, ownsCall, struct{}{})
+}
+
 // askers returns the entries that can call the adviser.
 func (p *peers) askers() []drive.Asker {
 	askers := []drive.Asker{local{name: p.name, adviser: p.adviser}}
--- a/fold/wireerr.go
+++ b/fold/wireerr.go
@@ -10,7 +10,7 @@
 }
 
 var kinds = []*errorx.Type{
-	Invalid, Unauthorized, Forbidden, NotFound, Conflict, Outdated, TooLarge, NeverFits,
+	Invalid, Unauthorized, Forbidden, NotFound, Gone, Conflict, Outdated, TooLarge, NeverFits,
 	Overload, OverLimit, Unavailable, Fenced, Unknown,
 }
 
