Play random schedules of faults against the scheduler in virtual time

What it found, each fixed here: a plan that was waiting for its record was started after its host had come back in a new life (TWICE, LIMIT, ROUTE); an unanswered start could be carried out by a new life of the host (now told to refuse it before it gets work); a wish to cancel that came before its job was dropped (UNASKED); the tickets of a gang were renewed one after the other, so that it never held all of them (LOST).

--- a/fold/core/ask.go
+++ b/fold/core/ask.go
@@ -144,13 +144,18 @@
 func (c *Cell) askHosts(p *part, open []*host) []string {
 	need := float64(max(1, p.free))
 	good := c.goodShare(p.job.queue.Name)
+	renewal := time.Duration(0)
+	if p.step.Gang {
+		// A gang needs all of its tickets at once, so those that end soon are renewed together with the missing ones.
+		renewal = p.job.queue.Advice.Valid / 2
+	}
 	var found []candidate
 	for _, h := range open {
 		if !p.allowed(h) || p.advice.no[h.info.ID] {
 			continue
 		}
 		slots := c.slots(p, h)
-		if p.granted(h, c.now) {
+		if p.granted(h, c.now.Add(renewal)) {
 			// What is approved already needs no call.
 			need -= slots
 			continue
@@ -255,6 +260,7 @@
 			p.advice.grants[h] = grant{ticket: g.Ticket, born: h.info.Born, until: until}
 		}
 	}
+	c.log.Debug("Advice.", "step", ask.Step, "asked", len(ask.Hosts), "approved", len(advice.Grants), "granted", len(p.advice.grants))
 	queue := p.job.queue.Name
 	share := float64(len(advice.Grants)) / float64(max(1, len(ask.Hosts)))
 	c.good[queue] = max(0.05, c.goodShare(queue)*(1-goodMemory)+share*goodMemory)
--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -40,6 +40,8 @@
 
 	jobs  map[string]*job
 	hosts map[string]*host
+	// ranked lists the hosts by id, so that decisions do not depend on the order of a map.
+	ranked []*host
 	// active lists the parts whose turn has come and that are not done.
 	active []*part
 	// later lists the occurrences that are not due.
@@ -147,7 +149,7 @@
 
 // Usage returns the committed and the whole capacity of the hosts in use.
 func (c *Cell) Usage() (used, capacity fold.Resources) {
-	for _, h := range c.hosts {
+	for _, h := range c.ranked {
 		if h.open(c.now) {
 			used, capacity = used.Add(h.used), capacity.Add(h.info.Capacity)
 		}
--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -82,14 +82,11 @@
 // openHosts lists the hosts that take new work, by service.
 func (c *Cell) openHosts() map[string][]*host {
 	open := make(map[string][]*host)
-	for _, h := range c.hosts {
+	for _, h := range c.ranked {
 		if h.open(c.now) {
 			open[h.info.Service] = append(open[h.info.Service], h)
 		}
 	}
-	for _, hosts := range open {
-		slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.info.ID, b.info.ID) })
-	}
 	return open
 }
 
@@ -123,7 +120,7 @@
 func (c *Cell) start(t *task, h *host, number int) {
 	p := t.part
 	t.run = number
-	r := &run{task: t, number: number, host: h, born: h.info.Born, pace: 100, paced: 100, moved: c.now}
+	r := newRun(t, number, h, h.info.Born, c.now)
 	if g, ok := p.advice.grants[h]; ok {
 		r.ticket = g.ticket
 	}
@@ -265,7 +262,7 @@
 
 // evacuate stops tasks on leaving hosts that go on elsewhere sooner.
 func (c *Cell) evacuate() {
-	for _, h := range c.hosts {
+	for _, h := range c.ranked {
 		if !h.info.Draining || len(h.runs) == 0 {
 			continue
 		}
--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"plantainfold.example/fold"
@@ -12,6 +13,7 @@
 	p := r.task.part
 	r.task.runs = append(r.task.runs, r)
 	r.host.runs[r.key()] = r
+	r.host.order = append(r.host.order, r)
 	r.host.used = r.host.used.Add(p.step.Claim())
 	r.host.weigh(p.step, 1)
 	if p.perHost == nil {
@@ -41,7 +43,10 @@
 		return
 	}
 	p := r.task.part
+	r.gone = true
 	delete(r.host.runs, r.key())
+	at := slices.Index(r.host.order, r)
+	r.host.order = slices.Delete(r.host.order, at, at+1)
 	for i, o := range r.task.runs {
 		if o == r {
 			r.task.runs = append(r.task.runs[:i:i], r.task.runs[i+1:]...)
--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"plantainfold.example/fold"
@@ -18,6 +20,8 @@
 	// adopted says that this life has answered under this owner's fence, so that no order of an earlier owner counts.
 	adopted bool
 	runs    map[runKey]*run
+	// order holds the runs in the order in which they were planned.
+	order []*run
 	// used is what live runs take of the capacity, soft what filling tasks declare of its processors.
 	used fold.Resources
 	soft int64
@@ -26,6 +30,11 @@
 	// strays is when a run without a record was last reported.
 	strays fold.Instant
 
+	// unsure are starts without an answer, which may yet be carried out; barred are those of an earlier life, which this
+	// one is told to refuse before it gets work.
+	unsure []unsureStart
+	barred []unsureStart
+
 	// clock is the host's clock in milliseconds when it last answered, at is when that answer arrived.
 	clock int64
 	at    fold.Instant
@@ -49,15 +58,27 @@
 }
 
 func (r *run) key() runKey {
-	return runKey{task: r.task.name().String(), run: r.number}
+	return runKey{task: r.id, run: r.number}
+}
+
+// unsureStart is a start without an answer.
+type unsureStart struct {
+	key runKey
+	// sent is when the answer was given up, asked when the host was last told to refuse the run.
+	sent, asked fold.Instant
 }
 
+// lateOrder is how long after it was sent an order without an answer may be carried out.
+const lateOrder = 13 * time.Second
+
 // host returns the worker with the id, also one that the roster has not named.
 func (c *Cell) host(id string) *host {
 	h, ok := c.hosts[id]
 	if !ok {
 		h = &host{info: fold.Host{ID: id}, runs: make(map[runKey]*run), foreign: c.now.Add(c.foreignLease()), gone: c.now}
 		c.hosts[id] = h
+		at, _ := slices.BinarySearchFunc(c.ranked, id, func(o *host, id string) int { return cmp.Compare(o.info.ID, id) })
+		c.ranked = slices.Insert(c.ranked, at, h)
 	}
 	return h
 }
@@ -94,18 +115,20 @@
 		h.info = info
 		h.listed = true
 	}
-	for id, h := range c.hosts {
-		if named[id] {
-			continue
+	c.ranked = slices.DeleteFunc(c.ranked, func(h *host) bool {
+		if named[h.info.ID] {
+			return false
 		}
 		if h.listed {
 			h.listed, h.gone = false, c.now
-			c.log.Info("Host left the roster.", "host", id, "runs", len(h.runs))
+			c.log.Info("Host left the roster.", "host", h.info.ID, "runs", len(h.runs))
 		}
-		if len(h.runs) == 0 && c.now.Sub(h.gone) > forgetHost {
-			delete(c.hosts, id)
+		forget := len(h.runs) == 0 && c.now.Sub(h.gone) > forgetHost
+		if forget {
+			delete(c.hosts, h.info.ID)
 		}
-	}
+		return forget
+	})
 }
 
 // forgetHost is how long a host without runs is kept after it left the roster, so that a short gap in the roster does
@@ -119,13 +142,19 @@
 	h.adopted, h.clock, h.at, h.until, h.foreign = false, 0, 0, 0, c.now.Add(stretch(c.times.Lease))
 	h.seen, h.ackNext, h.acked = 0, 0, 0
 	h.health = health{}
+	for _, u := range h.unsure {
+		if c.now.Sub(u.sent) < lateOrder {
+			h.barred = append(h.barred, unsureStart{key: u.key, sent: u.sent})
+		}
+	}
+	h.unsure = nil
 	if first {
 		return
 	}
 	c.log.Info("Host started again.", "host", h.info.ID, "born", born, "runs", len(h.runs))
 	for _, r := range h.list() {
-		if r.phase == phaseOrdered && !r.inherited {
-			// The order may still arrive, at the new life; a stop there makes sure that it does nothing.
+		if r.phase == phaseOrdered || r.tries > 1 || r.inherited {
+			// An order without an answer may still arrive, at the new life; a stop there makes sure that it does nothing.
 			r.born = born
 			c.stop(r)
 			continue
@@ -136,16 +165,12 @@
 
 // list returns the live runs, so that they can be changed meanwhile.
 func (h *host) list() []*run {
-	runs := make([]*run, 0, len(h.runs))
-	for _, r := range h.runs {
-		runs = append(runs, r)
-	}
-	return runs
+	return slices.Clone(h.order)
 }
 
 // open reports whether the host takes new work.
 func (h *host) open(now fold.Instant) bool {
-	return h.listed && h.adopted && !h.info.Draining && h.silent == 0 && !h.health.barred(now) &&
+	return h.listed && h.adopted && !h.info.Draining && h.silent == 0 && len(h.barred) == 0 && !h.health.barred(now) &&
 		(h.strays == 0 || now.Sub(h.strays) > strayTime)
 }
 
@@ -285,8 +310,8 @@
 		}
 		c.progress(r, hr)
 	}
-	for key, r := range h.runs {
-		if listed[key] || r.phase == phasePlanned {
+	for _, r := range h.list() {
+		if listed[r.key()] || r.phase == phasePlanned {
 			continue
 		}
 		c.missing(r, sent, first)
@@ -331,7 +356,7 @@
 
 // lapse gives up the runs of hosts whose leases have ended.
 func (c *Cell) lapse() {
-	for _, h := range c.hosts {
+	for _, h := range c.ranked {
 		if len(h.runs) == 0 || h.silent == 0 && h.adopted {
 			continue
 		}
--- a/fold/core/job.go
+++ b/fold/core/job.go
@@ -80,12 +80,16 @@
 
 // run is one start of a task on one life of a host.
 type run struct {
-	task   *task
+	task *task
+	// id is the name of the task.
+	id     string
 	number int
 	host   *host
 	born   int64
 	phase  phase
 	ticket string
+	// gone says that the run was taken off its host; a plan that waits for its record is then not carried out.
+	gone bool
 	// inherited says that an earlier owner started the run.
 	inherited bool
 	// stopping says that the run is to be stopped; stopAsked is when the order was last sent and stopAcked when the host
@@ -104,6 +108,10 @@
 	paceAt      fold.Instant
 }
 
+func newRun(t *task, number int, h *host, born int64, now fold.Instant) *run {
+	return &run{task: t, id: t.name().String(), number: number, host: h, born: born, pace: 100, paced: 100, moved: now}
+}
+
 func (t *task) name() flow.TaskName {
 	return flow.TaskName{Job: t.part.job.spec.ID, Occurrence: t.part.occurrence, Step: t.part.index, Index: t.index}
 }
--- a/fold/core/orders.go
+++ b/fold/core/orders.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -87,9 +88,23 @@
 	if !ok || h.info.Born != s.Host.Born || err != nil && !errorx.IsOfType(err, fold.HostOld) {
 		return
 	}
-	if r, ok := h.runs[runKey{task: s.Task, run: s.Run}]; ok && r.stopAcked == 0 {
+	key := runKey{task: s.Task, run: s.Run}
+	if r, ok := h.runs[key]; ok && r.stopAcked == 0 {
 		r.stopAcked = c.now
 	}
+	h.barred = slices.DeleteFunc(h.barred, func(u unsureStart) bool { return u.key == key })
+}
+
+// bar tells a new life of a host to refuse starts that were sent to an earlier one.
+func (c *Cell) bar(h *host) {
+	h.barred = slices.DeleteFunc(h.barred, func(u unsureStart) bool { return c.now.Sub(u.sent) >= lateOrder })
+	for i := range h.barred {
+		u := &h.barred[i]
+		if h.adopted && (u.asked == 0 || c.now.Sub(u.asked) > stopAgain) {
+			u.asked = c.now
+			c.orders.Stops = append(c.orders.Stops, Stop{Host: h.info, Task: u.key.task, Run: u.key.run})
+		}
+	}
 }
 
 // Started takes the answer to an order to start.
@@ -98,7 +113,12 @@
 	if !ok || h.info.Born != s.Host.Born {
 		return
 	}
-	r, ok := h.runs[runKey{task: s.Req.Task, run: s.Req.Run}]
+	key := runKey{task: s.Req.Task, run: s.Req.Run}
+	if err != nil && !fold.DidNotRun(err) {
+		h.unsure = slices.DeleteFunc(h.unsure, func(u unsureStart) bool { return c.now.Sub(u.sent) >= lateOrder })
+		h.unsure = append(h.unsure, unsureStart{key: key, sent: c.now})
+	}
+	r, ok := h.runs[key]
 	if !ok || r.phase == phaseRunning {
 		return
 	}
@@ -159,8 +179,9 @@
 
 // resend repeats orders to stop that were not carried out.
 func (c *Cell) resend() {
-	for _, h := range c.hosts {
-		for _, r := range h.runs {
+	for _, h := range c.ranked {
+		c.bar(h)
+		for _, r := range h.order {
 			if r.stopping && r.phase != phasePlanned && c.now.Sub(r.stopAsked) > stopAgain+c.times.Stop {
 				c.sendStop(r)
 			}
--- a/fold/core/pace.go
+++ b/fold/core/pace.go
@@ -17,18 +17,18 @@
 
 // pace slows filling tasks down where serving tasks near their target, and lets them go on where there is slack.
 func (c *Cell) pace() {
-	for _, h := range c.hosts {
+	for _, h := range c.ranked {
 		serves, fills := h.mix()
 		if !fills || !h.adopted {
 			continue
 		}
 		worst := 0.0
-		for _, r := range h.runs {
+		for _, r := range h.order {
 			if target := r.task.part.step.Target; target > 0 && r.phase == phaseRunning {
 				worst = max(worst, float64(r.load)/float64(target))
 			}
 		}
-		for _, r := range h.runs {
+		for _, r := range h.order {
 			if r.task.part.step.Fill && r.phase == phaseRunning && !r.stopping && c.now.Sub(r.paceAt) >= paceEvery {
 				c.setPace(r, nextPace(r.pace, worst, serves))
 			}
--- a/fold/core/record.go
+++ b/fold/core/record.go
@@ -21,7 +21,7 @@
 	c.dirty = c.dirty[:0]
 	c.recorded = append(c.recorded, c.planned...)
 	c.planned = c.planned[:0]
-	for _, h := range c.hosts {
+	for _, h := range c.ranked {
 		h.ackNext = h.seen
 	}
 	return writes
@@ -29,11 +29,11 @@
 
 // Recorded releases the orders and acknowledgements that waited for the last snapshot.
 func (c *Cell) Recorded(writes []Write) {
-	for _, h := range c.hosts {
+	for _, h := range c.ranked {
 		h.acked = max(h.acked, h.ackNext)
 	}
 	for _, r := range c.recorded {
-		if r.phase != phasePlanned {
+		if r.phase != phasePlanned || r.gone {
 			continue
 		}
 		r.phase = phaseOrdered
@@ -195,7 +195,8 @@
 		// A later life of the host runs nothing of an earlier one.
 		return
 	}
-	r := &run{task: t, number: l.Run, host: h, born: l.Born, phase: phaseOrdered, inherited: true, stopping: l.Stopped || ended || t.done, pace: 100, paced: 100, moved: c.now}
+	r := newRun(t, l.Run, h, l.Born, c.now)
+	r.phase, r.inherited, r.stopping = phaseOrdered, true, l.Stopped || ended || t.done
 	c.attach(r)
 }
 
--- a/fold/core/room.go
+++ b/fold/core/room.go
@@ -94,7 +94,7 @@
 	free := h.info.Capacity.Sub(h.used)
 	claim := p.step.Claim()
 	var able []*run
-	for _, r := range h.runs {
+	for _, r := range h.order {
 		s := r.task.part.step
 		if r.stopping {
 			// Its room is spoken for.
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -72,6 +72,8 @@
 
 	// ended holds the states of jobs that ended lately.
 	ended map[string]ended
+	// early holds wishes to cancel jobs that are not known yet.
+	early map[string]bool
 	// recorded is closed and replaced after each commit.
 	recorded chan struct{}
 
@@ -94,6 +96,7 @@
 		committed: parts.Clock.Now(),
 		holders:   make(map[string]bool),
 		ended:     make(map[string]ended),
+		early:     make(map[string]bool),
 		recorded:  make(chan struct{}),
 		loaded:    make(chan struct{}),
 		wake:      make(chan struct{}, 1),
@@ -223,6 +226,13 @@
 // mayRenew reports whether leases may be renewed: an owner that cannot commit goes on for a bounded time, on which a
 // later owner relies.
 func (d *Driver) mayRenew() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.renewable()
+}
+
+// renewable is mayRenew for a caller that holds the lock.
+func (d *Driver) renewable() bool {
 	return d.parts.Clock.Now().Sub(d.committed) < d.parts.Times.Keep
 }
 
--- a/fold/drive/intake.go
+++ b/fold/drive/intake.go
@@ -182,12 +182,12 @@
 	d.update(func(c *core.Cell) {
 		for _, r := range requests {
 			if r.value != nil {
-				c.AddJob(r.spec, flow.Record{})
+				d.add(c, r.spec, flow.Record{})
 			}
 		}
 		for _, r := range requests {
-			if r.value == nil && !c.Cancel(r.job) {
-				d.rows = append(d.rows, JobTable+r.job+CancelMark)
+			if r.value == nil {
+				d.cancel(c, r.job)
 			}
 		}
 	})
--- a/fold/drive/load.go
+++ b/fold/drive/load.go
@@ -87,7 +87,7 @@
 		d.log.Error("Ignored a job that cannot be read.", "key", row.Key, "error", err)
 		return
 	}
-	c.AddJob(job, rec)
+	d.add(c, job, rec)
 }
 
 func (d *Driver) takeCancel(c *core.Cell, row fold.Row) {
@@ -95,9 +95,27 @@
 	if !ok {
 		return
 	}
-	if !c.Cancel(id) {
-		// The job has ended, and its own row is gone or will be.
-		d.rows = append(d.rows, row.Key)
+	d.cancel(c, id)
+}
+
+// cancel ends a job at its caller's wish. The wish may come before the job, when different entries recorded them.
+func (d *Driver) cancel(c *core.Cell, id string) {
+	if c.Cancel(id) {
+		return
+	}
+	if _, ended := d.ended[id]; ended {
+		d.rows = append(d.rows, JobTable+id+CancelMark)
+		return
+	}
+	d.early[id] = true
+}
+
+// add gives the cell a job and carries out a wish to cancel it that came first.
+func (d *Driver) add(c *core.Cell, job flow.Job, rec flow.Record) {
+	c.AddJob(job, rec)
+	if d.early[job.ID] {
+		delete(d.early, job.ID)
+		c.Cancel(job.ID)
 	}
 }
 
--- a/fold/drive/orders.go
+++ b/fold/drive/orders.go
@@ -47,7 +47,13 @@
 func (d *Driver) start(ctx context.Context, s core.Start) {
 	s.Req.Fence = d.term.Epoch()
 	sent := d.parts.Clock.Now()
-	err := d.call(ctx, func(ctx context.Context) error { return d.parts.Runner.Start(ctx, s.Host, s.Req) })
+	err := d.call(ctx, func(ctx context.Context) error {
+		if !d.mayRenew() {
+			// The process may have stood still; a later owner counts on no new leases.
+			return fold.Refuse(fold.Unavailable, "wait for the table", "the ownership was not renewed in time")
+		}
+		return d.parts.Runner.Start(ctx, s.Host, s.Req)
+	})
 	d.parts.Meter.Start(d.parts.Clock.Now().Sub(sent), err)
 	var orders core.Orders
 	d.with(func(c *core.Cell) {
@@ -74,7 +80,7 @@
 		var host fold.Host
 		var req fold.HoldRequest
 		var ok bool
-		d.with(func(c *core.Cell) { host, req, ok = c.Hold(id, d.term.Epoch(), d.mayRenew()) })
+		d.with(func(c *core.Cell) { host, req, ok = c.Hold(id, d.term.Epoch(), d.renewable()) })
 		if !ok {
 			if !d.pause(ctx, idlePause) {
 				return
--- /dev/null
+++ b/fold/model/owner.go
@@ -0,0 +1,368 @@
+package model
+
+import (
+	"errors"
+	"time"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/core"
+	"plantainfold.example/fold/flow"
+)
+
+// store is the durable state.
+type store struct {
+	epoch   int64
+	records map[string]flow.Record
+	jobs    map[string]flow.Job
+	cancels map[string]bool
+}
+
+const (
+	commitTime  = 6 * time.Millisecond
+	gatherTime  = 4 * time.Millisecond
+	rosterTime  = 700 * time.Millisecond
+	rosterLag   = 2 * time.Second
+	orderTime   = 300 * time.Millisecond
+	holdTime    = 700 * time.Millisecond
+	holdPause   = 250 * time.Millisecond
+	tickTime    = 100 * time.Millisecond
+	keepTime    = 7 * time.Second
+	recordWait  = 300 * time.Millisecond
+	askersQuick = 2
+)
+
+// owner drives the scheduler for one term, like package drive.
+type owner struct {
+	world *World
+	cell  *core.Cell
+	epoch int64
+	dead  bool
+	// committing says that a commit is under way, again that another one is due.
+	committing, again bool
+	committed         fold.Instant
+	holding           map[string]bool
+	waiting           []func()
+	asking            int
+	slow              int
+	deciding          bool
+}
+
+var errTimeout = errors.New("no answer")
+
+// takeOver starts an owner that knows what is durable.
+func (w *World) takeOver() {
+	w.store.epoch++
+	o := &owner{world: w, epoch: w.store.epoch, holding: make(map[string]bool), committed: w.now}
+	o.cell = core.New(core.Times{
+		Lease: maxLease, Stop: stopTime, Restore: restore, Save: saveEvery, Early: 250 * time.Millisecond, Keep: keepTime,
+	}, w.log)
+	w.owner = o
+	o.tell()
+	o.cell.SetRules(w.rules)
+	for _, j := range w.jobs {
+		spec, stored := w.store.jobs[j.spec.ID]
+		rec := w.store.records[j.spec.ID]
+		if stored && !(rec.State.Final() && len(rec.Parts) == 0) {
+			o.cell.AddJob(spec, rec)
+		}
+	}
+	for _, j := range w.jobs {
+		if w.store.cancels[j.spec.ID] {
+			o.cell.Cancel(j.spec.ID)
+		}
+	}
+	o.roster()
+	o.tick()
+}
+
+func (o *owner) tell() {
+	o.cell.SetTime(o.world.now, o.world.wall())
+}
+
+// soon calls fn later, unless the owner has died.
+func (o *owner) soon(d time.Duration, fn func()) {
+	o.world.after(d, func() {
+		if !o.dead {
+			fn()
+		}
+	})
+}
+
+func (o *owner) tick() {
+	o.decide()
+	o.soon(tickTime, o.tick)
+}
+
+// update changes the cell and lets it decide within the same instant.
+func (o *owner) update(fn func(*core.Cell)) {
+	o.tell()
+	fn(o.cell)
+	if !o.deciding {
+		o.deciding = true
+		o.soon(0, func() {
+			o.deciding = false
+			o.decide()
+		})
+	}
+}
+
+func (o *owner) decide() {
+	o.tell()
+	o.cell.Decide()
+	o.send(o.cell.Orders())
+	o.ask()
+	o.commit()
+}
+
+// roster reads which hosts there are; a host that is silent to the platform goes missing after a while.
+func (o *owner) roster() {
+	var hosts []fold.Host
+	for _, h := range o.world.hosts {
+		if h.up || o.world.now.Sub(h.began) < rosterLag {
+			hosts = append(hosts, h.info)
+		}
+	}
+	o.update(func(c *core.Cell) { c.SetHosts(hosts) })
+	for _, h := range o.world.hosts {
+		if !o.holding[h.info.ID] {
+			o.holding[h.info.ID] = true
+			o.hold(h)
+		}
+	}
+	o.soon(rosterTime, o.roster)
+}
+
+// commit writes records while the table answers.
+func (o *owner) commit() {
+	if o.committing {
+		o.again = true
+		return
+	}
+	o.committing = true
+	o.soon(gatherTime, func() {
+		o.tell()
+		writes := o.cell.Snapshot()
+		if len(writes) == 0 && !o.cell.Pending() {
+			o.committing = false
+			o.committed = o.world.now
+			o.awaited()
+			return
+		}
+		o.write(writes)
+	})
+}
+
+func (o *owner) write(writes []core.Write) {
+	w := o.world
+	if !w.table {
+		o.soon(60*time.Millisecond, func() { o.write(writes) })
+		return
+	}
+	sent := w.now
+	w.after(commitTime/2, func() {
+		if o.epoch != w.store.epoch {
+			return
+		}
+		for _, x := range writes {
+			w.store.records[x.Job] = x.Record
+			w.shown(x.Job, x.Record.State)
+		}
+	})
+	o.soon(commitTime, func() {
+		o.tell()
+		o.committed = sent
+		o.cell.Recorded(writes)
+		o.send(o.cell.Orders())
+		o.committing = false
+		o.awaited()
+		if o.again {
+			o.again = false
+			o.commit()
+		}
+	})
+}
+
+func (o *owner) awaited() {
+	waiting := o.waiting
+	o.waiting = nil
+	for _, fn := range waiting {
+		fn()
+	}
+}
+
+// reach delivers a call to a host and its answer, each with the time of a message; lost ones end with errTimeout.
+func (o *owner) reach(h *host, limit time.Duration, call func(answer func(func()))) func(func()) {
+	done := false
+	return func(timeout func()) {
+		o.soon(limit, func() {
+			if !done {
+				done = true
+				timeout()
+			}
+		})
+		o.world.after(hop, func() {
+			if h.cut || !h.up {
+				return
+			}
+			life := h.life
+			call(func(fn func()) {
+				if h.cut || h.life != life {
+					return
+				}
+				o.soon(hop, func() {
+					if !done {
+						done = true
+						fn()
+					}
+				})
+			})
+		})
+	}
+}
+
+func (o *owner) send(orders core.Orders) {
+	for _, s := range orders.Starts {
+		o.start(s)
+	}
+	for _, s := range orders.Stops {
+		h := o.world.find(s.Host.ID)
+		var err error
+		o.order(h, s.Host.Born, func() { err = h.stop(s.Task, s.Run, o.epoch) }, func(timeout bool) {
+			if timeout {
+				err = errTimeout
+			}
+			o.update(func(c *core.Cell) { c.Stopped(s, err) })
+		})
+	}
+	for _, p := range orders.Paces {
+		o.update(func(c *core.Cell) { c.Paced(p, nil) })
+	}
+}
+
+func (o *owner) start(s core.Start) {
+	if o.world.now.Sub(o.committed) >= keepTime {
+		o.update(func(c *core.Cell) { c.Started(s, fold.Refuse(fold.Unavailable, "", "not renewed")) })
+		return
+	}
+	h := o.world.find(s.Host.ID)
+	s.Req.Fence = o.epoch
+	var err error
+	o.order(h, s.Host.Born, func() { err = h.start(s.Req) }, func(timeout bool) {
+		if timeout {
+			err = errTimeout
+		}
+		o.update(func(c *core.Cell) { c.Started(s, err) })
+	})
+}
+
+// order carries an order out, in time or late without an answer.
+func (o *owner) order(h *host, born int64, do func(), done func(timeout bool)) {
+	w := o.world
+	if w.chance(w.late) {
+		delay := 2*time.Second + time.Duration(w.random.Int64N(int64(10*time.Second)))
+		life := h.life
+		w.after(delay, func() {
+			if h.life == life && h.up && !h.cut {
+				do()
+			}
+		})
+		o.soon(orderTime, func() { done(true) })
+		return
+	}
+	o.reach(h, orderTime, func(answer func(func())) {
+		if h.info.Born == born {
+			do()
+		}
+		answer(func() { done(false) })
+	})(func() { done(true) })
+}
+
+func (w *World) find(id string) *host {
+	for _, h := range w.hosts {
+		if h.info.ID == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// hold renews the leases of a host and reads its reports, again and again.
+func (o *owner) hold(h *host) {
+	o.tell()
+	_, req, ok := o.cell.Hold(h.info.ID, o.epoch, o.world.now.Sub(o.committed) < keepTime)
+	if !ok {
+		o.soon(500*time.Millisecond, func() { o.hold(h) })
+		return
+	}
+	sent, born := o.world.now, h.info.Born
+	o.reach(h, req.Wait+holdTime, func(answer func(func())) {
+		h.hold(req, func(reply fold.HoldReply, err error) {
+			answer(func() {
+				if err != nil {
+					return
+				}
+				o.update(func(c *core.Cell) { c.Report(h.info.ID, sent, reply) })
+				o.awaitRecord(h)
+			})
+		})
+	})(func() {
+		o.update(func(c *core.Cell) { c.HoldFailed(h.info.ID, born) })
+		o.soon(holdPause, func() { o.hold(h) })
+	})
+}
+
+// awaitRecord goes on once the ends of the host are recorded, or after a while.
+func (o *owner) awaitRecord(h *host) {
+	went := false
+	next := func() {
+		if !went && !o.dead {
+			went = true
+			o.hold(h)
+		}
+	}
+	var check func()
+	check = func() {
+		if o.cell.Settled(h.info.ID) {
+			next()
+			return
+		}
+		o.waiting = append(o.waiting, check)
+	}
+	check()
+	o.soon(recordWait, next)
+}
+
+// ask lets free entries call the adviser.
+func (o *owner) ask() {
+	for o.asking < o.world.day.Askers {
+		ask, ok := o.cell.NextAsk(o.slow < o.world.day.Askers-askersQuick)
+		if !ok {
+			return
+		}
+		o.asking++
+		if ask.Slow() {
+			o.slow++
+		}
+		o.soon(ask.Takes+2*hop, func() {
+			o.asking--
+			if ask.Slow() {
+				o.slow--
+			}
+			advice := o.world.advise(ask)
+			o.update(func(c *core.Cell) { c.Advised(ask, advice, o.world.now.Add(-hop), nil) })
+		})
+	}
+}
+
+// advise approves of hosts, the same ones for a step each time.
+func (w *World) advise(ask core.Ask) fold.Advice {
+	name, _ := flow.ParseTaskName(ask.Step + ".0")
+	share := w.byID[name.Job].class.Good
+	var out fold.Advice
+	for _, id := range ask.Hosts {
+		if approves(ask.Step, id, share) {
+			out.Grants = append(out.Grants, fold.Grant{Host: id, Ticket: "ticket"})
+		}
+	}
+	return out
+}
