Start runs without waiting for a record that is held up

Change: once a commit takes 60 ms the owner tells the entries that its row names, and then starts runs on the hosts that it has recorded as its own. An entry that was told, or that the row does not name, looks at all of these hosts before it starts anything; one that has begun to take over refuses to be told.

--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -58,6 +58,15 @@
 	good map[string]float64
 	// asks counts calls to the adviser that are under way.
 	asks int
+	// known are the lives of hosts that the last record of hosts names. Only there a run may be started before it is
+	// recorded, because a later owner looks there before it starts anything.
+	known map[string]int64
+	// awaited are lives of hosts on which an earlier owner may have started runs without a record.
+	awaited map[string]int64
+	// gap is added once to the run numbers of jobs of an earlier owner, if it may have started runs that nobody found.
+	gap int
+	// unrecorded says that records are held up and runs start without them.
+	unrecorded bool
 	// explained is when the log last said why tasks wait.
 	explained fold.Instant
 	// stats counts what happened since the start.
@@ -89,6 +98,7 @@
 		hosts:  make(map[string]*host),
 		gauges: make(map[string]*gauge),
 		good:   make(map[string]float64),
+		known:  make(map[string]int64),
 	}
 }
 
--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -16,10 +16,13 @@
 	c.evacuate()
 	c.sortActive()
 	open := c.openHosts()
-	for _, p := range c.active {
-		c.plan(p, open)
+	if !c.waits() {
+		for _, p := range c.active {
+			c.plan(p, open)
+		}
+		c.makeRoom(open)
+		c.startUnrecorded()
 	}
-	c.makeRoom(open)
 	c.pace()
 	c.explain(open)
 }
@@ -109,7 +112,7 @@
 		if h == nil {
 			break
 		}
-		c.start(t, h, t.run+1)
+		c.start(t, h, c.next(t))
 	}
 	if p.step.Copies {
 		c.copies(p, hosts)
@@ -120,6 +123,9 @@
 func (c *Cell) start(t *task, h *host, number int) {
 	p := t.part
 	t.run = number
+	if t.own == 0 {
+		t.own = number
+	}
 	r := newRun(t, number, h, h.info.Born, c.now)
 	if g, ok := p.advice.grants[h]; ok {
 		r.ticket = g.ticket
@@ -141,7 +147,7 @@
 	number := 0
 	saved := ""
 	for i := range p.tasks {
-		number = max(number, p.tasks[i].run)
+		number = max(number, c.next(&p.tasks[i]))
 		if p.tasks[i].saved != "" {
 			saved = p.tasks[i].saved
 		}
@@ -155,7 +161,7 @@
 	}
 	for i := range p.tasks {
 		p.tasks[i].saved = saved
-		c.start(&p.tasks[i], chosen[i], number+1)
+		c.start(&p.tasks[i], chosen[i], number)
 	}
 }
 
@@ -221,7 +227,7 @@
 		}
 		c.stats.Copies++
 		c.log.Info("Started a copy.", "task", t.name().String(), "held", t.runs[0].host.info.ID, "host", h.info.ID, "percent", t.runs[0].percent)
-		c.start(t, h, t.run+1)
+		c.start(t, h, c.next(t))
 	}
 }
 
--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -125,13 +125,22 @@
 			c.log.Warn("Host barred after failures.", "host", h.info.ID, "job", name.Job)
 		}
 		c.stats.Failed++
-		if r != nil {
-			// Without a live run the end was counted before, by an earlier owner, or its lease had lapsed.
+		// A run that is not live was counted before, by an earlier owner, or its lease had lapsed, unless it was started
+		// without a record.
+		found := r == nil && t.unrecorded(e.Run) && !slices.Contains(t.counted, e.Run)
+		if found {
+			t.counted = append(t.counted, e.Run)
+		}
+		if r != nil || found {
 			c.failedRun(t, e.Run)
 		}
 	case fold.EndAlone, fold.EndBroken, fold.EndLapsed, fold.EndStopped:
 		c.stats.Lost++
 	}
+	if e.Run > t.run {
+		t.run = e.Run
+		c.mark(t.part.job)
+	}
 	if r != nil && e.How != fold.EndDone {
 		c.breakGang(r)
 	}
--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/flow"
 )
 
 // drift is how much slower a host's clock may run, as a share.
@@ -193,7 +194,7 @@
 // Hold returns the next request to a host: it renews the leases if the owner may.
 func (c *Cell) Hold(id string, fence int64, renew bool) (fold.Host, fold.HoldRequest, bool) {
 	h, ok := c.hosts[id]
-	if !ok || h.info.Address == "" || (!h.listed && len(h.runs) == 0) {
+	if !ok || h.info.Address == "" || (!h.listed && len(h.runs) == 0 && c.awaited[id] == 0) {
 		return fold.Host{}, fold.HoldRequest{}, false
 	}
 	// A host that does not answer may still receive renewals; without them its leases end, and its tasks can go elsewhere.
@@ -305,7 +306,9 @@
 		listed[key] = true
 		r, ok := h.runs[key]
 		if !ok {
-			c.stray(h, hr)
+			if name, valid := flow.ParseTaskName(hr.Task); !first || !valid || !c.find(h, c.task(name), hr) {
+				c.stray(h, hr)
+			}
 			continue
 		}
 		c.progress(r, hr)
--- a/fold/core/job.go
+++ b/fold/core/job.go
@@ -20,7 +20,9 @@
 	// left counts the parts that are not done, live the runs that may be on a host.
 	left, live int
 	begun      bool
-	dirty      bool
+	// restored says that an earlier owner has recorded progress, or could have.
+	restored bool
+	dirty    bool
 	// due is when the job should end, late when it has lost most of its worth.
 	due, late fold.Instant
 	// excess says that the team had sent more than its rate.
@@ -58,6 +60,12 @@
 	// run is the highest run number.
 	run   int
 	saved string
+	// recorded is the highest run number that an earlier owner recorded, own the first one of this owner: runs between
+	// them were started without a record. counted are those of them that have failed.
+	recorded, own int
+	counted       []int
+	// skipped says that run numbers were skipped, see next.
+	skipped bool
 	// runs are the live runs, more than one only for a step with copies.
 	runs []*run
 	// after is when the task may start again.
@@ -132,7 +140,7 @@
 	if _, ok := c.jobs[spec.ID]; ok {
 		return
 	}
-	j := &job{spec: spec, queue: spec.Queue, state: flow.Queued, shown: flow.Queued}
+	j := &job{spec: spec, queue: spec.Queue, state: flow.Queued, shown: flow.Queued, restored: len(c.awaited) > 0}
 	if q, ok := c.queues[spec.Queue.Name]; ok {
 		j.queue = q
 	}
--- a/fold/core/record.go
+++ b/fold/core/record.go
@@ -179,6 +179,7 @@
 	}
 	if i < len(pr.Runs) {
 		t.run = int(pr.Runs[i])
+		t.recorded = t.run
 	}
 	if i < len(pr.Fails) {
 		t.fails = int(pr.Fails[i])
--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -22,6 +22,8 @@
 	StateTable = "state/"
 	// CancelMark follows the id of a job in the key of a wish to cancel it.
 	CancelMark = "~cancel"
+	// hostsKey is the row of the hosts that the owner uses.
+	hostsKey = "lead/hosts"
 )
 
 const (
@@ -33,6 +35,9 @@
 	sweepRows  = 60
 	// entriesOfRequest is how many entries of a call a request takes: two conditions and a row.
 	entriesOfRequest = 3
+	// heldUpAfter is how long a commit may take before runs are started without their records; the table usually takes
+	// a few milliseconds.
+	heldUpAfter = 60 * time.Millisecond
 	// finishTime bounds how long a commit goes on after the driver was told to stop.
 	finishTime = time.Second
 	// gather is how long a commit waits for more decisions of the same moment.
@@ -78,12 +83,15 @@
 		b.writes = c.Snapshot()
 		b.planned = c.Pending()
 		b.waiting = c.Waiting()
+		b.hosts, b.hostsChanged = c.Hosts()
 		if sweep {
 			d.forget()
 			b.deletes = d.rows[:min(len(d.rows), sweepRows)]
 		}
 	})
-	b.requests = olderChecks(d.takeRequests())
+	if len(b.deletes) == 0 {
+		b.requests = olderChecks(d.takeRequests())
+	}
 	if len(b.writes) == 0 && len(b.requests) == 0 && !due && !b.planned && len(b.deletes) == 0 {
 		return nil
 	}
@@ -93,6 +101,9 @@
 	var orders core.Orders
 	d.with(func(c *core.Cell) {
 		c.Recorded(b.writes)
+		if b.hostsChanged {
+			c.SetKnown(b.hosts)
+		}
 		orders = c.Orders()
 		d.rows = d.rows[len(b.deletes):]
 		close(d.recorded)
@@ -114,6 +125,9 @@
 	requests []*request
 	deletes  []string
 	waiting  map[string]int
+	// hosts are those that this owner uses.
+	hosts        []fold.Host
+	hostsChanged bool
 	// planned says that orders wait for the commit although no record has changed.
 	planned bool
 }
@@ -125,6 +139,14 @@
 		txn := fold.Txn{Deletes: b.deletes}
 		room := maxRows - len(b.deletes) - entriesOfRequest*len(b.requests)
 		size := 0
+		if first && b.hostsChanged {
+			value, err := codec.Encode(usedHosts(b.hosts))
+			if err != nil {
+				return err
+			}
+			size += len(value)
+			txn.Puts = append(txn.Puts, fold.Put{Key: hostsKey, Value: value})
+		}
 		for len(writes) > 0 && len(txn.Puts) < room && size < maxBytes {
 			value, err := codec.Encode[flow.Record](writes[0].Record)
 			if err != nil {
@@ -142,15 +164,33 @@
 	return nil
 }
 
+// usedHost is a host in the row of hosts that this owner uses.
+type usedHost struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Born    int64  `json:"born"`
+}
+
+func usedHosts(hosts []fold.Host) []usedHost {
+	used := make([]usedHost, 0, len(hosts))
+	for _, h := range hosts {
+		used = append(used, usedHost{ID: h.ID, Address: h.Address, Born: h.Born})
+	}
+	return used
+}
+
 // try commits a transaction with requests. Requests whose own conditions fail are answered, and the rest is tried again.
 func (d *Driver) try(ctx context.Context, records fold.Txn, requests []*request, waiting map[string]int) error {
+	d.setStuck(d.parts.Clock.Now())
+	defer d.setStuck(0)
+	wake := time.AfterFunc(heldUpAfter, func() { poke(d.wake) })
+	defer wake.Stop()
 	for {
 		txn := records
 		addRequests(&txn, requests)
 		sent := d.parts.Clock.Now()
-		d.setStuck(sent)
-		err := d.term.Commit(ctx, txn, waiting)
-		d.setStuck(0)
+		entries := d.parts.Entries()
+		err := d.term.Commit(ctx, txn, waiting, entries)
 		took := d.parts.Clock.Now().Sub(sent)
 		d.parts.Meter.Commit(took, len(txn.Puts)+len(txn.Deletes))
 		switch {
@@ -161,10 +201,20 @@
 			d.mu.Lock()
 			d.committed = sent
 			d.mu.Unlock()
+			d.recordedAll(ctx, entries)
 			d.accepted(requests)
 			return nil
 		case errorx.IsOfType(err, fold.Conflict) && len(requests) > 0:
 			requests = conflicted(requests, err)
+		case errorx.IsOfType(err, fold.Unavailable) && ctx.Err() == nil:
+			// No try has reached the table, so nothing of it will take effect.
+			for _, r := range requests {
+				r.done <- result{err: err}
+			}
+			requests = nil
+			if !d.pause(ctx, pauseAfterError) {
+				return err
+			}
 		default:
 			if !errors.Is(err, context.Canceled) {
 				d.log.Warn("Commit failed.", "rows", len(txn.Puts), "took", took.String(), "error", err)
@@ -175,6 +225,14 @@
 	}
 }
 
+// heldUp reports whether records are held up although this entry still owns the pool.
+func (d *Driver) heldUp() bool {
+	d.intake.mu.Lock()
+	stuck := d.intake.stuck
+	d.intake.mu.Unlock()
+	return stuck != 0 && d.parts.Clock.Now().Sub(stuck) >= heldUpAfter
+}
+
 func (d *Driver) setStuck(at fold.Instant) {
 	d.intake.mu.Lock()
 	d.intake.stuck = at
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -21,6 +21,13 @@
 	Roster fold.Roster
 	// Askers returns the entries that can call the adviser now, this one included.
 	Askers func() []Asker
+	// Entries returns the incarnations of the other entries that answer.
+	Entries func() []string
+	// Announce tells the entries that this owner starts runs without records, or no longer does; number orders the
+	// announcements of an epoch. It reports whether all of the entries have noted it.
+	Announce func(ctx context.Context, entries []string, epoch, number int64, on bool) bool
+	// Await says that an earlier owner may have started runs without records.
+	Await  bool
 	Clock  fold.Clock
 	Logger hclog.Logger
 	Times  core.Times
@@ -78,6 +85,7 @@
 	recorded chan struct{}
 
 	intake  intake
+	notice  notice
 	loaded  chan struct{}
 	wake    chan struct{}
 	record  chan struct{}
@@ -122,6 +130,12 @@
 	d.spawn(func() { d.readRoster(ctx) })
 	d.spawn(func() { d.commit(ctx) })
 	d.spawn(func() { d.ask(ctx) })
+	var awaited []string
+	d.with(func(c *core.Cell) { awaited = c.Awaited() })
+	for _, id := range awaited {
+		d.holders[id] = true
+		d.spawn(func() { d.hold(ctx, id) })
+	}
 	close(d.loaded)
 	return d.decide(ctx)
 }
@@ -197,6 +211,7 @@
 		var orders core.Orders
 		d.with(func(c *core.Cell) {
 			began := time.Now()
+			c.SetUnrecorded(d.mayStartUnrecorded(ctx))
 			c.Decide()
 			orders = c.Orders()
 			d.parts.Meter.Decide(time.Since(began))
--- a/fold/drive/intake.go
+++ b/fold/drive/intake.go
@@ -22,8 +22,9 @@
 	// queueTime is how long a request may wait for a commit before it is refused: callers then use the rest of their time
 	// for another try.
 	queueTime = 800 * time.Millisecond
-	// stuckTime is how long a commit may take before new requests are refused at once.
-	stuckTime = time.Second
+	// stuckTime is how long a commit may take before new requests are refused at once; commits to a slow table take half
+	// of it.
+	stuckTime = 800 * time.Millisecond
 )
 
 // request is a wish of a caller that becomes durable with a commit.
--- a/fold/drive/load.go
+++ b/fold/drive/load.go
@@ -16,6 +16,12 @@
 // keepEnded is how long the state of an ended job is kept; callers may ask for it for two minutes.
 const keepEnded = 4 * time.Minute
 
+const (
+	// tableTime bounds a read of a row, snapshotTime a read of a whole table.
+	tableTime    = 900 * time.Millisecond
+	snapshotTime = 5 * time.Second
+)
+
 // load reads all jobs and their progress, and returns the version of the jobs that was read at least.
 func (d *Driver) load(ctx context.Context) (int64, error) {
 	began := d.parts.Clock.Now()
@@ -45,7 +51,14 @@
 		}
 		d.ended[strings.TrimPrefix(row.Key, StateTable)] = ended{state: rec.State, team: rec.Team, at: began}
 	}
+	var hosts []fold.Host
+	if d.parts.Await {
+		if hosts, err = d.usedBefore(ctx); err != nil {
+			return 0, err
+		}
+	}
 	d.with(func(c *core.Cell) {
+		c.Await(hosts)
 		for _, row := range jobs {
 			d.takeJob(c, row, records)
 		}
@@ -57,10 +70,39 @@
 	return version, nil
 }
 
+// usedBefore reads the hosts that an earlier owner used.
+func (d *Driver) usedBefore(ctx context.Context) ([]fold.Host, error) {
+	for {
+		call, cancel := context.WithTimeout(ctx, tableTime)
+		row, err := d.parts.Table.Get(call, hostsKey)
+		cancel()
+		if errorx.IsOfType(err, fold.NotFound) {
+			return nil, nil
+		}
+		if err == nil {
+			used, err := codec.Decode[[]usedHost](row.Value)
+			if err != nil {
+				return nil, err
+			}
+			hosts := make([]fold.Host, 0, len(used))
+			for _, u := range used {
+				hosts = append(hosts, fold.Host{ID: u.ID, Address: u.Address, Born: u.Born})
+			}
+			return hosts, nil
+		}
+		d.log.Warn("Could not read the hosts of the earlier owner.", "error", err)
+		if !d.pause(ctx, pauseAfterError) {
+			return nil, err
+		}
+	}
+}
+
 // snapshot reads a table, trying until ctx ends.
 func (d *Driver) snapshot(ctx context.Context, table string) ([]fold.Row, int64, error) {
 	for {
-		rows, version, err := d.parts.Log.Snapshot(ctx, table)
+		call, cancel := context.WithTimeout(ctx, snapshotTime)
+		rows, version, err := d.parts.Log.Snapshot(call, table)
+		cancel()
 		if err == nil {
 			return rows, version, nil
 		}
--- a/fold/errors.go
+++ b/fold/errors.go
@@ -1,6 +1,10 @@
 package fold
 
-import "github.com/joomcode/errorx"
+import (
+	"time"
+
+	"github.com/joomcode/errorx"
+)
 
 // Errors is the namespace of all error kinds of plantainfold.
 var Errors = errorx.NewNamespace("plantainfold")
@@ -50,6 +54,24 @@
 	return s
 }
 
+var retryProperty = errorx.RegisterProperty("retry after")
+
+// WithRetry adds to an error in how much time the same call may succeed.
+func WithRetry(err *errorx.Error, after time.Duration) *errorx.Error {
+	return err.WithProperty(retryProperty, after)
+}
+
+// RetryAfter returns in how much time the call that failed with err may succeed, or 0 when that is not known.
+func RetryAfter(err error) time.Duration {
+	e := errorx.Cast(err)
+	if e == nil {
+		return 0
+	}
+	v, _ := e.Property(retryProperty)
+	after, _ := v.(time.Duration)
+	return after
+}
+
 // DidNotRun reports whether err proves that the work did not run.
 func DidNotRun(err error) bool {
 	return errorx.HasTrait(err, NotRun)
--- a/fold/front/front.go
+++ b/fold/front/front.go
@@ -23,12 +23,15 @@
 	freshEnough = 900 * time.Millisecond
 	// trustRules is how old the configuration may be when a key is accepted by it without asking the table again.
 	trustRules = 3 * time.Second
-	// ownerTime bounds a call to the owner; it waits for at most two commits.
-	ownerTime = 900 * time.Millisecond
-	// contactOld is how old the last contact to the table may be when an entry writes to it on behalf of a caller.
-	contactOld = 1500 * time.Millisecond
+	// ownerTime bounds a question to the owner, who answers it from memory.
+	ownerTime = 400 * time.Millisecond
+	// probeTime bounds the read before an entry writes to the table on behalf of a caller.
+	probeTime = 250 * time.Millisecond
+	// leastRetry and mostRetry bound the time after which refused callers are to come back.
+	leastRetry = time.Second
+	mostRetry  = 8 * time.Second
 	// refuseAfter is how long the table is tried before a job is refused: callers use another entry or come back.
-	refuseAfter = 600 * time.Millisecond
+	refuseAfter = 200 * time.Millisecond
 )
 
 // Owner is the entry that owns the pool; it records what callers wish together with its own records.
@@ -89,7 +92,7 @@
 		return a, err
 	}
 	if refreshed := f.rules.Refresh(ctx); refreshed != nil {
-		return access{}, fold.Unavailable.Wrap(refreshed, "the configuration is not known; the request has not run")
+		return access{}, f.retryable(fold.Unavailable.Wrap(refreshed, "the configuration is not known; the request has not run"))
 	}
 	return f.look(c)
 }
@@ -155,7 +158,9 @@
 			break
 		}
 	}
-	if unsure {
+	if !unsure {
+		err = f.retryable(err)
+	} else {
 		// A try that got no answer may still be carried out.
 		err = fold.Unknown.Wrap(err, "the job may have been accepted; ask for its state or submit it again under its id")
 	}
@@ -163,6 +168,17 @@
 	return err
 }
 
+// retryable tells when a caller who was refused should come back: an outage that has lasted for a while is expected to
+// last as long again.
+func (f *Front) retryable(err error) error {
+	e := errorx.Cast(err)
+	if e == nil || !errorx.IsOfType(err, fold.Unavailable) {
+		return err
+	}
+	_, _, age := f.rules.Now()
+	return fold.WithRetry(e, min(mostRetry, max(leastRetry, age)))
+}
+
 // again reads the configuration after a conflict with it.
 func (f *Front) again(ctx context.Context, c Caller) (access, error) {
 	if err := f.rules.Refresh(ctx); err != nil {
@@ -180,10 +196,8 @@
 	if owner == nil {
 		return f.write(ctx, job, check)
 	}
-	call, cancel := context.WithTimeout(ctx, ownerTime)
-	known, err = owner.Submit(call, job, check)
-	cancel()
-	if err == nil || errorx.IsOfType(err, fold.Conflict) {
+	known, err = owner.Submit(ctx, job, check)
+	if err == nil || errorx.IsOfType(err, fold.Conflict) || ctx.Err() != nil {
 		return known, err
 	}
 	unsure := !fold.DidNotRun(err)
@@ -196,8 +210,16 @@
 
 // write makes the job durable without the owner, who finds it in the table.
 func (f *Front) write(ctx context.Context, job flow.Job, check fold.Check) (known bool, err error) {
-	if _, _, age := f.rules.Now(); age > contactOld {
-		return false, fold.Refuse(fold.Unavailable, "use another entry", "the entry has no contact to the table; the request has not run")
+	key, state := drive.JobTable+job.ID, drive.StateTable+job.ID
+	// A read tells whether the table answers: a write without an answer would leave the outcome unknown.
+	probe, cancelProbe := context.WithTimeout(ctx, probeTime)
+	_, err = f.table.Get(probe, state)
+	cancelProbe()
+	if err == nil {
+		return true, nil
+	}
+	if !errorx.IsOfType(err, fold.NotFound) {
+		return false, fold.Unavailable.Wrap(err, "the table does not answer; the request has not run")
 	}
 	value, err := codec.Encode(job)
 	if err != nil {
@@ -205,7 +227,6 @@
 	}
 	call, cancel := context.WithTimeout(ctx, readTime)
 	defer cancel()
-	key, state := drive.JobTable+job.ID, drive.StateTable+job.ID
 	_, err = f.table.Commit(call, fold.Txn{
 		Checks: []fold.Check{{Key: key}, {Key: state}, check},
 		Puts:   []fold.Put{{Key: key, Value: value}},
@@ -304,9 +325,7 @@
 	}
 	check := f.rows.Check(a.version)
 	if owner := f.owner(); owner != nil {
-		call, cancel := context.WithTimeout(ctx, ownerTime)
-		err = owner.Cancel(call, a.rest, check)
-		cancel()
+		err = owner.Cancel(ctx, a.rest, check)
 	}
 	if owner := f.owner(); owner == nil || err != nil {
 		err = f.writeCancel(ctx, a.rest, check)
@@ -335,7 +354,7 @@
 			return out, err
 		}
 		if !f.pause(ctx) {
-			return out, fold.Unavailable.Wrap(err, "the table does not answer; try again")
+			return out, f.retryable(fold.Unavailable.Wrap(err, "the table does not answer; try again"))
 		}
 	}
 }
--- a/fold/lead/lead.go
+++ b/fold/lead/lead.go
@@ -38,6 +38,9 @@
 	Epoch int64 `json:"epoch"`
 	// Count numbers the commits of an epoch, by which a lost answer is settled.
 	Count int64 `json:"count"`
+	// Entries are the incarnations of the entries that the owner tells before it starts runs without records. Any other
+	// entry that takes over must expect such runs.
+	Entries []string `json:"entries,omitempty"`
 	// Waiting counts, for each queue, the jobs of which no task has started.
 	Waiting map[string]int `json:"waiting,omitempty"`
 }
@@ -66,7 +69,7 @@
 // Take takes the row over from the owner that it had at the version; next names the new one. A Conflict error means that another entry was
 // faster.
 func Take(ctx context.Context, table fold.Table, clock fold.Clock, previous Owner, version int64, next Owner) (*Term, error) {
-	next.Epoch, next.Count, next.Waiting = previous.Epoch+1, 0, previous.Waiting
+	next.Epoch, next.Count, next.Waiting, next.Entries = previous.Epoch+1, 0, previous.Waiting, nil
 	t := &Term{table: table, clock: clock, owner: next, version: version}
 	if err := t.settle(ctx, fold.Txn{}, t.owner); err != nil {
 		return nil, err
@@ -81,10 +84,10 @@
 
 // Commit applies the transaction and renews the ownership. It tries until the outcome is known. A Fenced error means
 // that another entry has taken over, a Conflict error that a condition of txn itself has failed; nothing was written.
-func (t *Term) Commit(ctx context.Context, txn fold.Txn, waiting map[string]int) error {
+func (t *Term) Commit(ctx context.Context, txn fold.Txn, waiting map[string]int, entries []string) error {
 	next := t.owner
 	next.Count++
-	next.Waiting = waiting
+	next.Waiting, next.Entries = waiting, entries
 	return t.settle(ctx, txn, next)
 }
 
@@ -106,8 +109,10 @@
 	}
 	txn.Checks = append(txn.Checks, fold.Check{Key: Key, Version: t.version})
 	txn.Puts = append(txn.Puts, fold.Put{Key: Key, Value: value})
+	sent := false
 	for {
 		version, err := t.try(ctx, txn)
+		sent = sent || !fold.DidNotRun(err)
 		if err == nil {
 			t.owner, t.version = next, version
 			return nil
@@ -118,6 +123,9 @@
 		if errorx.IsOfType(err, fold.Invalid) || errorx.IsOfType(err, fold.TooLarge) {
 			return err
 		}
+		if !sent {
+			return fold.Unavailable.Wrap(err, "the table does not take the commit")
+		}
 		select {
 		case <-ctx.Done():
 			return fold.Unknown.Wrap(err, "commit of epoch %d", next.Epoch)
--- a/fold/model/day.go
+++ b/fold/model/day.go
@@ -73,6 +73,8 @@
 	OrdersLate
 	// OwnerDies ends the owner; another one takes over after For.
 	OwnerDies
+	// OwnerCut cuts the owner off from the table; it runs on while another one takes over.
+	OwnerCut
 	// TableDown lets commits take effect only once For has passed.
 	TableDown
 	// FaultKinds is the number of kinds.
--- a/fold/model/faults.go
+++ b/fold/model/faults.go
@@ -30,7 +30,7 @@
 	}
 	w.after(commitTime, func() {
 		w.store.jobs[j.spec.ID] = j.spec
-		if o := w.owner; !o.dead {
+		if o := w.owner; !o.dead && !o.cut {
 			o.update(func(c *core.Cell) {
 				c.AddJob(j.spec, flow.Record{})
 				if w.store.cancels[j.spec.ID] {
@@ -55,11 +55,14 @@
 	}
 	w.store.cancels[j.spec.ID] = true
 	j.cancelled = w.now
-	if o := w.owner; !o.dead {
+	if o := w.owner; !o.dead && !o.cut {
 		o.update(func(c *core.Cell) { c.Cancel(j.spec.ID) })
 	}
 }
 
+// takeOverTime is how long the others wait for an owner that they hear nothing of.
+const takeOverTime = 1700 * time.Millisecond
+
 // strike lets a fault happen.
 func (w *World) strike(f Fault) {
 	w.log.Debug("Fault.", "kind", int(f.Kind), "for", f.For.String())
@@ -70,6 +73,14 @@
 		}
 		w.owner.dead = true
 		w.after(f.For, w.takeOver)
+	case OwnerCut:
+		o := w.owner
+		o.cut = true
+		w.after(takeOverTime, func() {
+			if w.owner == o {
+				w.takeOver()
+			}
+		})
 	case TableDown:
 		w.table = false
 		w.after(f.For, func() { w.table = true })
--- a/fold/model/owner.go
+++ b/fold/model/owner.go
@@ -4,6 +4,8 @@
 	"errors"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/core"
 	"plantainfold.example/fold/flow"
@@ -13,6 +15,10 @@
 type store struct {
 	epoch   int64
 	records map[string]flow.Record
+	// used are the hosts that the last owner named as its own.
+	used []fold.Host
+	// noted says that the other entries know of runs without records.
+	noted   bool
 	jobs    map[string]flow.Job
 	cancels map[string]bool
 }
@@ -26,7 +32,9 @@
 	holdTime    = 700 * time.Millisecond
 	holdPause   = 250 * time.Millisecond
 	tickTime    = 100 * time.Millisecond
-	keepTime    = 7 * time.Second
+	keepTime    = 4 * time.Second
+	renewTime   = 500 * time.Millisecond
+	heldUpAfter = 60 * time.Millisecond
 	recordWait  = 300 * time.Millisecond
 	askersQuick = 2
 )
@@ -40,11 +48,17 @@
 	// committing says that a commit is under way, again that another one is due.
 	committing, again bool
 	committed         fold.Instant
-	holding           map[string]bool
-	waiting           []func()
-	asking            int
-	slow              int
-	deciding          bool
+	// began is when the commit under way was begun.
+	began fold.Instant
+	// clear counts the commits until everything that was started without a record is recorded.
+	clear int
+	// cut says that the owner does not reach the table, although others do.
+	cut      bool
+	holding  map[string]bool
+	waiting  []func()
+	asking   int
+	slow     int
+	deciding bool
 }
 
 var errTimeout = errors.New("no answer")
@@ -59,6 +73,10 @@
 	w.owner = o
 	o.tell()
 	o.cell.SetRules(w.rules)
+	if w.store.noted {
+		o.cell.Await(w.store.used)
+		w.store.noted = false
+	}
 	for _, j := range w.jobs {
 		spec, stored := w.store.jobs[j.spec.ID]
 		rec := w.store.records[j.spec.ID]
@@ -108,6 +126,12 @@
 
 func (o *owner) decide() {
 	o.tell()
+	held := o.committing && o.began != 0 && o.world.now.Sub(o.began) >= heldUpAfter
+	unrecorded := held && o.world.now.Sub(o.committed) < keepTime && o.epoch == o.world.store.epoch
+	if unrecorded {
+		o.world.store.noted, o.clear = true, 2
+	}
+	o.cell.SetUnrecorded(unrecorded)
 	o.cell.Decide()
 	o.send(o.cell.Orders())
 	o.ask()
@@ -142,20 +166,26 @@
 	o.soon(gatherTime, func() {
 		o.tell()
 		writes := o.cell.Snapshot()
-		if len(writes) == 0 && !o.cell.Pending() {
+		hosts, changed := o.cell.Hosts()
+		idle := len(writes) == 0 && !o.cell.Pending() && !changed
+		if idle && o.world.now.Sub(o.committed) < renewTime && !o.cut {
 			o.committing = false
-			o.committed = o.world.now
 			o.awaited()
 			return
 		}
-		o.write(writes)
+		o.began = o.world.now
+		o.write(writes, hosts)
 	})
 }
 
-func (o *owner) write(writes []core.Write) {
+func (o *owner) write(writes []core.Write, hosts []fold.Host) {
 	w := o.world
-	if !w.table {
-		o.soon(60*time.Millisecond, func() { o.write(writes) })
+	if !w.table || o.cut {
+		o.soon(60*time.Millisecond, func() { o.write(writes, hosts) })
+		return
+	}
+	if o.epoch != w.store.epoch {
+		o.dead = true
 		return
 	}
 	sent := w.now
@@ -163,6 +193,7 @@
 		if o.epoch != w.store.epoch {
 			return
 		}
+		w.store.used = hosts
 		for _, x := range writes {
 			w.store.records[x.Job] = x.Record
 			w.shown(x.Job, x.Record.State)
@@ -171,9 +202,17 @@
 	o.soon(commitTime, func() {
 		o.tell()
 		o.committed = sent
+		if o.epoch != w.store.epoch {
+			o.dead = true
+			return
+		}
+		if o.clear--; o.clear == 0 {
+			w.store.noted = false
+		}
+		o.cell.SetKnown(hosts)
 		o.cell.Recorded(writes)
 		o.send(o.cell.Orders())
-		o.committing = false
+		o.committing, o.began = false, 0
 		o.awaited()
 		if o.again {
 			o.again = false
@@ -251,6 +290,7 @@
 		if timeout {
 			err = errTimeout
 		}
+		o.fenced(err)
 		o.update(func(c *core.Cell) { c.Started(s, err) })
 	})
 }
@@ -277,6 +317,13 @@
 	})(func() { done(true) })
 }
 
+// fenced ends an owner that a host has told of a newer one.
+func (o *owner) fenced(err error) {
+	if errorx.IsOfType(err, fold.HostFenced) {
+		o.dead = true
+	}
+}
+
 func (w *World) find(id string) *host {
 	for _, h := range w.hosts {
 		if h.info.ID == id {
@@ -299,6 +346,7 @@
 		h.hold(req, func(reply fold.HoldReply, err error) {
 			answer(func() {
 				if err != nil {
+					o.fenced(err)
 					return
 				}
 				o.update(func(c *core.Cell) { c.Report(h.info.ID, sent, reply) })
--- a/fold/node/link.go
+++ b/fold/node/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"plantainfold.example/fold/drive"
 	"plantainfold.example/fold/flow"
 	"plantainfold.example/fold/front"
+	"plantainfold.example/fold/lead"
 	"plantainfold.example/fold/peer"
 )
 
@@ -18,6 +20,8 @@
 	submitCall = "submit"
 	cancelCall = "cancel"
 	stateCall  = "state"
+	// announceCall is made by the owner to the other entries.
+	announceCall = "announce"
 )
 
 // ownerRest is how long the owner is left alone after it did not answer.
@@ -65,6 +69,9 @@
 		}
 		return conflictAsAnswer(accepted{}, d.Cancel(ctx, w.ID, w.Check))
 	})
+	peer.Handle(node, announceCall, func(_ context.Context, _ string, a announcement) (bool, error) {
+		return true, n.announced(a)
+	})
 	peer.Handle(node, stateCall, func(_ context.Context, _ string, id string) (shown, error) {
 		d, err := n.loaded()
 		if err != nil {
@@ -74,6 +81,54 @@
 	})
 }
 
+// announcement says that the owner of an epoch starts runs without records, or no longer does.
+type announcement struct {
+	Epoch  int64 `json:"epoch"`
+	Number int64 `json:"number"`
+	On     bool  `json:"on"`
+}
+
+// announced notes an announcement; one that was overtaken by a later one changes nothing. It is refused once this entry
+// has begun to take over from that owner, or knows of a newer one.
+func (n *Node) announced(a announcement) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if a.Epoch <= n.taking || a.Epoch < n.seat.owner.Epoch {
+		return fold.Refuse(fold.Fenced, "let the newer owner go on", "epoch %d has ended", a.Epoch)
+	}
+	last := n.announcement
+	if a.Epoch > last.Epoch || a.Epoch == last.Epoch && (a.Number > last.Number || a.Number == last.Number && !a.On) {
+		n.announcement = a
+		n.log.Debug("Runs without records.", "epoch", a.Epoch, "on", a.On)
+	}
+	return nil
+}
+
+// closeEpoch refuses later announcements of an epoch from which this entry is about to take over.
+func (n *Node) closeEpoch(epoch int64) {
+	n.mu.Lock()
+	n.taking = max(n.taking, epoch)
+	n.mu.Unlock()
+}
+
+// mustAwait reports whether an owner may have started runs without records, as far as this entry knows.
+func (n *Node) mustAwait(owner lead.Owner) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case owner.Epoch == 0:
+		return false
+	case n.announcement.Epoch == owner.Epoch && n.announcement.On:
+		return true
+	case owner.Entry == "":
+		// It has handed over.
+		return false
+	default:
+		return !slices.Contains(owner.Entries, n.incarnation)
+	}
+}
+
+// conflictAsAnswer turns a failed check into an answer, because its error names a row.
 func conflictAsAnswer(a accepted, err error) (accepted, error) {
 	if key := fold.ConflictKey(err); key != "" {
 		return accepted{Conflict: key}, nil
@@ -187,15 +242,49 @@
 	return s.State, s.Team, err
 }
 
-// callOwner calls the owner and leaves it alone for a while when it does not answer.
+const (
+	// askAlive is how often an owner that has not answered yet is asked whether it is at work, and aliveTime how long it
+	// may take to answer that.
+	askAlive  = 400 * time.Millisecond
+	aliveTime = 300 * time.Millisecond
+)
+
+// callOwner calls the owner and waits for as long as it shows that it is at work; otherwise it is left alone for a while.
 func callOwner[In, Out any](ctx context.Context, t there, kind string, in In) (Out, error) {
-	out, err := peer.Call[In, Out](ctx, t.node, t.address, kind, in)
-	if err != nil && ctx.Err() != nil {
+	call, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		t.watch(call, cancel)
+	}()
+	out, err := peer.Call[In, Out](call, t.node, t.address, kind, in)
+	if err != nil && call.Err() != nil {
 		t.up.leave(t.clock.Now(), t.epoch)
 	}
+	cancel()
+	<-watched
 	return out, err
 }
 
+// watch gives a call up when the owner is not at work any more.
+func (t there) watch(ctx context.Context, giveUp context.CancelFunc) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.clock.After(askAlive):
+		}
+		ping, cancel := context.WithTimeout(ctx, aliveTime)
+		epoch, err := peer.Call[struct{}, int64](ping, t.node, t.address, ownsCall, struct{}{})
+		cancel()
+		if err != nil || epoch != t.epoch {
+			giveUp()
+			return
+		}
+	}
+}
+
 // rest remembers that an owner did not answer.
 type rest struct {
 	mu    sync.Mutex
--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -63,6 +63,10 @@
 	mu     sync.Mutex
 	driver *drive.Driver
 	seat   seat
+	// taking is the last epoch from which this entry has begun to take over.
+	taking int64
+	// announcement is the last one of an owner.
+	announcement announcement
 }
 
 // New returns an entry; Run starts it.
@@ -78,7 +82,7 @@
 	n := &Node{settings: s, parts: parts, clock: clock, log: log, incarnation: uuid.NewString(), telemetry: telemetry, meter: m}
 	n.rules = front.NewRules(parts.Rules, clock, log, n.ruled)
 	n.front = front.New(parts.Table, n.rules, parts.Rules, clock, log, n.waiting, n.owner)
-	n.peers = &peers{name: s.Name, address: s.Peers, table: parts.Table, adviser: parts.Adviser, clock: clock, log: log.Named("peers")}
+	n.peers = &peers{name: s.Name, incarnation: n.incarnation, address: s.Peers, table: parts.Table, adviser: parts.Adviser, clock: clock, log: log.Named("peers")}
 	return n, nil
 }
 
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -45,7 +45,7 @@
 		term, err := n.take(ctx, owner, version)
 		switch {
 		case err == nil:
-			n.serveTerm(ctx, term)
+			n.serveTerm(ctx, term, n.mustAwait(owner))
 		case ctx.Err() == nil:
 			n.log.Info("Did not take over the pool.", "owner", owner.Entry, "epoch", owner.Epoch, "error", err)
 		}
@@ -110,17 +110,18 @@
 	if b, _, _ := n.rules.Now(); b == nil {
 		return nil, fold.Refuse(fold.Unavailable, "wait for the configuration", "the configuration is not known yet")
 	}
+	n.closeEpoch(owner.Epoch)
 	next := lead.Owner{Entry: n.settings.Name, Incarnation: n.incarnation, Address: n.settings.Peers}
 	return lead.Take(ctx, n.parts.Table, n.clock, owner, version, next)
 }
 
 // serveTerm owns the pool until another entry takes over or ctx ends; then it hands over.
-func (n *Node) serveTerm(ctx context.Context, term *lead.Term) {
-	n.log.Info("Owner of the pool.", "epoch", term.Epoch())
+func (n *Node) serveTerm(ctx context.Context, term *lead.Term, await bool) {
+	n.log.Info("Owner of the pool.", "epoch", term.Epoch(), "await", await)
 	b, _, _ := n.rules.Now()
 	driver := drive.New(drive.Parts{
 		Table: n.parts.Table, Log: n.parts.Log, Runner: n.parts.Runner, Roster: n.parts.Roster,
-		Askers: n.peers.askers, Clock: n.clock, Logger: n.log, Times: n.settings.Times(), Meter: n.meter,
+		Askers: n.peers.askers, Entries: n.peers.entries, Announce: n.peers.announce, Await: await, Clock: n.clock, Logger: n.log, Times: n.settings.Times(), Meter: n.meter,
 	}, term, b.Rules())
 	following, stop := context.WithCancel(ctx)
 	defer stop()
--- a/fold/node/peers.go
+++ b/fold/node/peers.go
@@ -1,14 +1,17 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/codec"
@@ -34,7 +37,8 @@
 
 // registration is an entry's row.
 type registration struct {
-	Address string `json:"address"`
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation"`
 }
 
 // advising is the question of an advise call.
@@ -52,9 +56,12 @@
 	clock   fold.Clock
 	log     hclog.Logger
 
-	mu    sync.Mutex
-	node  *peer.Node
-	known map[string]string
+	incarnation string
+
+	mu   sync.Mutex
+	node *peer.Node
+	// known are the other entries that answered when they were last asked.
+	known map[string]registration
 }
 
 // setNode sets the entry's side of the connections to others.
@@ -89,7 +96,7 @@
 
 // register writes the entry's row.
 func (p *peers) register(ctx context.Context) error {
-	value, err := codec.Encode(registration{Address: p.address})
+	value, err := codec.Encode(registration{Address: p.address, Incarnation: p.incarnation})
 	if err != nil {
 		return err
 	}
@@ -127,21 +134,73 @@
 	if err != nil {
 		return err
 	}
-	known := make(map[string]string, len(rows))
+	known := make(map[string]registration, len(rows))
+	var mu sync.Mutex
+	var asking sync.WaitGroup
 	for _, row := range rows {
 		entry, err := codec.Decode[registration](row.Value)
 		if err != nil {
 			p.log.Warn("Ignored the row of an entry that cannot be read.", "key", row.Key, "error", err)
 			continue
 		}
-		known[strings.TrimPrefix(row.Key, entryPrefix)] = entry.Address
+		name := strings.TrimPrefix(row.Key, entryPrefix)
+		if name == p.name {
+			continue
+		}
+		asking.Go(func() {
+			call, cancel := context.WithTimeout(ctx, pingTime)
+			defer cancel()
+			if _, err := p.owns(call, entry.Address); err == nil {
+				mu.Lock()
+				known[name] = entry
+				mu.Unlock()
+			}
+		})
 	}
+	asking.Wait()
 	p.mu.Lock()
 	p.known = known
 	p.mu.Unlock()
 	return nil
 }
 
+// entries returns the incarnations of the other entries that answer.
+func (p *peers) entries() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	incarnations := make([]string, 0, len(p.known))
+	for _, entry := range p.known {
+		incarnations = append(incarnations, entry.Incarnation)
+	}
+	slices.Sort(incarnations)
+	return incarnations
+}
+
+// announce tells the entries that the owner starts runs without records, or no longer does, and reports whether all of
+// them have noted it.
+func (p *peers) announce(ctx context.Context, entries []string, epoch, number int64, on bool) bool {
+	p.mu.Lock()
+	node := p.node
+	addresses := make([]string, 0, len(entries))
+	for _, entry := range p.known {
+		if slices.Contains(entries, entry.Incarnation) {
+			addresses = append(addresses, entry.Address)
+		}
+	}
+	p.mu.Unlock()
+	if node == nil || len(addresses) < len(entries) {
+		return false
+	}
+	var group errgroup.Group
+	for _, address := range addresses {
+		group.Go(func() error {
+			_, err := peer.Call[announcement, bool](ctx, node, address, announceCall, announcement{Epoch: epoch, Number: number, On: on})
+			return err
+		})
+	}
+	return group.Wait() == nil
+}
+
 // link returns this entry's side of the connections to others, or nil before it serves them.
 func (p *peers) link() *peer.Node {
 	p.mu.Lock()
@@ -163,11 +222,12 @@
 	askers := []drive.Asker{local{name: p.name, adviser: p.adviser}}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for name, address := range p.known {
-		if name != p.name && p.node != nil {
-			askers = append(askers, remote{name: name, address: address, node: p.node})
+	for name, entry := range p.known {
+		if p.node != nil {
+			askers = append(askers, remote{name: name, address: entry.Address, node: p.node})
 		}
 	}
+	slices.SortFunc(askers, func(a, b drive.Asker) int { return cmp.Compare(a.Name(), b.Name()) })
 	return askers
 }
 
--- a/fold/node/settings.go
+++ b/fold/node/settings.go
@@ -39,7 +39,7 @@
 const (
 	// keepTime is how long an owner without contact to the table goes on renewing leases; it outlasts the usual outage of
 	// a few seconds, and delays the reuse of hosts that a later owner cannot reach.
-	keepTime = 7 * time.Second
+	keepTime = 4 * time.Second
 	// leastLease is the shortest lease with which an owner can look at its hosts in time.
 	leastLease = 2 * time.Second
 )
