Let urgent jobs stop work with checkpoints, and entries learn from the owner

Cause 2: a task with copies failed for good when both runs failed, although copies may overlap. Change: urgent jobs in time stop tasks with checkpoints of lower priority; a copy starts beside the last attempt; entries without the store learn the configuration and the owner from the owner; one that is turned away says so and another one takes over.

--- a/fold/core/ask.go
+++ b/fold/core/ask.go
@@ -109,7 +109,7 @@
 	if !slow && policy.Decide+minAsked*policy.Each > quickCall {
 		return Ask{}, false
 	}
-	if !c.team(p.job.spec.Team).within(p.step.Size) {
+	if !c.team(p.job.spec.Team).within(p.step.Size) && !c.pressing(p) {
 		return Ask{}, false
 	}
 	hosts := c.askHosts(p, open[p.job.queue.Service])
@@ -127,7 +127,7 @@
 	}
 	for i := range p.tasks {
 		t := &p.tasks[i]
-		if !t.done && len(t.runs) == 1 && t.runs[0].phase == phaseRunning && c.heldUp(t.runs[0]) {
+		if !t.done && len(t.runs) == 1 && c.wantsCopy(t) {
 			return true
 		}
 	}
@@ -154,7 +154,7 @@
 		if !p.allowed(h) || p.advice.no[h.info.ID] {
 			continue
 		}
-		slots := c.slots(p, h)
+		slots := c.slots(p, h, h.info.Capacity.Sub(h.used))
 		if p.granted(h, c.now.Add(renewal)) {
 			// What is approved already needs no call.
 			need -= slots
@@ -171,6 +171,9 @@
 	if need <= 0 {
 		return nil
 	}
+	if len(found) == 0 && c.pressing(p) {
+		found = c.yieldingHosts(p, open)
+	}
 	slices.SortStableFunc(found, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.rank(p), a.rank(p)), cmp.Compare(b.slots, a.slots))
 	})
@@ -186,6 +189,20 @@
 	return hosts
 }
 
+// yieldingHosts returns hosts without room on which other work would be stopped for the part.
+func (c *Cell) yieldingHosts(p *part, open []*host) []candidate {
+	var found []candidate
+	for _, h := range open {
+		if !p.allowed(h) || p.advice.no[h.info.ID] || p.granted(h, c.now) {
+			continue
+		}
+		if slots := c.slots(p, h, h.info.Capacity.Sub(h.used).Add(c.yielding(p, h))); slots > 0 {
+			found = append(found, candidate{host: h, slots: slots})
+		}
+	}
+	return found
+}
+
 // rank prefers hosts near the data, then hosts that were approved before.
 func (f candidate) rank(p *part) int {
 	rank := 0
@@ -198,9 +215,9 @@
 	return rank
 }
 
-// slots is how many of the waiting tasks have room on the host.
-func (c *Cell) slots(p *part, h *host) float64 {
-	free, claim := h.info.Capacity.Sub(h.used), p.step.Claim()
+// slots is how many of the waiting tasks fit what is free on the host.
+func (c *Cell) slots(p *part, h *host, free fold.Resources) float64 {
+	claim := p.step.Claim()
 	n := int64(max(1, p.free))
 	if claim.CPU > 0 {
 		n = min(n, free.CPU/claim.CPU)
--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -108,6 +108,10 @@
 		if !t.waiting() || t.after > c.now {
 			continue
 		}
+		if c.giveUpJob(t) {
+			// Its last copy was lost after the others had failed.
+			return
+		}
 		h := c.choose(p, t, hosts, nil)
 		if h == nil {
 			break
@@ -218,7 +222,7 @@
 func (c *Cell) copies(p *part, hosts []*host) {
 	for i := range p.tasks {
 		t := &p.tasks[i]
-		if t.done || len(t.runs) != 1 || t.runs[0].phase != phaseRunning || !c.heldUp(t.runs[0]) {
+		if t.done || len(t.runs) != 1 || !c.wantsCopy(t) {
 			continue
 		}
 		h := c.choose(p, t, hosts, map[*host]int{})
@@ -231,6 +235,24 @@
 	}
 }
 
+// wantsCopy reports whether a second run of a task is worth its while: the first one seems to be held up, or it is the
+// last one that may fail.
+func (c *Cell) wantsCopy(t *task) bool {
+	r := t.runs[0]
+	if r.stopping {
+		return false
+	}
+	limit := t.part.job.queue.Attempts
+	if t.fails >= limit {
+		// The run that is left decides.
+		return false
+	}
+	if t.fails > 0 && t.fails == limit-1 {
+		return true
+	}
+	return r.phase == phaseRunning && c.heldUp(r)
+}
+
 // heldUp reports whether a run is on a host that does not answer, stands still or is much slower than expected.
 func (c *Cell) heldUp(r *run) bool {
 	h := r.host
--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -186,13 +186,28 @@
 	} else {
 		t.fails++
 	}
-	if p.step.Lasting {
-		return
+	c.giveUpJob(t)
+}
+
+// giveUpJob ends the job when a task has failed too often and no other copy of it is at work.
+func (c *Cell) giveUpJob(t *task) bool {
+	limit := max(1, t.part.job.queue.Attempts)
+	if t.part.step.Lasting || t.fails < limit || t.working() {
+		return false
 	}
-	if limit := max(1, p.job.queue.Attempts); t.fails >= limit {
-		c.log.Info("Task failed too often.", "task", t.name().String(), "failures", t.fails, "limit", limit)
-		c.finish(p.job, flow.Failed)
+	c.log.Info("Task failed too often.", "task", t.name().String(), "failures", t.fails, "limit", limit)
+	c.finish(t.part.job, flow.Failed)
+	return true
+}
+
+// working reports whether another copy of the task may still be done.
+func (t *task) working() bool {
+	for _, r := range t.runs {
+		if !r.stopping {
+			return true
+		}
 	}
+	return false
 }
 
 // gauge learns how long the tasks of a queue take, as a factor of their estimates; both are in seconds.
--- a/fold/core/explain.go
+++ b/fold/core/explain.go
@@ -44,7 +44,7 @@
 		switch {
 		case !p.allowed(h) || p.advice.no[h.info.ID]:
 			w.denied++
-		case c.slots(p, h) == 0:
+		case c.slots(p, h, h.info.Capacity.Sub(h.used)) == 0:
 			w.full++
 		case !p.granted(h, c.now):
 			w.unasked++
--- a/fold/core/room.go
+++ b/fold/core/room.go
@@ -9,8 +9,12 @@
 )
 
 const (
-	// roomAfter is how long a task waits before others are stopped for it.
-	roomAfter = 400 * time.Millisecond
+	// roomAfter is how long a task that lasts waits before others are stopped for it, urgentAfter how long an urgent one
+	// waits: it has a fraction of a second until it is late.
+	roomAfter   = 400 * time.Millisecond
+	urgentAfter = 60 * time.Millisecond
+	// nearEnd is how much of a run must be left for it to be stopped; a shorter one is about to make room by itself.
+	nearEnd = 700 * time.Millisecond
 	// roomPause separates two rounds of stops for one part: what was stopped must have ended first.
 	roomPause = 1300 * time.Millisecond
 	// roomStops bounds the runs that are stopped in one round of decisions.
@@ -31,12 +35,26 @@
 	}
 }
 
-// pressing reports whether other work is stopped for the part.
+// yielding is the capacity on the host that runs would give up for the part.
+func (c *Cell) yielding(p *part, h *host) fold.Resources {
+	var sum fold.Resources
+	for _, r := range h.order {
+		if c.mayStop(r, p) {
+			sum = sum.Add(r.task.part.step.Claim())
+		}
+	}
+	return sum
+}
+
+// pressing reports whether other work is stopped for the part: it lasts, or it is urgent and can still end in time.
 func (c *Cell) pressing(p *part) bool {
-	return p.step.Lasting
+	return p.step.Lasting || p.job.queue.Priority == 0 && c.rank(p) < rankLate*rankSpan
 }
 
 func (p *part) roomAt() fold.Instant {
+	if !p.step.Lasting {
+		return max(p.readyAt.Add(urgentAfter), p.advice.room)
+	}
 	at := p.readyAt.Add(roomAfter)
 	for i := range p.tasks {
 		if t := &p.tasks[i]; t.waiting() && t.lost != 0 {
@@ -48,17 +66,20 @@
 
 // roomFor stops what holds the room for the waiting tasks of the part and returns how many runs it stopped.
 func (c *Cell) roomFor(p *part, hosts []*host) int {
-	if !c.team(p.job.spec.Team).within(p.step.Size) {
-		return 0
-	}
+	limited := !c.team(p.job.spec.Team).within(p.step.Size)
 	stopped := 0
 	for need := p.free; need > 0; need-- {
-		victims := c.cheapest(p, hosts)
+		var victims []*run
+		if limited {
+			victims = c.ofTeam(p, hosts)
+		} else {
+			victims = c.cheapest(p, hosts)
+		}
 		if victims == nil {
 			break
 		}
 		for _, v := range victims {
-			c.log.Info("Stopped a task for one that lasts.", "task", v.key().task, "run", v.number, "host", v.host.info.ID, "for", p.stepName())
+			c.log.Info("Stopped a task for a more urgent one.", "task", v.id, "run", v.number, "host", v.host.info.ID, "for", p.stepName(), "limit", limited)
 			c.stats.Preempted++
 			c.stop(v)
 			stopped++
@@ -70,6 +91,37 @@
 	return stopped
 }
 
+// ofTeam returns the run of the part's own team, which is at its limit, that loses least when it is stopped, or nil.
+func (c *Cell) ofTeam(p *part, hosts []*host) []*run {
+	var best *run
+	for _, h := range hosts {
+		for _, r := range h.order {
+			if r.task.part.job.spec.Team != p.job.spec.Team || !c.mayStop(r, p) || !p.step.Size.Fits(r.task.part.step.Size) {
+				continue
+			}
+			if best == nil || c.loss(r) < c.loss(best) {
+				best = r
+			}
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return []*run{best}
+}
+
+// mayStop reports whether a run gives way to the part.
+func (c *Cell) mayStop(r *run, p *part) bool {
+	s, other := r.task.part.step, r.task.part.job.queue.Priority
+	if r.stopping || r.phase != phaseRunning || s.Lasting || s.Gang {
+		return false
+	}
+	if p.step.Lasting {
+		return other >= p.job.queue.Priority
+	}
+	return other > p.job.queue.Priority && s.Saves && c.left(r) > nearEnd
+}
+
 // cheapest returns the runs on one host whose end makes room for a task at the least loss of work, or nil.
 func (c *Cell) cheapest(p *part, hosts []*host) []*run {
 	var best []*run
@@ -95,17 +147,12 @@
 	claim := p.step.Claim()
 	var able []*run
 	for _, r := range h.order {
-		s := r.task.part.step
-		if r.stopping {
-			// Its room is spoken for.
-			continue
-		}
-		if r.phase == phaseRunning && !s.Lasting && !s.Gang && r.task.part.job.queue.Priority >= p.job.queue.Priority {
+		if c.mayStop(r, p) {
 			able = append(able, r)
 		}
 	}
 	slices.SortFunc(able, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(c.loss(a), c.loss(b)), cmp.Compare(a.key().task, b.key().task))
+		return cmp.Or(cmp.Compare(c.loss(a), c.loss(b)), cmp.Compare(a.id, b.id))
 	})
 	var chosen []*run
 	loss := 0.0
--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -201,6 +201,7 @@
 			d.mu.Lock()
 			d.committed = sent
 			d.mu.Unlock()
+			d.setRejected(false)
 			d.recordedAll(ctx, entries)
 			d.accepted(requests)
 			return nil
@@ -208,6 +209,7 @@
 			requests = conflicted(requests, err)
 		case errorx.IsOfType(err, fold.Unavailable) && ctx.Err() == nil:
 			// No try has reached the table, so nothing of it will take effect.
+			d.setRejected(true)
 			for _, r := range requests {
 				r.done <- result{err: err}
 			}
@@ -225,6 +227,27 @@
 	}
 }
 
+// rejectedTime is how long the table may turn this owner away before another entry, which it serves, should take over.
+const rejectedTime = 350 * time.Millisecond
+
+func (d *Driver) setRejected(rejected bool) {
+	d.intake.mu.Lock()
+	defer d.intake.mu.Unlock()
+	switch {
+	case !rejected:
+		d.intake.rejected = 0
+	case d.intake.rejected == 0:
+		d.intake.rejected = d.parts.Clock.Now()
+	}
+}
+
+// AtWork reports whether the table has not turned this owner away for long.
+func (d *Driver) AtWork() bool {
+	d.intake.mu.Lock()
+	defer d.intake.mu.Unlock()
+	return d.intake.rejected == 0 || d.parts.Clock.Now().Sub(d.intake.rejected) < rejectedTime
+}
+
 // heldUp reports whether records are held up although this entry still owns the pool.
 func (d *Driver) heldUp() bool {
 	d.intake.mu.Lock()
--- a/fold/drive/intake.go
+++ b/fold/drive/intake.go
@@ -51,6 +51,8 @@
 	waiting []*request
 	// stuck is when the commit under way was begun, or 0.
 	stuck fold.Instant
+	// rejected is since when the table turns commits away, or 0.
+	rejected fold.Instant
 }
 
 // Submit makes a job durable together with the next commit; known reports that it was accepted before. An error with
--- a/fold/front/rules.go
+++ b/fold/front/rules.go
@@ -18,6 +18,8 @@
 	ruleTime = 400 * time.Millisecond
 	// rulePause separates tries that failed.
 	rulePause = 100 * time.Millisecond
+	// askAge is how old the revision must be for another entry to be asked.
+	askAge = 400 * time.Millisecond
 	// readTime bounds a call to the table on behalf of a caller.
 	readTime = 700 * time.Millisecond
 )
@@ -29,6 +31,8 @@
 	log    hclog.Logger
 	// changed is called with each new revision.
 	changed func(fold.Rules)
+	// others asks another entry for a revision newer than the version and for the age of what that entry knows.
+	others func(ctx context.Context, version int64) (*fold.Rules, int64, time.Duration, error)
 
 	mu      sync.Mutex
 	book    *book.Book
@@ -42,6 +46,11 @@
 	return &Rules{source: source, clock: clock, log: log.Named("rules"), changed: changed}
 }
 
+// Ask sets how other entries are asked while the source does not answer.
+func (r *Rules) Ask(others func(ctx context.Context, version int64) (*fold.Rules, int64, time.Duration, error)) {
+	r.others = others
+}
+
 // Now returns the newest known revision, its version and how long ago it was confirmed; the book is nil before the first.
 func (r *Rules) Now() (*book.Book, int64, time.Duration) {
 	r.mu.Lock()
@@ -59,6 +68,7 @@
 				r.log.Warn("Lost contact with the configuration.", "error", err)
 			}
 			lost = true
+			r.askOthers(ctx)
 			select {
 			case <-ctx.Done():
 			case <-r.clock.After(rulePause):
@@ -72,6 +82,25 @@
 	}
 }
 
+// askOthers takes what another entry knows.
+func (r *Rules) askOthers(ctx context.Context) {
+	b, version, age := r.Now()
+	if r.others == nil || b == nil || age < askAge {
+		return
+	}
+	sent := r.clock.Now()
+	rules, told, old, err := r.others(ctx, version)
+	if err != nil {
+		r.log.Debug("No other entry told the configuration.", "error", err)
+		return
+	}
+	if rules == nil {
+		r.take(b.Rules(), told, false, sent.Add(-old))
+		return
+	}
+	r.take(*rules, told, true, sent.Add(-old))
+}
+
 func (r *Rules) step(ctx context.Context) error {
 	if b, _, _ := r.Now(); b == nil {
 		return r.Refresh(ctx)
--- a/fold/model/host.go
+++ b/fold/model/host.go
@@ -349,6 +349,8 @@
 	doneAt  fold.Instant
 	// failed counts runs that failed, noted those whose ends were acknowledged.
 	failed, noted int
+	// notedAt is when the last of those was acknowledged.
+	notedAt fold.Instant
 	// dones are the ends of runs that were done.
 	dones []*doneEnd
 }
--- a/fold/model/owner.go
+++ b/fold/model/owner.go
@@ -303,7 +303,9 @@
 		life := h.life
 		w.after(delay, func() {
 			if h.life == life && h.up && !h.cut {
+				w.lateOrder = true
 				do()
+				w.lateOrder = false
 			}
 		})
 		o.soon(orderTime, func() { done(true) })
--- a/fold/model/world.go
+++ b/fold/model/world.go
@@ -34,8 +34,10 @@
 	store store
 	owner *owner
 	// late is the share of orders that are carried out late.
-	late  float64
-	table bool
+	late float64
+	// lateOrder says that an order is being carried out late, which rules with a time bound excuse.
+	lateOrder bool
+	table     bool
 
 	broken []string
 	counts Counts
--- a/fold/node/link.go
+++ b/fold/node/link.go
@@ -20,6 +20,8 @@
 	submitCall = "submit"
 	cancelCall = "cancel"
 	stateCall  = "state"
+	// newsCall is made by an entry that the table turns away.
+	newsCall = "news"
 	// announceCall is made by the owner to the other entries.
 	announceCall = "announce"
 )
@@ -49,11 +51,14 @@
 // handleOwner answers the calls that other entries make to the owner.
 func (n *Node) handleOwner(node *peer.Node) {
 	peer.Handle(node, ownsCall, func(context.Context, string, struct{}) (int64, error) {
-		if d := n.owning(); d != nil {
+		if d := n.owning(); d != nil && d.AtWork() {
 			return d.Epoch(), nil
 		}
 		return 0, nil
 	})
+	peer.Handle(node, newsCall, func(_ context.Context, _ string, known int64) (news, error) {
+		return n.tellNews(known), nil
+	})
 	peer.Handle(node, submitCall, func(ctx context.Context, _ string, w wish) (accepted, error) {
 		d, err := n.loaded()
 		if err != nil {
--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -81,6 +81,7 @@
 	}
 	n := &Node{settings: s, parts: parts, clock: clock, log: log, incarnation: uuid.NewString(), telemetry: telemetry, meter: m}
 	n.rules = front.NewRules(parts.Rules, clock, log, n.ruled)
+	n.rules.Ask(n.askNews)
 	n.front = front.New(parts.Table, n.rules, parts.Rules, clock, log, n.waiting, n.owner)
 	n.peers = &peers{name: s.Name, incarnation: n.incarnation, address: s.Peers, table: parts.Table, adviser: parts.Adviser, clock: clock, log: log.Named("peers")}
 	return n, nil
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -55,12 +55,17 @@
 // watch reads the row until its owner has lapsed; it returns an error only when ctx ends.
 func (n *Node) watch(ctx context.Context) (lead.Owner, int64, error) {
 	var s seat
+	contacts := 0
 	for first := true; ; {
 		call, cancel := context.WithTimeout(ctx, tableTime)
 		owner, version, err := lead.Read(call, n.parts.Table)
 		cancel()
 		now := n.clock.Now()
+		if err != nil {
+			contacts = 0
+		}
 		if err == nil {
+			contacts++
 			if first || version != s.version {
 				if s.owner.Epoch != owner.Epoch {
 					n.log.Info("The pool has an owner.", "owner", owner.Entry, "epoch", owner.Epoch)
@@ -70,7 +75,7 @@
 			first = false
 			s.owner, s.version, s.read = owner, version, now
 			n.setSeat(s)
-			if owner.Entry == "" || now.Sub(s.changed) > lead.Lapse || n.vacant(ctx, owner) {
+			if owner.Entry == "" || now.Sub(s.changed) > lead.Lapse || n.vacant(ctx, owner, contacts > 1) {
 				return owner, version, nil
 			}
 		}
@@ -83,8 +88,9 @@
 }
 
 // vacant reports whether the owner that the row names surely does not own the pool any more: its process is gone or says
-// so itself. An owner that does not answer may still be at work.
-func (n *Node) vacant(ctx context.Context, owner lead.Owner) bool {
+// so itself. An owner that does not answer may still be at work. One that the table turns away says that it is not; that
+// counts only while the table serves this entry steadily.
+func (n *Node) vacant(ctx context.Context, owner lead.Owner, steady bool) bool {
 	if owner.Entry == n.settings.Name {
 		// An earlier process of this entry.
 		return owner.Incarnation != n.incarnation
@@ -92,7 +98,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pingTime)
 	defer cancel()
 	epoch, err := n.peers.owns(ctx, owner.Address)
-	return err == nil && epoch < owner.Epoch || err != nil && errors.Is(err, syscall.ECONNREFUSED)
+	return err == nil && epoch < owner.Epoch && steady || err != nil && errors.Is(err, syscall.ECONNREFUSED)
 }
 
 func (n *Node) setSeat(s seat) {
