Keep conflicts of single requests from holding commits up

Change: a submission that the owner knows needs no commit; the owner's condition comes first, so that a conflict with another row proves the ownership without a read.

--- a/fold/drive/intake.go
+++ b/fold/drive/intake.go
@@ -58,6 +58,9 @@
 // Submit makes a job durable together with the next commit; known reports that it was accepted before. An error with
 // the NotRun trait proves that it was not accepted. A Conflict error means that the check failed.
 func (d *Driver) Submit(ctx context.Context, job flow.Job, check fold.Check) (known bool, err error) {
+	if _, _, known := d.State(job.ID); known {
+		return true, nil
+	}
 	value, err := codec.Encode(job)
 	if err != nil {
 		return false, err
--- a/fold/lead/lead.go
+++ b/fold/lead/lead.go
@@ -107,7 +107,8 @@
 	if err != nil {
 		return err
 	}
-	txn.Checks = append(txn.Checks, fold.Check{Key: Key, Version: t.version})
+	// A conflict names the first check that failed; behind this one, a conflict with another row proves the ownership.
+	txn.Checks = append([]fold.Check{{Key: Key, Version: t.version}}, txn.Checks...)
 	txn.Puts = append(txn.Puts, fold.Put{Key: Key, Value: value})
 	sent := false
 	for {
@@ -117,6 +118,9 @@
 			t.owner, t.version = next, version
 			return nil
 		}
+		if key := fold.ConflictKey(err); key != "" && key != Key {
+			return err
+		}
 		if errorx.IsOfType(err, fold.Conflict) {
 			return t.conflict(ctx, next, err)
 		}
--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -124,14 +124,33 @@
 	case err = <-failed:
 	case <-ctx.Done():
 	}
-	n.leave(release, owned, callers)
+	end := time.Now().Add(ms(n.settings.Grace) - graceReserve)
+	n.leave(release, owned, callers, end)
 	_ = ready.Close()
 	stop()
-	working.Wait()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		working.Wait()
+	}()
+	if !waitUntil(stopped, end) {
+		n.log.Warn("Stopped before all work had ended.")
+		return err
+	}
 	n.log.Info("Stopped.")
 	return err
 }
 
+// waitUntil waits for done and reports false if that takes longer than until end.
+func waitUntil(done <-chan struct{}, end time.Time) bool {
+	select {
+	case <-done:
+		return true
+	case <-time.After(time.Until(end)):
+		return false
+	}
+}
+
 // serve listens at the address and serves in the background.
 func serve(ctx context.Context, s *http.Server, address string, failed chan<- error) error {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
@@ -146,23 +165,21 @@
 	return nil
 }
 
-// leave tells the balancer, hands the pool over and finishes the requests under way within the time of the settings.
-func (n *Node) leave(release context.CancelFunc, owned <-chan struct{}, callers *http.Server) {
+// leave tells the balancer, hands the pool over and finishes the requests under way before the given end.
+func (n *Node) leave(release context.CancelFunc, owned <-chan struct{}, callers *http.Server, end time.Time) {
 	n.leaving.Store(true)
 	n.log.Info("Stopping.")
-	end := time.After(ms(n.settings.Grace) - graceReserve)
 	release()
-	select {
-	case <-time.After(noticeTime):
-	case <-end:
-	}
-	finish, cancel := context.WithTimeout(context.Background(), ms(n.settings.Grace)-noticeTime-graceReserve)
+	time.Sleep(min(noticeTime, time.Until(end)))
+	finish, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := callers.Shutdown(finish); err != nil {
 		n.log.Warn("Requests were still under way at the end.", "error", err)
 	}
-	<-owned
-	if err := n.peers.leave(context.Background()); err != nil {
+	if !waitUntil(owned, end) {
+		n.log.Warn("The pool was not handed over in time.")
+	}
+	if err := n.peers.leave(finish); err != nil {
 		n.log.Debug("Could not remove the row of the entry.", "error", err)
 	}
 }
