Let times follow how slow the store is, and entries take over in turn

Tries were repeated after 0.9 s, requests refused after 0.8 s, and four entries took the pool over within a second (epochs 3 to 6 at 14-15 s of the log). Change: the time of a try, of the wait for a commit and of the lapse grow with the usual time of a commit or read; entries try in the order in which the owner's row names them and read the row again before.

--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -182,7 +182,12 @@
 // try commits a transaction with requests. Requests whose own conditions fail are answered, and the rest is tried again.
 func (d *Driver) try(ctx context.Context, records fold.Txn, requests []*request, waiting map[string]int) error {
 	d.setStuck(d.parts.Clock.Now())
-	defer d.setStuck(0)
+	defer func() {
+		d.setStuck(0)
+		d.intake.mu.Lock()
+		d.intake.usual = d.term.Usual()
+		d.intake.mu.Unlock()
+	}()
 	wake := time.AfterFunc(heldUpAfter, func() { poke(d.wake) })
 	defer wake.Stop()
 	for {
--- a/fold/drive/intake.go
+++ b/fold/drive/intake.go
@@ -22,9 +22,10 @@
 	// queueTime is how long a request may wait for a commit before it is refused: callers then use the rest of their time
 	// for another try.
 	queueTime = 800 * time.Millisecond
-	// stuckTime is how long a commit may take before new requests are refused at once; commits to a slow table take half
-	// of it.
-	stuckTime = 800 * time.Millisecond
+	// stuckTime is how long a commit may take before new requests are refused at once. Both times are longer where the
+	// table is slow: stuckCommits times a usual commit.
+	stuckTime    = 800 * time.Millisecond
+	stuckCommits = 2
 )
 
 // request is a wish of a caller that becomes durable with a commit.
@@ -51,6 +52,8 @@
 	waiting []*request
 	// stuck is when the commit under way was begun, or 0.
 	stuck fold.Instant
+	// usual is how long a commit usually takes.
+	usual time.Duration
 	// rejected is since when the table turns commits away, or 0.
 	rejected fold.Instant
 }
@@ -79,18 +82,19 @@
 	now := d.parts.Clock.Now()
 	r.since, r.done = now, make(chan result, 1)
 	d.intake.mu.Lock()
-	stuck := d.intake.stuck != 0 && now.Sub(d.intake.stuck) > stuckTime
+	stuck := d.intake.stuck != 0 && now.Sub(d.intake.stuck) > max(stuckTime, stuckCommits*d.intake.usual)
 	if stuck || len(d.intake.waiting) >= maxQueue {
 		d.intake.mu.Unlock()
 		return result{err: fold.Refuse(fold.Unavailable, "retry later", "the table does not take records now; the request has not run")}
 	}
 	d.intake.waiting = append(d.intake.waiting, r)
+	usual := d.intake.usual
 	d.intake.mu.Unlock()
 	poke(d.record)
 	select {
 	case out := <-r.done:
 		return out
-	case <-d.parts.Clock.After(queueTime):
+	case <-d.parts.Clock.After(max(queueTime, stuckCommits*usual)):
 	case <-ctx.Done():
 	}
 	if d.withdraw(r) {
--- a/fold/lead/lead.go
+++ b/fold/lead/lead.go
@@ -16,13 +16,19 @@
 const (
 	// Renew is how often the owner rewrites its row at least.
 	Renew = 500 * time.Millisecond
-	// Lapse is how long the row stays unchanged before another entry takes over; it covers two renewals that are lost or
-	// slow.
-	Lapse = 1600 * time.Millisecond
+	// Lapse is how long the row stays unchanged before another entry takes over; it covers two renewals that are lost.
+	// Where the table is slow, lapseReads times the time of a read are added, because a commit takes longer than a read.
+	Lapse      = 1600 * time.Millisecond
+	lapseReads = 5
 	// Poll is how often the other entries read the row; it bounds the delay after an owner has handed over.
 	Poll = 400 * time.Millisecond
-	// commitTime bounds one try of a commit; the table usually answers within milliseconds.
-	commitTime = 900 * time.Millisecond
+	// commitTime bounds one try of a commit to a table that answers within milliseconds. To a slow table a try may take
+	// slowFactor times as long as usual, at most maxCommitTime: repeating it sooner would only make the table slower.
+	commitTime    = 900 * time.Millisecond
+	slowFactor    = 4
+	maxCommitTime = 3 * time.Second
+	// usualWeight is the weight of the last commit in the usual time of one.
+	usualWeight = 0.3
 	// commitPause separates tries of a commit.
 	commitPause = 60 * time.Millisecond
 )
@@ -45,6 +51,11 @@
 	Waiting map[string]int `json:"waiting,omitempty"`
 }
 
+// LapseOf returns how long the row may stay unchanged when the table takes the given time for a read.
+func LapseOf(read time.Duration) time.Duration {
+	return Lapse + lapseReads*read
+}
+
 // Read returns the row and its version; a row that does not exist has version 0.
 func Read(ctx context.Context, table fold.Table) (Owner, int64, error) {
 	row, err := table.Get(ctx, Key)
@@ -64,6 +75,8 @@
 	clock   fold.Clock
 	owner   Owner
 	version int64
+	// usual is the usual time of a try.
+	usual time.Duration
 }
 
 // Take takes the row over from the owner that it had at the version; next names the new one. A Conflict error means that another entry was
@@ -139,9 +152,19 @@
 }
 
 func (t *Term) try(ctx context.Context, txn fold.Txn) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, commitTime)
+	ctx, cancel := context.WithTimeout(ctx, min(maxCommitTime, max(commitTime, slowFactor*t.usual)))
 	defer cancel()
-	return t.table.Commit(ctx, txn)
+	sent := t.clock.Now()
+	version, err := t.table.Commit(ctx, txn)
+	if err == nil || errorx.IsOfType(err, fold.Conflict) {
+		t.usual += time.Duration(usualWeight * float64(t.clock.Now().Sub(sent)-t.usual))
+	}
+	return version, err
+}
+
+// Usual returns how long the table usually takes for a commit.
+func (t *Term) Usual() time.Duration {
+	return t.usual
 }
 
 // conflict reads the row to tell an earlier try that has succeeded and a condition of the transaction that has failed
@@ -167,7 +190,7 @@
 }
 
 func (t *Term) read(ctx context.Context) (Owner, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, commitTime)
+	ctx, cancel := context.WithTimeout(ctx, max(commitTime, slowFactor*t.usual))
 	defer cancel()
 	return Read(ctx, t.table)
 }
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -15,8 +16,14 @@
 )
 
 const (
-	// takeJitter spreads the entries that want to take over, so that one of them is usually first.
-	takeJitter = 120 * time.Millisecond
+	// takeTurn separates the entries that want to take over, in the order in which the owner's row names them; it is longer
+	// where the table is slow, turnReads times a read, so that the first one is done before the second one tries.
+	takeTurn  = 40 * time.Millisecond
+	turnReads = 3
+	// readWeight is the weight of the last read in the usual time of one.
+	readWeight = 0.3
+	// spareTurns spreads entries that the row does not name.
+	spareTurns = 6
 	// pingTime bounds the question whether the owner is at work.
 	pingTime = 250 * time.Millisecond
 	// releaseTime bounds the hand-over of the pool.
@@ -31,8 +38,9 @@
 	version int64
 	// changed is when the row was first seen with this version.
 	changed fold.Instant
-	// read is when the row was last read.
-	read fold.Instant
+	// read is when the row was last read, usual how long a read usually takes.
+	read  fold.Instant
+	usual time.Duration
 }
 
 // own watches the ownership and owns the pool whenever this entry's turn has come, until ctx ends.
@@ -58,6 +66,7 @@
 	contacts := 0
 	for first := true; ; {
 		call, cancel := context.WithTimeout(ctx, tableTime)
+		sent := n.clock.Now()
 		owner, version, err := lead.Read(call, n.parts.Table)
 		cancel()
 		now := n.clock.Now()
@@ -74,8 +83,9 @@
 			}
 			first = false
 			s.owner, s.version, s.read = owner, version, now
+			s.usual += time.Duration(readWeight * float64(now.Sub(sent)-s.usual))
 			n.setSeat(s)
-			if owner.Entry == "" || now.Sub(s.changed) > lead.Lapse || n.vacant(ctx, owner, contacts > 1) {
+			if owner.Entry == "" || now.Sub(s.changed) > lead.LapseOf(s.usual) || n.vacant(ctx, owner, contacts > 1) {
 				return owner, version, nil
 			}
 		}
@@ -107,15 +117,32 @@
 	n.mu.Unlock()
 }
 
+// take takes the pool over when this entry's turn has come and the row is still unchanged.
 func (n *Node) take(ctx context.Context, owner lead.Owner, version int64) (*lead.Term, error) {
+	n.mu.Lock()
+	usual := n.seat.usual
+	n.mu.Unlock()
+	place := slices.Index(owner.Entries, n.incarnation)
+	if place < 0 {
+		place = rand.IntN(spareTurns)
+	}
 	select {
 	case <-ctx.Done():
 		return nil, ctx.Err()
-	case <-n.clock.After(time.Duration(rand.Int64N(int64(takeJitter)))):
+	case <-n.clock.After(time.Duration(place) * max(takeTurn, turnReads*usual)):
 	}
 	if b, _, _ := n.rules.Now(); b == nil {
 		return nil, fold.Refuse(fold.Unavailable, "wait for the configuration", "the configuration is not known yet")
 	}
+	call, cancel := context.WithTimeout(ctx, tableTime)
+	_, found, err := lead.Read(call, n.parts.Table)
+	cancel()
+	if err != nil {
+		return nil, err
+	}
+	if found != version {
+		return nil, fold.Refuse(fold.Conflict, "follow the new owner", "the owner's row has changed")
+	}
 	n.closeEpoch(owner.Epoch)
 	next := lead.Owner{Entry: n.settings.Name, Incarnation: n.incarnation, Address: n.settings.Peers}
 	return lead.Take(ctx, n.parts.Table, n.clock, owner, version, next)
