Let an entry that is fit for it own the pool

Each takeover also waited for hosts, because owners that the store turned away had announced runs without records. Change: entries register their strength; fit ones try first, an owner hands over to a much stronger entry and invites it at once; an entry that the store serves takes over instead of noting an announcement.

--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -194,8 +194,8 @@
 		txn := records
 		addRequests(&txn, requests)
 		sent := d.parts.Clock.Now()
-		entries := d.parts.Entries()
-		err := d.term.Commit(ctx, txn, waiting, entries)
+		entries, strong := d.parts.Entries()
+		err := d.term.Commit(ctx, txn, lead.Note{Waiting: waiting, Entries: entries, Strong: strong})
 		took := d.parts.Clock.Now().Sub(sent)
 		d.parts.Meter.Commit(took, len(txn.Puts)+len(txn.Deletes))
 		switch {
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -21,10 +21,14 @@
 	Roster fold.Roster
 	// Askers returns the entries that can call the adviser now, this one included.
 	Askers func() []Asker
-	// Entries returns the incarnations of the other entries that answer.
-	Entries func() []string
+	// Entries returns the incarnations of the other entries that answer, the strongest first, and how many of them are fit
+	// to own the pool.
+	Entries func() (entries []string, strong int)
+	// Stronger reports whether another entry should own the pool instead of this one.
+	Stronger func() bool
 	// Announce tells the entries that this owner starts runs without records, or no longer does; number orders the
-	// announcements of an epoch. It reports whether all of the entries have noted it.
+	// announcements of an epoch. It reports whether all of the entries have noted it. An entry that the table serves well
+	// takes over instead of noting it.
 	Announce func(ctx context.Context, entries []string, epoch, number int64, on bool) bool
 	// Await says that an earlier owner may have started runs without records.
 	Await  bool
@@ -52,6 +56,8 @@
 const (
 	// tick is how often decisions are made without an event, for what depends on time alone.
 	tick = 100 * time.Millisecond
+	// handOverEvery is how often the owner looks for an entry that is fitter to own the pool.
+	handOverEvery = 3 * time.Second
 	// rosterEvery is how often the roster is read; a leaving host must be known within the platform's two seconds.
 	rosterEvery = 700 * time.Millisecond
 	// feedWait bounds the wait for new jobs, and so the age of what is known of cancelled ones.
@@ -207,6 +213,8 @@
 
 // decide makes decisions after each event and at least every tick.
 func (d *Driver) decide(ctx context.Context) error {
+	handOver := time.NewTicker(handOverEvery)
+	defer handOver.Stop()
 	for {
 		var orders core.Orders
 		d.with(func(c *core.Cell) {
@@ -224,6 +232,11 @@
 			return nil
 		case err := <-d.deposed:
 			return err
+		case <-handOver.C:
+			if d.parts.Stronger() {
+				d.log.Info("A stronger entry should own the pool.")
+				return nil
+			}
 		case <-d.wake:
 		case <-d.parts.Clock.After(tick):
 		}
--- a/fold/lead/lead.go
+++ b/fold/lead/lead.go
@@ -44,9 +44,11 @@
 	Epoch int64 `json:"epoch"`
 	// Count numbers the commits of an epoch, by which a lost answer is settled.
 	Count int64 `json:"count"`
-	// Entries are the incarnations of the entries that the owner tells before it starts runs without records. Any other
-	// entry that takes over must expect such runs.
+	// Entries are the incarnations of the entries that the owner tells before it starts runs without records, the
+	// strongest first. Any other entry that takes over must expect such runs.
 	Entries []string `json:"entries,omitempty"`
+	// Strong is how many of them are fit to own the pool.
+	Strong int `json:"strong,omitempty"`
 	// Waiting counts, for each queue, the jobs of which no task has started.
 	Waiting map[string]int `json:"waiting,omitempty"`
 }
@@ -79,10 +81,17 @@
 	usual time.Duration
 }
 
+// Note is what the owner tells the other entries with each commit; see Owner.
+type Note struct {
+	Waiting map[string]int
+	Entries []string
+	Strong  int
+}
+
 // Take takes the row over from the owner that it had at the version; next names the new one. A Conflict error means that another entry was
 // faster.
 func Take(ctx context.Context, table fold.Table, clock fold.Clock, previous Owner, version int64, next Owner) (*Term, error) {
-	next.Epoch, next.Count, next.Waiting, next.Entries = previous.Epoch+1, 0, previous.Waiting, nil
+	next.Epoch, next.Count, next.Waiting, next.Entries, next.Strong = previous.Epoch+1, 0, previous.Waiting, nil, 0
 	t := &Term{table: table, clock: clock, owner: next, version: version}
 	if err := t.settle(ctx, fold.Txn{}, t.owner); err != nil {
 		return nil, err
@@ -97,10 +106,10 @@
 
 // Commit applies the transaction and renews the ownership. It tries until the outcome is known. A Fenced error means
 // that another entry has taken over, a Conflict error that a condition of txn itself has failed; nothing was written.
-func (t *Term) Commit(ctx context.Context, txn fold.Txn, waiting map[string]int, entries []string) error {
+func (t *Term) Commit(ctx context.Context, txn fold.Txn, note Note) error {
 	next := t.owner
 	next.Count++
-	next.Waiting, next.Entries = waiting, entries
+	next.Waiting, next.Entries, next.Strong = note.Waiting, note.Entries, note.Strong
 	return t.settle(ctx, txn, next)
 }
 
--- a/fold/node/link.go
+++ b/fold/node/link.go
@@ -22,8 +22,9 @@
 	stateCall  = "state"
 	// newsCall is made by an entry that the table turns away.
 	newsCall = "news"
-	// announceCall is made by the owner to the other entries.
+	// announceCall and inviteCall are made by the owner to the other entries.
 	announceCall = "announce"
+	inviteCall   = "invite"
 )
 
 // ownerRest is how long the owner is left alone after it did not answer.
@@ -74,8 +75,11 @@
 		}
 		return conflictAsAnswer(accepted{}, d.Cancel(ctx, w.ID, w.Check))
 	})
-	peer.Handle(node, announceCall, func(_ context.Context, _ string, a announcement) (bool, error) {
-		return true, n.announced(a)
+	peer.Handle(node, announceCall, func(ctx context.Context, _ string, a announcement) (bool, error) {
+		return n.announced(a, a.On && n.served(ctx))
+	})
+	peer.Handle(node, inviteCall, func(ctx context.Context, _ string, epoch int64) (bool, error) {
+		return n.served(ctx) && n.invited(epoch), nil
 	})
 	peer.Handle(node, stateCall, func(_ context.Context, _ string, id string) (shown, error) {
 		d, err := n.loaded()
@@ -94,19 +98,49 @@
 }
 
 // announced notes an announcement; one that was overtaken by a later one changes nothing. It is refused once this entry
-// has begun to take over from that owner, or knows of a newer one.
-func (n *Node) announced(a announcement) error {
+// has begun to take over from that owner, or knows of a newer one. While the table serves this entry well it is not noted,
+// which the answer tells: the owner then should not go on without the table.
+func (n *Node) announced(a announcement, served bool) (noted bool, err error) {
+	if served {
+		return false, nil
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if a.Epoch <= n.taking || a.Epoch < n.seat.owner.Epoch {
-		return fold.Refuse(fold.Fenced, "let the newer owner go on", "epoch %d has ended", a.Epoch)
+		return false, fold.Refuse(fold.Fenced, "let the newer owner go on", "epoch %d has ended", a.Epoch)
 	}
 	last := n.announcement
 	if a.Epoch > last.Epoch || a.Epoch == last.Epoch && (a.Number > last.Number || a.Number == last.Number && !a.On) {
 		n.announcement = a
 		n.log.Debug("Runs without records.", "epoch", a.Epoch, "on", a.On)
 	}
-	return nil
+	return true, nil
+}
+
+// servedTime is how long the table takes at most for a read when it serves an entry well.
+const servedTime = 50 * time.Millisecond
+
+// served reports whether the table serves this entry well now.
+func (n *Node) served(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, servedTime)
+	defer cancel()
+	_, _, err := lead.Read(ctx, n.parts.Table)
+	return err == nil
+}
+
+// invited makes this entry take over from the owner of the epoch at once.
+func (n *Node) invited(epoch int64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leaving.Load() {
+		return false
+	}
+	n.invitation = epoch
+	select {
+	case n.invitedNow <- struct{}{}:
+	default:
+	}
+	return true
 }
 
 // closeEpoch refuses later announcements of an epoch from which this entry is about to take over.
--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -58,11 +58,15 @@
 	telemetry   *telem.Telemetry
 	meter       *meter
 	leaving     atomic.Bool
-	ownerUp     rest
+	// invitedNow wakes the entry when it is asked to take over.
+	invitedNow chan struct{}
+	ownerUp    rest
 
 	mu     sync.Mutex
 	driver *drive.Driver
 	seat   seat
+	// invitation is the epoch whose owner asked this entry to take over.
+	invitation int64
 	// taking is the last epoch from which this entry has begun to take over.
 	taking int64
 	// announcement is the last one of an owner.
@@ -79,11 +83,11 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, parts: parts, clock: clock, log: log, incarnation: uuid.NewString(), telemetry: telemetry, meter: m}
+	n := &Node{invitedNow: make(chan struct{}, 1), settings: s, parts: parts, clock: clock, log: log, incarnation: uuid.NewString(), telemetry: telemetry, meter: m}
 	n.rules = front.NewRules(parts.Rules, clock, log, n.ruled)
 	n.rules.Ask(n.askNews)
 	n.front = front.New(parts.Table, n.rules, parts.Rules, clock, log, n.waiting, n.owner)
-	n.peers = &peers{name: s.Name, incarnation: n.incarnation, address: s.Peers, table: parts.Table, adviser: parts.Adviser, clock: clock, log: log.Named("peers")}
+	n.peers = &peers{name: s.Name, incarnation: n.incarnation, strength: s.Strength(), address: s.Peers, table: parts.Table, adviser: parts.Adviser, clock: clock, log: log.Named("peers")}
 	return n, nil
 }
 
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -23,7 +23,11 @@
 	// readWeight is the weight of the last read in the usual time of one.
 	readWeight = 0.3
 	// spareTurns spreads entries that the row does not name.
-	spareTurns = 6
+	spareTurns = 4
+	// firstWait, divided by the strength of an entry, is how long it lets stronger ones go first where the row does not
+	// name it; weakest bounds that time.
+	firstWait = 40 * time.Millisecond
+	weakest   = 0.05
 	// pingTime bounds the question whether the owner is at work.
 	pingTime = 250 * time.Millisecond
 	// releaseTime bounds the hand-over of the pool.
@@ -85,18 +89,47 @@
 			s.owner, s.version, s.read = owner, version, now
 			s.usual += time.Duration(readWeight * float64(now.Sub(sent)-s.usual))
 			n.setSeat(s)
-			if owner.Entry == "" || now.Sub(s.changed) > lead.LapseOf(s.usual) || n.vacant(ctx, owner, contacts > 1) {
+			if owner.Entry == "" || now.Sub(s.changed) > lead.LapseOf(s.usual) || n.isInvited(owner.Epoch) || n.vacant(ctx, owner, contacts > 1) {
 				return owner, version, nil
 			}
 		}
 		select {
 		case <-ctx.Done():
 			return lead.Owner{}, 0, ctx.Err()
+		case <-n.invitedNow:
 		case <-n.clock.After(lead.Poll):
 		}
 	}
 }
 
+// isInvited reports whether the owner of the epoch asked this entry to take over.
+func (n *Node) isInvited(epoch int64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return epoch > 0 && n.invitation == epoch
+}
+
+// wait is how long this entry lets others try first: those that the row names as fit go first, in its order.
+func (n *Node) wait(owner lead.Owner, usual time.Duration) time.Duration {
+	if n.isInvited(owner.Epoch) {
+		return 0
+	}
+	turn := max(takeTurn, turnReads*usual)
+	if owner.Epoch == 0 {
+		// At the first start nobody knows the others: a weak entry lets others go first.
+		return time.Duration(float64(firstWait) / max(weakest, n.settings.Strength()))
+	}
+	place := slices.Index(owner.Entries, n.incarnation)
+	switch {
+	case place < 0:
+		return time.Duration(float64(rand.IntN(spareTurns))*float64(turn)) + time.Duration(float64(firstWait)/max(weakest, n.settings.Strength()))
+	case place < owner.Strong:
+		return time.Duration(place) * turn
+	default:
+		return lead.Poll + time.Duration(place)*turn
+	}
+}
+
 // vacant reports whether the owner that the row names surely does not own the pool any more: its process is gone or says
 // so itself. An owner that does not answer may still be at work. One that the table turns away says that it is not; that
 // counts only while the table serves this entry steadily.
@@ -122,14 +155,10 @@
 	n.mu.Lock()
 	usual := n.seat.usual
 	n.mu.Unlock()
-	place := slices.Index(owner.Entries, n.incarnation)
-	if place < 0 {
-		place = rand.IntN(spareTurns)
-	}
 	select {
 	case <-ctx.Done():
 		return nil, ctx.Err()
-	case <-n.clock.After(time.Duration(place) * max(takeTurn, turnReads*usual)):
+	case <-n.clock.After(n.wait(owner, usual)):
 	}
 	if b, _, _ := n.rules.Now(); b == nil {
 		return nil, fold.Refuse(fold.Unavailable, "wait for the configuration", "the configuration is not known yet")
@@ -154,7 +183,7 @@
 	b, _, _ := n.rules.Now()
 	driver := drive.New(drive.Parts{
 		Table: n.parts.Table, Log: n.parts.Log, Runner: n.parts.Runner, Roster: n.parts.Roster,
-		Askers: n.peers.askers, Entries: n.peers.entries, Announce: n.peers.announce, Await: await, Clock: n.clock, Logger: n.log, Times: n.settings.Times(), Meter: n.meter,
+		Askers: n.peers.askers, Entries: n.peers.entries, Stronger: n.peers.stronger, Announce: n.peers.announce, Await: await, Clock: n.clock, Logger: n.log, Times: n.settings.Times(), Meter: n.meter,
 	}, term, b.Rules())
 	following, stop := context.WithCancel(ctx)
 	defer stop()
@@ -175,6 +204,7 @@
 		return
 	}
 	n.log.Info("Handed the pool over.", "epoch", term.Epoch())
+	n.peers.invite(release, term.Epoch())
 }
 
 func (n *Node) setDriver(d *drive.Driver) {
--- a/fold/node/peers.go
+++ b/fold/node/peers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"crypto/rand"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -39,6 +40,8 @@
 type registration struct {
 	Address     string `json:"address"`
 	Incarnation string `json:"incarnation"`
+	// Strength rates how well the entry can own the pool.
+	Strength float64 `json:"strength"`
 }
 
 // advising is the question of an advise call.
@@ -57,6 +60,7 @@
 	log     hclog.Logger
 
 	incarnation string
+	strength    float64
 
 	mu   sync.Mutex
 	node *peer.Node
@@ -96,7 +100,7 @@
 
 // register writes the entry's row.
 func (p *peers) register(ctx context.Context) error {
-	value, err := codec.Encode(registration{Address: p.address, Incarnation: p.incarnation})
+	value, err := codec.Encode(registration{Address: p.address, Incarnation: p.incarnation, Strength: p.strength})
 	if err != nil {
 		return err
 	}
@@ -164,16 +168,56 @@
 	return nil
 }
 
-// entries returns the incarnations of the other entries that answer.
-func (p *peers) entries() []string {
+// fit is the share of the greatest strength from which on an entry is fit to own the pool.
+const fit = 0.7
+
+// ranked returns the other entries that answer, the strongest first.
+func (p *peers) ranked() []registration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	incarnations := make([]string, 0, len(p.known))
+	entries := make([]registration, 0, len(p.known))
 	for _, entry := range p.known {
+		entries = append(entries, entry)
+	}
+	slices.SortFunc(entries, func(a, b registration) int {
+		return cmp.Or(cmp.Compare(b.Strength, a.Strength), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return entries
+}
+
+// entries returns the incarnations of the other entries that answer, the strongest first, and how many of them are fit
+// to own the pool.
+func (p *peers) entries() (incarnations []string, strong int) {
+	ranked := p.ranked()
+	for _, entry := range ranked {
 		incarnations = append(incarnations, entry.Incarnation)
+		if entry.Strength >= fit*max(p.strength, ranked[0].Strength) {
+			strong++
+		}
+	}
+	return incarnations, strong
+}
+
+// stronger reports whether this entry is not fit to own the pool beside the strongest one.
+func (p *peers) stronger() bool {
+	ranked := p.ranked()
+	return len(ranked) > 0 && p.strength < fit*ranked[0].Strength
+}
+
+// invite asks the strongest entries, one after the other, to take the pool over from the epoch at once.
+func (p *peers) invite(ctx context.Context, epoch int64) {
+	node := p.link()
+	if node == nil {
+		return
+	}
+	for _, entry := range p.ranked() {
+		call, cancel := context.WithTimeout(ctx, pingTime)
+		accepted, err := peer.Call[int64, bool](call, node, entry.Address, inviteCall, epoch)
+		cancel()
+		if err == nil && accepted {
+			return
+		}
 	}
-	slices.Sort(incarnations)
-	return incarnations
 }
 
 // announce tells the entries that the owner starts runs without records, or no longer does, and reports whether all of
@@ -194,13 +238,24 @@
 	var group errgroup.Group
 	for _, address := range addresses {
 		group.Go(func() error {
-			_, err := peer.Call[announcement, bool](ctx, node, address, announceCall, announcement{Epoch: epoch, Number: number, On: on})
+			noted, err := peer.Call[announcement, bool](ctx, node, address, announceCall, announcement{Epoch: epoch, Number: number, On: on})
+			if err == nil && !noted {
+				return errHealthy
+			}
 			return err
 		})
 	}
-	return group.Wait() == nil
+	err := group.Wait()
+	if errors.Is(err, errHealthy) {
+		p.log.Info("The table serves other entries.", "epoch", epoch)
+		p.invite(ctx, epoch)
+	}
+	return err == nil
 }
 
+// errHealthy says that the table serves another entry well.
+var errHealthy = errors.New("the table serves the entry")
+
 // link returns this entry's side of the connections to others, or nil before it serves them.
 func (p *peers) link() *peer.Node {
 	p.mu.Lock()
--- a/fold/node/settings.go
+++ b/fold/node/settings.go
@@ -32,6 +32,9 @@
 	Early   float64 `json:"early"`
 	// Grace is how long the process may take to stop.
 	Grace float64 `json:"grace"`
+	// Cores is the processor time that the process may use, in cores; Link is the speed of its network link in Mbit/s.
+	Cores float64 `json:"cores"`
+	Link  float64 `json:"link"`
 	// Memory bounds the process, in MiB.
 	Memory float64 `json:"memory"`
 }
@@ -79,6 +82,18 @@
 	return nil
 }
 
+// ownerLink is the link that an owner of a few hundred hosts fills to a small part, in Mbit/s; a slower one counts
+// against an entry.
+const ownerLink = 100
+
+// Strength rates how well the entry can own the pool: its cores, less with a slow link.
+func (s Settings) Strength() float64 {
+	if s.Link <= 0 {
+		return s.Cores
+	}
+	return s.Cores * min(1, s.Link/ownerLink)
+}
+
 // Times returns the bounds of the platform's hosts.
 func (s Settings) Times() core.Times {
 	return core.Times{Lease: ms(s.Lease), Stop: ms(s.Stop), Restore: ms(s.Restore), Save: ms(s.Save), Early: ms(s.Early), Keep: keepTime}
