--- a/Makefile
+++ b/Makefile
@@ -19,11 +19,11 @@
 	go test -race -count=1 $(if $(SKIP),-skip '^($(SKIP))$$') $(PACKAGES)
 
 lint:
-	@out="$$(go run $(FUMPT) -l fold cmd)"; test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
+	@out="$$(go run $(FUMPT) -l fold cmd platform)"; test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
 	@for m in $(MODULES); do (cd $$m && go run $(LINT) run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
 format:
-	go run $(FUMPT) -w fold cmd
+	go run $(FUMPT) -w fold cmd platform
 
 generate:
 	cd fold/daemon && go run $(WIRE) gen .
--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -121,19 +121,7 @@
 		}
 		c.doneRun(t)
 	case fold.EndFailed:
-		if h.health.bad(c.now, name.Job) {
-			c.log.Warn("Host barred after failures.", "host", h.info.ID, "job", name.Job)
-		}
-		c.stats.Failed++
-		// A run that is not live was counted before, by an earlier owner, or its lease had lapsed, unless it was started
-		// without a record.
-		found := r == nil && t.unrecorded(e.Run) && !slices.Contains(t.counted, e.Run)
-		if found {
-			t.counted = append(t.counted, e.Run)
-		}
-		if r != nil || found {
-			c.failedRun(t, e.Run)
-		}
+		c.failedEnd(h, t, e.Run, r != nil)
 	case fold.EndAlone, fold.EndBroken, fold.EndLapsed, fold.EndStopped:
 		c.stats.Lost++
 	}
@@ -146,6 +134,22 @@
 	}
 }
 
+// failedEnd counts the failure of a run. One that is not live was counted before, by an earlier owner, or its lease had
+// lapsed, unless it was started without a record.
+func (c *Cell) failedEnd(h *host, t *task, number int, live bool) {
+	if h.health.bad(c.now, t.part.job.spec.ID) {
+		c.log.Warn("Host barred after failures.", "host", h.info.ID, "job", t.part.job.spec.ID)
+	}
+	c.stats.Failed++
+	found := !live && t.unrecorded(number) && !slices.Contains(t.counted, number)
+	if found {
+		t.counted = append(t.counted, number)
+	}
+	if live || found {
+		c.failedRun(t, number)
+	}
+}
+
 // task returns the task with the name, or nil.
 func (c *Cell) task(n flow.TaskName) *task {
 	j, ok := c.jobs[n.Job]
--- a/fold/flow/job.go
+++ b/fold/flow/job.go
@@ -111,9 +111,10 @@
 	return false
 }
 
+const remedy = "correct the job and submit it again"
+
 // Check refuses a job that could not be kept or run.
 func (j *Job) Check() error {
-	const remedy = "correct the job and submit it again"
 	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
 		return fold.Refuse(fold.Invalid, remedy, "a job has 1 to %d steps, this one has %d", MaxSteps, len(j.Steps))
 	}
@@ -126,13 +127,8 @@
 	total := 0
 	for i, s := range j.Steps {
 		total += s.Count
-		if s.Count < 1 || s.Size.Negative() || s.Estimate < 0 || s.PerHost < 0 || s.Away < 0 || s.Target < 0 {
-			return fold.Refuse(fold.Invalid, remedy, "step %d has a count below 1 or a negative field", i)
-		}
-		for _, a := range s.After {
-			if a < 0 || a >= i {
-				return fold.Refuse(fold.Invalid, remedy, "step %d waits for step %d, which is not an earlier one", i, a)
-			}
+		if err := s.check(i); err != nil {
+			return err
 		}
 	}
 	if total > MaxTasks {
@@ -141,6 +137,19 @@
 	return nil
 }
 
+// check refuses the step at the given place of its job.
+func (s Step) check(place int) error {
+	if s.Count < 1 || s.Size.Negative() || s.Estimate < 0 || s.PerHost < 0 || s.Away < 0 || s.Target < 0 {
+		return fold.Refuse(fold.Invalid, remedy, "step %d has a count below 1 or a negative field", place)
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= place {
+			return fold.Refuse(fold.Invalid, remedy, "step %d waits for step %d, which is not an earlier one", place, a)
+		}
+	}
+	return nil
+}
+
 // TaskName identifies a task over all jobs.
 type TaskName struct {
 	Job        string
--- a/fold/lead/lead.go
+++ b/fold/lead/lead.go
@@ -73,8 +73,10 @@
 
 // Term is the ownership of one epoch. Commit must not be called concurrently.
 type Term struct {
-	table   fold.Table
-	clock   fold.Clock
+	table fold.Table
+	clock fold.Clock
+	// epoch never changes, so that it may be read during a commit.
+	epoch   int64
 	owner   Owner
 	version int64
 	// usual is the usual time of a try.
@@ -92,7 +94,7 @@
 // faster.
 func Take(ctx context.Context, table fold.Table, clock fold.Clock, previous Owner, version int64, next Owner) (*Term, error) {
 	next.Epoch, next.Count, next.Waiting, next.Entries, next.Strong = previous.Epoch+1, 0, previous.Waiting, nil, 0
-	t := &Term{table: table, clock: clock, owner: next, version: version}
+	t := &Term{table: table, clock: clock, epoch: next.Epoch, owner: next, version: version}
 	if err := t.settle(ctx, fold.Txn{}, t.owner); err != nil {
 		return nil, err
 	}
@@ -101,7 +103,7 @@
 
 // Epoch returns the epoch of the term.
 func (t *Term) Epoch() int64 {
-	return t.owner.Epoch
+	return t.epoch
 }
 
 // Commit applies the transaction and renews the ownership. It tries until the outcome is known. A Fenced error means
--- /dev/null
+++ b/fold/lead/lead_test.go
@@ -0,0 +1,127 @@
+package lead_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/joomcode/errorx"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/lead"
+	"plantainfold.example/fold/plat"
+)
+
+// flaky loses or refuses calls of a table.
+type flaky struct {
+	fold.Table
+	// after is run behind a commit that the table has taken; its error replaces the answer. before refuses commits.
+	before, after func() error
+}
+
+func (f *flaky) Commit(ctx context.Context, t fold.Txn) (int64, error) {
+	if f.before != nil {
+		if err := f.before(); err != nil {
+			return 0, err
+		}
+	}
+	version, err := f.Table.Commit(ctx, t)
+	if err == nil && f.after != nil {
+		if lost := f.after(); lost != nil {
+			return 0, lost
+		}
+	}
+	return version, err
+}
+
+func take(t *testing.T, table fold.Table, entry string) *lead.Term {
+	t.Helper()
+	owner, version, err := lead.Read(t.Context(), table)
+	if err != nil {
+		t.Fatal(err)
+	}
+	term, err := lead.Take(t.Context(), table, fold.BootClock{}, owner, version, lead.Owner{Entry: entry, Incarnation: entry + "-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return term
+}
+
+// Guards against an owner that counts a commit as failed although it took effect, writes it twice, or goes on after
+// another entry has taken over.
+func TestTerm(t *testing.T) {
+	row := fold.Txn{Puts: []fold.Put{{Key: "state/a", Value: []byte("x")}}}
+	cases := []struct {
+		name string
+		run  func(t *testing.T, table *flaky, term *lead.Term) error
+		want *errorx.Type
+	}{
+		{"commits", func(t *testing.T, _ *flaky, term *lead.Term) error {
+			return term.Commit(t.Context(), row, lead.Note{})
+		}, nil},
+		{"lost answer", func(t *testing.T, table *flaky, term *lead.Term) error {
+			lost := false
+			table.after = func() error {
+				if lost {
+					return nil
+				}
+				lost = true
+				return fold.Unknown.New("lost")
+			}
+			return term.Commit(t.Context(), row, lead.Note{})
+		}, nil},
+		{"never reached", func(t *testing.T, table *flaky, term *lead.Term) error {
+			table.before = func() error { return fold.Refuse(fold.Unavailable, "", "busy") }
+			err := term.Commit(t.Context(), row, lead.Note{})
+			table.before = nil
+			return err
+		}, fold.Unavailable},
+		{"another owner", func(t *testing.T, table *flaky, term *lead.Term) error {
+			take(t, table, "two")
+			return term.Commit(t.Context(), row, lead.Note{})
+		}, fold.Fenced},
+		{"condition of a request", func(t *testing.T, _ *flaky, term *lead.Term) error {
+			txn := row
+			txn.Checks = []fold.Check{{Key: "job/a", Version: 7}}
+			return term.Commit(t.Context(), txn, lead.Note{})
+		}, fold.Conflict},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := &flaky{Table: plat.NewTable()}
+			term := take(t, table, "one")
+			err := c.run(t, table, term)
+			if c.want == nil && err != nil || c.want != nil && !errorx.IsOfType(err, c.want) {
+				t.Fatalf("error %v, want %v", err, c.want)
+			}
+			_, err = table.Get(t.Context(), "state/a")
+			if written := err == nil; written != (c.want == nil) {
+				t.Errorf("written: %v, although the commit returned %v", written, c.want)
+			}
+			if c.want == fold.Fenced {
+				return
+			}
+			if err := term.Commit(t.Context(), fold.Txn{}, lead.Note{}); err != nil {
+				t.Errorf("the next commit failed: %v", err)
+			}
+		})
+	}
+}
+
+// Guards against an epoch that does not grow with a takeover, and a row that still names an owner after a hand-over.
+func TestHandOver(t *testing.T) {
+	table := plat.NewTable()
+	first := take(t, table, "one")
+	if err := first.Commit(t.Context(), fold.Txn{}, lead.Note{Waiting: map[string]int{"q": 3}, Entries: []string{"two-1"}, Strong: 1}); err != nil {
+		t.Fatal(err)
+	}
+	if err := first.Release(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	owner, _, err := lead.Read(t.Context(), table)
+	if err != nil || owner.Entry != "" || owner.Waiting["q"] != 3 {
+		t.Errorf("owner %+v after the hand-over, error %v", owner, err)
+	}
+	if second := take(t, table, "two"); second.Epoch() <= first.Epoch() {
+		t.Errorf("epoch %d after %d", second.Epoch(), first.Epoch())
+	}
+}
--- a/fold/model/audit.go
+++ b/fold/model/audit.go
@@ -13,8 +13,6 @@
 	cancelTime = 3 * time.Second
 	// limitExcess is the share by which a team may exceed its limit, beside one task.
 	limitExcess = 0.1
-	// notedAfter is how long a listed end needs to count as noted.
-	notedAfter = 100 * time.Millisecond
 )
 
 // judge checks a start against the promises.
--- a/fold/model/host.go
+++ b/fold/model/host.go
@@ -203,7 +203,7 @@
 	h.settle(r)
 	at := r.truth.work - max(0, r.left)
 	if !stopped {
-		at = at / saveEvery * saveEvery
+		at = at.Truncate(saveEvery)
 	}
 	if at <= 0 {
 		return ""
--- a/fold/plat/table.go
+++ b/fold/plat/table.go
@@ -18,6 +18,7 @@
 	mu      sync.RWMutex
 	rows    *btree.BTreeG[fold.Row]
 	version int64
+	history history
 }
 
 var _ fold.Table = &Table{}
@@ -67,11 +68,16 @@
 	}
 	t.version++
 	for _, put := range txn.Puts {
-		t.rows.ReplaceOrInsert(fold.Row{Key: put.Key, Value: append([]byte(nil), put.Value...), Version: t.version})
+		row := fold.Row{Key: put.Key, Value: append([]byte(nil), put.Value...), Version: t.version}
+		t.rows.ReplaceOrInsert(row)
+		t.history.note(fold.RowChange{Row: row})
 	}
 	for _, key := range txn.Deletes {
-		t.rows.Delete(fold.Row{Key: key})
+		if _, found := t.rows.Delete(fold.Row{Key: key}); found {
+			t.history.note(fold.RowChange{Row: fold.Row{Key: key, Version: t.version}, Deleted: true})
+		}
 	}
+	t.history.tell()
 	return t.version, nil
 }
 
