Invite another owner only when records are held up for long

Change: the invitation comes after 500 ms, only while the commit is still under way, and counts once.

--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -255,10 +255,17 @@
 
 // heldUp reports whether records are held up although this entry still owns the pool.
 func (d *Driver) heldUp() bool {
+	return d.heldUpFor() >= heldUpAfter
+}
+
+// heldUpFor returns how long the commit under way takes already.
+func (d *Driver) heldUpFor() time.Duration {
 	d.intake.mu.Lock()
-	stuck := d.intake.stuck
-	d.intake.mu.Unlock()
-	return stuck != 0 && d.parts.Clock.Now().Sub(stuck) >= heldUpAfter
+	defer d.intake.mu.Unlock()
+	if d.intake.stuck == 0 {
+		return 0
+	}
+	return d.parts.Clock.Now().Sub(d.intake.stuck)
 }
 
 func (d *Driver) setStuck(at fold.Instant) {
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -27,9 +27,11 @@
 	// Stronger reports whether another entry should own the pool instead of this one.
 	Stronger func() bool
 	// Announce tells the entries that this owner starts runs without records, or no longer does; number orders the
-	// announcements of an epoch. It reports whether all of the entries have noted it. An entry that the table serves well
-	// takes over instead of noting it.
+	// announcements of an epoch. It reports whether all of the entries have noted it; an entry that the table serves well
+	// does not.
 	Announce func(ctx context.Context, entries []string, epoch, number int64, on bool) bool
+	// Invite asks an entry that the table serves to take over from the epoch.
+	Invite func(ctx context.Context, epoch int64)
 	// Await says that an earlier owner may have started runs without records.
 	Await  bool
 	Clock  fold.Clock
--- a/fold/drive/notice.go
+++ b/fold/drive/notice.go
@@ -6,8 +6,13 @@
 	"time"
 )
 
-// noticeTime bounds the announcement to the other entries, which answer within a message and back.
-const noticeTime = 250 * time.Millisecond
+const (
+	// noticeTime bounds the announcement to the other entries, which answer within a message and back.
+	noticeTime = 250 * time.Millisecond
+	// inviteAfter is how long records are held up before another entry, which the table serves, is asked to take over; it
+	// is less than the time after which the others would do so by themselves.
+	inviteAfter = 500 * time.Millisecond
+)
 
 // notice is what the other entries know of runs without records.
 type notice struct {
@@ -41,6 +46,9 @@
 		call, cancel := context.WithTimeout(ctx, noticeTime)
 		noted := d.parts.Announce(call, entries, d.term.Epoch(), number, true)
 		cancel()
+		if !noted && d.heldUpFor() > inviteAfter {
+			d.parts.Invite(ctx, d.term.Epoch())
+		}
 		n.mu.Lock()
 		n.asking, n.on = false, noted
 		n.mu.Unlock()
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -59,6 +59,7 @@
 		case err == nil:
 			n.serveTerm(ctx, term, n.mustAwait(owner))
 		case ctx.Err() == nil:
+			n.forgetInvitation()
 			n.log.Info("Did not take over the pool.", "owner", owner.Entry, "epoch", owner.Epoch, "error", err)
 		}
 	}
@@ -109,6 +110,13 @@
 	return epoch > 0 && n.invitation == epoch
 }
 
+// forgetInvitation drops an invitation that led to nothing: its owner works on, or another entry was faster.
+func (n *Node) forgetInvitation() {
+	n.mu.Lock()
+	n.invitation = 0
+	n.mu.Unlock()
+}
+
 // wait is how long this entry lets others try first: those that the row names as fit go first, in its order.
 func (n *Node) wait(owner lead.Owner, usual time.Duration) time.Duration {
 	if n.isInvited(owner.Epoch) {
@@ -183,7 +191,7 @@
 	b, _, _ := n.rules.Now()
 	driver := drive.New(drive.Parts{
 		Table: n.parts.Table, Log: n.parts.Log, Runner: n.parts.Runner, Roster: n.parts.Roster,
-		Askers: n.peers.askers, Entries: n.peers.entries, Stronger: n.peers.stronger, Announce: n.peers.announce, Await: await, Clock: n.clock, Logger: n.log, Times: n.settings.Times(), Meter: n.meter,
+		Askers: n.peers.askers, Entries: n.peers.entries, Stronger: n.peers.stronger, Announce: n.peers.announce, Invite: n.peers.invite, Await: await, Clock: n.clock, Logger: n.log, Times: n.settings.Times(), Meter: n.meter,
 	}, term, b.Rules())
 	following, stop := context.WithCancel(ctx)
 	defer stop()
--- a/fold/node/peers.go
+++ b/fold/node/peers.go
@@ -240,21 +240,20 @@
 		group.Go(func() error {
 			noted, err := peer.Call[announcement, bool](ctx, node, address, announceCall, announcement{Epoch: epoch, Number: number, On: on})
 			if err == nil && !noted {
-				return errHealthy
+				return errServed
 			}
 			return err
 		})
 	}
 	err := group.Wait()
-	if errors.Is(err, errHealthy) {
-		p.log.Info("The table serves other entries.", "epoch", epoch)
-		p.invite(ctx, epoch)
+	if errors.Is(err, errServed) {
+		p.log.Debug("The table serves other entries.", "epoch", epoch)
 	}
 	return err == nil
 }
 
-// errHealthy says that the table serves another entry well.
-var errHealthy = errors.New("the table serves the entry")
+// errServed says that the table serves another entry well.
+var errServed = errors.New("the table serves the entry")
 
 // link returns this entry's side of the connections to others, or nil before it serves them.
 func (p *peers) link() *peer.Node {
