--- a/fold/drive/load.go
+++ b/fold/drive/load.go
@@ -17,6 +17,8 @@
 const keepEnded = 4 * time.Minute
 
 const (
+	// maxEarly bounds the wishes to cancel jobs that are not known yet; a job follows within a second, or never.
+	maxEarly = 10000
 	// tableTime bounds a read of a row, snapshotTime a read of a whole table.
 	tableTime    = 900 * time.Millisecond
 	snapshotTime = 5 * time.Second
@@ -149,6 +151,10 @@
 		d.rows = append(d.rows, JobTable+id+CancelMark)
 		return
 	}
+	if len(d.early) >= maxEarly {
+		d.log.Warn("Forgot wishes to cancel jobs that never came.", "wishes", len(d.early))
+		clear(d.early)
+	}
 	d.early[id] = true
 }
 
