--- /dev/null
+++ b/fold/node/standin_test.go
@@ -0,0 +1,310 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/flow"
+	"plantainfold.example/fold/front"
+	"plantainfold.example/fold/node"
+	"plantainfold.example/fold/plat"
+)
+
+// rules is a configuration that a test changes.
+type rules struct {
+	mu      sync.Mutex
+	now     fold.Rules
+	table   *plat.Table
+	version int64
+}
+
+const rulesKey = "op/config"
+
+func (r *rules) set(t *testing.T, now fold.Rules) {
+	t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	version, err := r.table.Commit(t.Context(), fold.Txn{Puts: []fold.Put{{Key: rulesKey}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.now, r.version = now, version
+}
+
+func (r *rules) Read(context.Context) (fold.Rules, int64, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.now, r.version, nil
+}
+
+func (r *rules) Next(ctx context.Context, after int64, wait time.Duration) (fold.Rules, int64, bool, error) {
+	if _, _, err := r.table.Changes(ctx, "op/", after, wait); err != nil {
+		return fold.Rules{}, 0, false, err
+	}
+	now, version, _ := r.Read(ctx)
+	return now, version, version > after, nil
+}
+
+func (r *rules) Check(version int64) fold.Check {
+	return fold.Check{Key: rulesKey, Version: version}
+}
+
+// hosts is a stand-in for hosts: each task takes a moment. It records what was started.
+type hosts struct {
+	mu    sync.Mutex
+	born  time.Time
+	fence map[string]int64
+	runs  map[string]map[string]fold.HostRun
+	ends  map[string][]fold.HostEnd
+	count map[string]int64
+	// starts counts the runs of each task.
+	starts map[string]int
+	wake   chan struct{}
+}
+
+func newHosts() *hosts {
+	return &hosts{
+		born: time.Now(), fence: make(map[string]int64), runs: make(map[string]map[string]fold.HostRun),
+		ends: make(map[string][]fold.HostEnd), count: make(map[string]int64), starts: make(map[string]int), wake: make(chan struct{}),
+	}
+}
+
+const taskTime = 150 * time.Millisecond
+
+func (h *hosts) Hosts(context.Context) ([]fold.Host, error) {
+	var list []fold.Host
+	for i := range 3 {
+		name := fmt.Sprintf("host-%d", i)
+		list = append(list, fold.Host{ID: name, Address: name, Born: 1, Service: "pool", Capacity: fold.Resources{CPU: 4000, Memory: 4000}})
+	}
+	return list, nil
+}
+
+func (h *hosts) check(id string, fence int64) error {
+	if fence < h.fence[id] {
+		return fold.HostFenced.New("fence")
+	}
+	h.fence[id] = fence
+	return nil
+}
+
+func (h *hosts) Hold(ctx context.Context, host fold.Host, q fold.HoldRequest) (fold.HoldReply, error) {
+	limit := time.After(q.Wait)
+	for {
+		h.mu.Lock()
+		if err := h.check(host.ID, q.Fence); err != nil {
+			h.mu.Unlock()
+			return fold.HoldReply{}, err
+		}
+		for len(h.ends[host.ID]) > 0 && h.ends[host.ID][0].Number <= q.Acked {
+			h.ends[host.ID] = h.ends[host.ID][1:]
+		}
+		reply := fold.HoldReply{Clock: time.Since(h.born).Milliseconds(), Born: 1, Ends: append([]fold.HostEnd(nil), h.ends[host.ID]...)}
+		for _, r := range h.runs[host.ID] {
+			reply.Runs = append(reply.Runs, r)
+		}
+		wake := h.wake
+		h.mu.Unlock()
+		if len(reply.Ends) > 0 || q.Wait == 0 {
+			return reply, nil
+		}
+		select {
+		case <-ctx.Done():
+			return fold.HoldReply{}, ctx.Err()
+		case <-limit:
+			return reply, nil
+		case <-wake:
+		}
+	}
+}
+
+func (h *hosts) Start(_ context.Context, host fold.Host, q fold.StartRequest) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err := h.check(host.ID, q.Fence); err != nil {
+		return err
+	}
+	if _, ok := h.runs[host.ID][q.Task]; ok {
+		return nil
+	}
+	if h.runs[host.ID] == nil {
+		h.runs[host.ID] = make(map[string]fold.HostRun)
+	}
+	h.runs[host.ID][q.Task] = fold.HostRun{Task: q.Task, Run: q.Run}
+	h.starts[q.Task]++
+	time.AfterFunc(taskTime, func() { h.end(host.ID, q.Task, q.Run, fold.EndDone) })
+	return nil
+}
+
+func (h *hosts) end(id, task string, run int, how fold.End) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, ok := h.runs[id][task]; !ok {
+		return
+	}
+	delete(h.runs[id], task)
+	h.count[id]++
+	h.ends[id] = append(h.ends[id], fold.HostEnd{Number: h.count[id], Task: task, Run: run, How: how})
+	close(h.wake)
+	h.wake = make(chan struct{})
+}
+
+func (h *hosts) Stop(_ context.Context, host fold.Host, task string, run int, fence int64) error {
+	h.mu.Lock()
+	err := h.check(host.ID, fence)
+	h.mu.Unlock()
+	if err == nil {
+		h.end(host.ID, task, run, fold.EndStopped)
+	}
+	return err
+}
+
+func (h *hosts) Pace(context.Context, fold.Host, string, int, int, int64) error { return nil }
+
+func (h *hosts) Advise(_ context.Context, _ string, ids []string) (fold.Advice, error) {
+	advice := fold.Advice{Valid: 2 * time.Second}
+	for _, id := range ids {
+		advice.Grants = append(advice.Grants, fold.Grant{Host: id, Ticket: "t"})
+	}
+	return advice, nil
+}
+
+// gate is a table that can be away: calls then wait for their end.
+type gate struct {
+	*plat.Table
+	mu   sync.Mutex
+	away bool
+}
+
+func (g *gate) set(away bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.away = away
+}
+
+func (g *gate) pass(ctx context.Context) error {
+	g.mu.Lock()
+	away := g.away
+	g.mu.Unlock()
+	if !away {
+		return nil
+	}
+	<-ctx.Done()
+	return fold.Unknown.Wrap(ctx.Err(), "the table is away")
+}
+
+func (g *gate) Get(ctx context.Context, key string) (fold.Row, error) {
+	if err := g.pass(ctx); err != nil {
+		return fold.Row{}, err
+	}
+	return g.Table.Get(ctx, key)
+}
+
+func (g *gate) Commit(ctx context.Context, t fold.Txn) (int64, error) {
+	if err := g.pass(ctx); err != nil {
+		return 0, err
+	}
+	return g.Table.Commit(ctx, t)
+}
+
+// cell is a few entries over one table.
+type cell struct {
+	t      *testing.T
+	table  *gate
+	rules  *rules
+	hosts  *hosts
+	fronts []*front.Front
+	stops  []func()
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+var theRules = fold.Rules{
+	Revision: 1,
+	Queues: []fold.Queue{{
+		Name: "planning", Host: "h", Prefix: "/p/", Service: "pool", Attempts: 2, Slack: 2, Target: time.Second,
+		Advice: &fold.AdvicePolicy{Decide: time.Millisecond, Valid: 2 * time.Second},
+	}},
+	Teams: []fold.TeamRule{{Name: "crews", Keys: []string{"key"}}},
+}
+
+func newCell(t *testing.T, entries int) *cell {
+	t.Helper()
+	table := plat.NewTable()
+	c := &cell{t: t, table: &gate{Table: table}, rules: &rules{table: table}, hosts: newHosts()}
+	c.rules.set(t, theRules)
+	for i := range entries {
+		c.add(fmt.Sprintf("entry-%d", i))
+	}
+	t.Cleanup(func() {
+		for _, stop := range c.stops {
+			stop()
+		}
+	})
+	return c
+}
+
+func (c *cell) add(name string) {
+	made := make(chan *front.Front, 1)
+	n, err := node.New(node.Settings{
+		Name: name, Callers: address(c.t), Ready: address(c.t), Peers: address(c.t), Store: "unused", Lease: 6000, Stop: 900, Grace: 4000, Cores: 1,
+	}, node.Parts{
+		Table: c.table, Log: c.table, Rules: c.rules, Roster: c.hosts, Runner: c.hosts, Adviser: c.hosts,
+		Callers: func(f *front.Front, _ hclog.Logger, _ func(string, int, time.Duration)) http.Handler {
+			made <- f
+			return http.NotFoundHandler()
+		},
+	}, fold.BootClock{}, hclog.NewNullLogger())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	c.fronts = append(c.fronts, <-made)
+	c.stops = append(c.stops, sync.OnceFunc(func() {
+		cancel()
+		if err := <-done; err != nil {
+			c.t.Error(err)
+		}
+	}))
+}
+
+func (c *cell) caller(path string) front.Caller {
+	return front.Caller{Key: "key", Host: "h", Path: path, Budget: 5 * time.Second}
+}
+
+// eventually waits for a condition.
+func (c *cell) eventually(what string, fn func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if fn() {
+			return
+		}
+	}
+	c.t.Fatalf("%s: not reached within a minute", what)
+}
+
+func (c *cell) submit(f *front.Front, n int) string {
+	c.t.Helper()
+	id := fmt.Sprintf("%016x", n)
+	job := flow.Job{Spec: "s", Steps: []flow.Step{{Count: 3, Size: fold.Resources{CPU: 100}, Estimate: 100}, {Count: 2, Size: fold.Resources{CPU: 100}, After: []int{0}}}}
+	c.eventually("accepted", func() bool { return f.Submit(c.t.Context(), c.caller("/p/"+id), job) == nil })
+	return id
+}
