--- a/fold/core/ask.go
+++ b/fold/core/ask.go
@@ -109,7 +109,7 @@
 	if !slow && policy.Decide+minAsked*policy.Each > quickCall {
 		return Ask{}, false
 	}
-	if !c.team(p.job.spec.Team).within(p.step.Size) && !c.pressing(p) {
+	if !c.within(p.job.spec.Team, p.step.Size) && !c.pressing(p) {
 		return Ask{}, false
 	}
 	hosts := c.askHosts(p, open[p.job.queue.Service])
--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -63,6 +63,13 @@
 	known map[string]int64
 	// awaited are lives of hosts on which an earlier owner may have started runs without a record.
 	awaited map[string]int64
+	// hidden is the most that such runs may take; it counts against the limit of each team.
+	hidden fold.Resources
+	// recordedHosts says that this owner has recorded its hosts, knownAwaited how many of them are awaited ones.
+	recordedHosts bool
+	knownAwaited  int
+	// committed is the version of the table that the last commit of this owner made.
+	committed int64
 	// gap is added once to the run numbers of jobs of an earlier owner, if it may have started runs that nobody found.
 	gap int
 	// unrecorded says that records are held up and runs start without them.
@@ -82,9 +89,7 @@
 type team struct {
 	rule fold.TeamRule
 	used fold.Resources
-	// tokens and at implement the rate of jobs up to which the team's work is served first.
-	tokens float64
-	at     fold.Instant
+	rate rate
 }
 
 // New returns a cell without hosts and jobs.
@@ -135,7 +140,7 @@
 func (c *Cell) team(name string) *team {
 	t, ok := c.teams[name]
 	if !ok {
-		t = &team{rule: fold.TeamRule{Name: name}, at: c.now}
+		t = &team{rule: fold.TeamRule{Name: name}}
 		c.teams[name] = t
 	}
 	return t
@@ -167,9 +172,10 @@
 	return used, capacity
 }
 
-// within reports whether the team may use size more.
-func (t *team) within(size fold.Resources) bool {
-	limit, next := t.rule.Limit, t.used.Add(size)
+// within reports whether the team may use size more, beside what may run on hosts that have yet to answer.
+func (c *Cell) within(name string, size fold.Resources) bool {
+	t := c.team(name)
+	limit, next := t.rule.Limit, t.used.Add(size).Add(c.hidden)
 	return (limit.CPU == 0 || next.CPU <= limit.CPU) &&
 		(limit.Memory == 0 || next.Memory <= limit.Memory) &&
 		(limit.Accel == 0 || next.Accel <= limit.Accel)
--- a/fold/core/core_test.go
+++ b/fold/core/core_test.go
@@ -112,7 +112,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			b := newBench(t, c.rules, c.hosts...)
-			b.cell.AddJob(job(queue(0), c.steps...), flow.Record{})
+			b.cell.AddJob(job(queue(0), c.steps...), 1)
 			if got := len(b.decide().Starts); got != c.want {
 				t.Errorf("%d starts, want %d", got, c.want)
 			}
@@ -125,7 +125,7 @@
 	b := newBench(t, fold.Rules{}, host("a", 9000))
 	j := job(queue(0), step(1))
 	j.Times, j.Start, j.Every = 2, b.wall+1000, 2000
-	b.cell.AddJob(j, flow.Record{})
+	b.cell.AddJob(j, 1)
 	for _, c := range []struct {
 		wait time.Duration
 		want int
@@ -141,7 +141,7 @@
 // is never started again.
 func TestSilentHost(t *testing.T) {
 	b := newBench(t, fold.Rules{}, host("a", 1000))
-	b.cell.AddJob(job(queue(0), step(1)), flow.Record{})
+	b.cell.AddJob(job(queue(0), step(1)), 1)
 	if got := len(b.decide().Starts); got != 1 {
 		t.Fatalf("%d starts, want 1", got)
 	}
@@ -181,7 +181,7 @@
 // Guards against a start that was still waiting for its record when its host came back in a new life.
 func TestPlanOfALostHost(t *testing.T) {
 	b := newBench(t, fold.Rules{}, host("a", 1000))
-	b.cell.AddJob(job(queue(0), step(1)), flow.Record{})
+	b.cell.AddJob(job(queue(0), step(1)), 1)
 	b.cell.Decide()
 	writes := b.cell.Snapshot()
 	reborn := host("a", 1000)
@@ -196,7 +196,7 @@
 // Guards against an acknowledgement of an end that is not recorded yet.
 func TestAcknowledgement(t *testing.T) {
 	b := newBench(t, fold.Rules{}, host("a", 1000))
-	b.cell.AddJob(job(queue(0), step(1)), flow.Record{})
+	b.cell.AddJob(job(queue(0), step(1)), 1)
 	b.decide()
 	b.report(b.hosts[0], nil, []fold.HostEnd{{Number: 1, Task: id + ".0.0.0", Run: 1, How: fold.EndDone}})
 	if _, req, _ := b.cell.Hold("a", 1, true); req.Acked != 0 {
@@ -214,7 +214,7 @@
 // Guards against a failure that is counted again by each owner, and a job that is given up too late.
 func TestAttempts(t *testing.T) {
 	b := newBench(t, fold.Rules{}, host("a", 1000))
-	b.cell.AddJob(job(queue(0), step(1)), flow.Record{
+	b.cell.RestoreJob(job(queue(0), step(1)), flow.Record{
 		State: flow.Running, Parts: []flow.Part{{Runs: []uint32{1}, Fails: []uint32{1}, Done: []byte{0}}},
 	})
 	end := fold.HostEnd{Number: 1, Task: id + ".0.0.0", Run: 1, How: fold.EndFailed}
@@ -239,7 +239,7 @@
 	b.cell = core.New(core.Times{Lease: 6 * time.Second, Keep: 4 * time.Second}, hclog.NewNullLogger())
 	b.cell.SetTime(b.now, b.wall)
 	b.cell.Await(b.hosts)
-	b.cell.AddJob(job(queue(0), step(1)), flow.Record{})
+	b.cell.RestoreJob(job(queue(0), step(1)), flow.Record{})
 	b.cell.SetHosts(b.hosts)
 	b.report(b.hosts[0], nil, nil)
 	if got := len(b.decide().Starts); got != 0 {
@@ -273,9 +273,9 @@
 			long.Estimate, long.Saves = 60000, c.saves
 			slow := job(queue(2), long)
 			slow.ID = "aaaaaaaaaaaaaaaa"
-			b.cell.AddJob(slow, flow.Record{})
+			b.cell.AddJob(slow, 1)
 			b.decide()
-			b.cell.AddJob(job(queue(0), step(1)), flow.Record{})
+			b.cell.AddJob(job(queue(0), step(1)), 1)
 			b.wait(100 * time.Millisecond)
 			if got := len(b.decide().Stops); got != c.want {
 				t.Errorf("%d stops, want %d", got, c.want)
@@ -290,7 +290,7 @@
 	for n, name := range []string{"aaaaaaaaaaaaaaaa", "bbbbbbbbbbbbbbbb"} {
 		j := job(queue(0), step(1))
 		j.ID = name
-		b.cell.AddJob(j, flow.Record{})
+		b.cell.AddJob(j, 1)
 		b.decide()
 		b.report(b.hosts[0], nil, []fold.HostEnd{{Number: int64(n + 1), Task: name + ".0.0.0", Run: 1, How: fold.EndFailed}})
 	}
@@ -310,7 +310,7 @@
 	b := newBench(t, fold.Rules{}, host("a", 4000))
 	serve, fill := step(1), step(1)
 	serve.Lasting, serve.Target, fill.Fill, fill.Estimate = true, 100, true, 60000
-	b.cell.AddJob(job(queue(0), serve, fill), flow.Record{})
+	b.cell.AddJob(job(queue(0), serve, fill), 1)
 	b.decide()
 	tell := func(load int64) []core.Pace {
 		b.wait(700 * time.Millisecond)
--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -16,13 +16,14 @@
 	c.evacuate()
 	c.sortActive()
 	open := c.openHosts()
-	if !c.waits() {
-		for _, p := range c.active {
+	c.heard()
+	for _, p := range c.active {
+		if !c.held(p) {
 			c.plan(p, open)
 		}
-		c.makeRoom(open)
-		c.startUnrecorded()
 	}
+	c.makeRoom(open)
+	c.startUnrecorded()
 	c.pace()
 	c.explain(open)
 }
@@ -192,8 +193,7 @@
 
 // seatGang tries to place every task of the gang on the hosts.
 func (c *Cell) seatGang(p *part, hosts []*host) []*host {
-	t := c.team(p.job.spec.Team)
-	if !t.within(p.step.Size.Times(int64(len(p.tasks)))) {
+	if !c.within(p.job.spec.Team, p.step.Size.Times(int64(len(p.tasks)))) {
 		return nil
 	}
 	taken := make(map[*host]int)
@@ -321,8 +321,7 @@
 
 // choose returns the best host for a task, or nil. taken counts tasks that are about to be placed beside it.
 func (c *Cell) choose(p *part, t *task, hosts []*host, taken map[*host]int) *host {
-	team := c.team(p.job.spec.Team)
-	if !team.within(p.step.Size) {
+	if !c.within(p.job.spec.Team, p.step.Size) {
 		return nil
 	}
 	claim := p.step.Claim()
--- a/fold/core/explain.go
+++ b/fold/core/explain.go
@@ -39,7 +39,7 @@
 }
 
 func (c *Cell) why(p *part, hosts []*host) reasons {
-	w := reasons{open: len(hosts), limit: !c.team(p.job.spec.Team).within(p.step.Size)}
+	w := reasons{open: len(hosts), limit: !c.within(p.job.spec.Team, p.step.Size)}
 	for _, h := range hosts {
 		switch {
 		case !p.allowed(h) || p.advice.no[h.info.ID]:
--- a/fold/core/job.go
+++ b/fold/core/job.go
@@ -20,7 +20,11 @@
 	// left counts the parts that are not done, live the runs that may be on a host.
 	left, live int
 	begun      bool
-	// restored says that an earlier owner has recorded progress, or could have.
+	// seq numbers the records.
+	seq int64
+	// version is the version of the table with which the job was accepted, or 0 for a job that this owner has loaded.
+	version int64
+	// restored says that an earlier owner knew the job and may have started runs of it without a record.
 	restored bool
 	dirty    bool
 	// due is when the job should end, late when it has lost most of its worth.
@@ -134,13 +138,24 @@
 	return !t.done && len(t.runs) == 0
 }
 
-// AddJob takes a job with the progress that was recorded; an empty record is a new job. Jobs that are known already are
-// left as they are.
-func (c *Cell) AddJob(spec flow.Job, rec flow.Record) {
+// RestoreJob takes a job of an earlier owner with the progress that was recorded.
+func (c *Cell) RestoreJob(spec flow.Job, rec flow.Record) {
+	j := &job{spec: spec, restored: len(c.awaited) > 0}
+	c.addJob(j, rec)
+}
+
+// AddJob takes a job that was accepted with the given version of the table, after this owner took over. Jobs that are
+// known already are left as they are.
+func (c *Cell) AddJob(spec flow.Job, version int64) {
+	c.addJob(&job{spec: spec, version: version}, flow.Record{})
+}
+
+func (c *Cell) addJob(j *job, rec flow.Record) {
+	spec := j.spec
 	if _, ok := c.jobs[spec.ID]; ok {
 		return
 	}
-	j := &job{spec: spec, queue: spec.Queue, state: flow.Queued, shown: flow.Queued, restored: len(c.awaited) > 0}
+	j.queue, j.state, j.shown = spec.Queue, flow.Queued, flow.Queued
 	if q, ok := c.queues[spec.Queue.Name]; ok {
 		j.queue = q
 	}
@@ -198,23 +213,11 @@
 	j.due = accepted.Add(objective)
 	j.late = accepted.Add(lateness * objective)
 	t := c.team(j.spec.Team)
-	if rate := t.rule.Weight; rate > 0 {
-		t.tokens = min(rate*rateWindow.Seconds(), t.tokens+rate*c.now.Sub(t.at).Seconds())
-		t.at = c.now
-		if t.tokens < 1 {
-			j.excess = true
-			return
-		}
-		t.tokens--
-	}
+	j.excess = !t.rate.take(t.rule.Weight, j.spec.Accepted)
 }
 
-const (
-	// rateWindow is how much of its rate a team may send at once; a few seconds even out the chance of arrivals.
-	rateWindow = 3 * time.Second
-	// adviceUsual is the number of hosts named in a call on which the objective of a job counts.
-	adviceUsual = 30
-)
+// adviceUsual is the number of hosts named in a call on which the objective of a job counts.
+const adviceUsual = 30
 
 // activate lists a part whose turn has come.
 func (c *Cell) activate(p *part) {
--- a/fold/core/known.go
+++ b/fold/core/known.go
@@ -6,8 +6,15 @@
 	"plantainfold.example/fold"
 )
 
+// UsedHost is a host in the record of an owner.
+type UsedHost struct {
+	fold.Host
+	// Awaited says that an earlier owner used the host and that this one has not heard from it.
+	Awaited bool
+}
+
 // Await names the hosts that an earlier owner recorded as its own. Until each of them has answered, has started again
-// or has lapsed, nothing is started: the earlier owner may have started runs there that it could not record.
+// or has lapsed, nothing of the jobs of that owner is started: it may have started runs there that it could not record.
 func (c *Cell) Await(hosts []fold.Host) {
 	c.awaited = make(map[string]int64)
 	for _, info := range hosts {
@@ -35,8 +42,8 @@
 	return ids
 }
 
-// waits reports whether hosts of an earlier owner have yet to answer.
-func (c *Cell) waits() bool {
+// heard drops the hosts of an earlier owner that have answered, started again or lapsed.
+func (c *Cell) heard() {
 	for id, born := range c.awaited {
 		h, ok := c.hosts[id]
 		switch {
@@ -48,7 +55,25 @@
 			delete(c.awaited, id)
 		}
 	}
-	return len(c.awaited) > 0
+	c.hidden = c.unheard()
+}
+
+// unheard is the most that runs without a record may take on the hosts that have yet to answer.
+func (c *Cell) unheard() fold.Resources {
+	if len(c.awaited) == 0 {
+		return fold.Resources{}
+	}
+	var largest fold.Resources
+	for _, h := range c.ranked {
+		size := h.info.Capacity
+		largest = fold.Resources{CPU: max(largest.CPU, size.CPU), Memory: max(largest.Memory, size.Memory), Accel: max(largest.Accel, size.Accel)}
+	}
+	return largest.Times(int64(len(c.awaited)))
+}
+
+// held reports whether the job of the part may have runs of an earlier owner on hosts that have yet to answer.
+func (c *Cell) held(p *part) bool {
+	return p.job.restored && len(c.awaited) > 0
 }
 
 // runGap is more than the starts of a task that an earlier owner may have made without a record.
@@ -63,20 +88,27 @@
 	return t.run + 1
 }
 
-// Hosts returns the hosts that may get runs of this owner and whether they differ from those that are recorded. If they do, the set
-// is to be recorded; until then only hosts in both sets get runs without a record.
-func (c *Cell) Hosts() (hosts []fold.Host, changed bool) {
+// Hosts returns the hosts that may get runs of this owner, those that it awaits, and whether they differ from those that
+// are recorded. If they do, the set is to be recorded; until then only hosts in both sets get runs without a record.
+func (c *Cell) Hosts() (hosts []UsedHost, changed bool) {
+	c.heard()
+	used := 0
 	for _, h := range c.ranked {
-		if h.adopted && h.silent == 0 && !h.info.Draining {
-			hosts = append(hosts, h.info)
+		_, awaited := c.awaited[h.info.ID]
+		switch {
+		case awaited:
+			hosts = append(hosts, UsedHost{Host: h.info, Awaited: true})
+		case h.adopted && h.silent == 0 && !h.info.Draining:
+			used++
+			hosts = append(hosts, UsedHost{Host: h.info})
 			changed = changed || c.known[h.info.ID] != h.info.Born
 		}
 	}
-	changed = changed || len(hosts) != len(c.known)
+	changed = changed || !c.recordedHosts || used != len(c.known) || len(c.awaited) != c.knownAwaited
 	if changed {
 		both := make(map[string]int64, len(hosts))
 		for _, h := range hosts {
-			if c.known[h.ID] == h.Born {
+			if !h.Awaited && c.known[h.ID] == h.Born {
 				both[h.ID] = h.Born
 			}
 		}
@@ -86,9 +118,14 @@
 }
 
 // SetKnown notes that the hosts are recorded as this owner's.
-func (c *Cell) SetKnown(hosts []fold.Host) {
+func (c *Cell) SetKnown(hosts []UsedHost) {
 	clear(c.known)
+	c.recordedHosts, c.knownAwaited = true, 0
 	for _, h := range hosts {
+		if h.Awaited {
+			c.knownAwaited++
+			continue
+		}
 		c.known[h.ID] = h.Born
 	}
 }
@@ -102,14 +139,15 @@
 	c.unrecorded = unrecorded
 }
 
-// startUnrecorded sends the plans that wait for their records.
+// startUnrecorded sends the plans that wait for their records. A later owner expects such runs only of jobs that it
+// loads, so a job must have been accepted before the last commit of this owner.
 func (c *Cell) startUnrecorded() {
 	if !c.unrecorded {
 		return
 	}
 	for _, plans := range [][]*run{c.recorded, c.planned} {
 		for _, r := range plans {
-			if r.phase == phasePlanned && !r.gone && !r.stopping && c.known[r.host.info.ID] == r.born {
+			if r.phase == phasePlanned && !r.gone && !r.stopping && c.known[r.host.info.ID] == r.born && r.task.part.job.version <= c.committed {
 				r.phase = phaseOrdered
 				c.order(r)
 			}
--- a/fold/core/record.go
+++ b/fold/core/record.go
@@ -56,6 +56,11 @@
 	}
 }
 
+// Committed notes the version of the table that the last commit of this owner made.
+func (c *Cell) Committed(version int64) {
+	c.committed = max(c.committed, version)
+}
+
 // Unrecorded takes back a snapshot that did not become durable: its records are due again.
 func (c *Cell) Unrecorded(writes []Write) {
 	for _, w := range writes {
@@ -69,7 +74,8 @@
 
 // record describes the progress of the job.
 func (j *job) record() flow.Record {
-	rec := flow.Record{State: j.state, Ended: j.ended, Team: j.spec.Team}
+	j.seq++
+	rec := flow.Record{State: j.state, Seq: j.seq, Ended: j.ended, Team: j.spec.Team}
 	if j.state.Final() && j.live == 0 {
 		return rec
 	}
@@ -139,7 +145,7 @@
 // restore takes the progress that an earlier owner recorded. Its live runs stay on their hosts until a report or the
 // end of the lease tells what became of them.
 func (c *Cell) restore(j *job, rec flow.Record) {
-	j.state, j.shown, j.ended = rec.State, rec.State, rec.Ended
+	j.state, j.shown, j.ended, j.seq = rec.State, rec.State, rec.Ended, rec.Seq
 	j.begun = j.state != flow.Queued
 	for _, pr := range rec.Parts {
 		if pr.Occurrence >= len(j.parts) || pr.Step >= len(j.spec.Steps) {
--- a/fold/core/room.go
+++ b/fold/core/room.go
@@ -28,7 +28,7 @@
 		if stops <= 0 {
 			return
 		}
-		if p.free == 0 || p.step.Gang || c.now < p.roomAt() || !c.pressing(p) {
+		if p.free == 0 || p.step.Gang || c.held(p) || c.now < p.roomAt() || !c.pressing(p) {
 			continue
 		}
 		stops -= c.roomFor(p, open[p.job.queue.Service])
@@ -66,7 +66,7 @@
 
 // roomFor stops what holds the room for the waiting tasks of the part and returns how many runs it stopped.
 func (c *Cell) roomFor(p *part, hosts []*host) int {
-	limited := !c.team(p.job.spec.Team).within(p.step.Size)
+	limited := !c.within(p.job.spec.Team, p.step.Size)
 	stopped := 0
 	for need := p.free; need > 0; need-- {
 		var victims []*run
--- a/fold/drive/ask.go
+++ b/fold/drive/ask.go
@@ -9,7 +9,9 @@
 )
 
 const (
-	// quickEntries are the entries that slow calls to the adviser leave free for quick ones, of at least quickFrom entries.
+	// quickShare is the part of the entries that slow calls to the adviser leave free for quick ones, at least
+	// quickEntries, of at least quickFrom entries.
+	quickShare   = 4
 	quickEntries = 2
 	quickFrom    = 4
 	// askTime bounds a call beyond the time that the adviser needs for it.
@@ -51,7 +53,7 @@
 		if state.busy[asker.Name()] || state.rest[asker.Name()] > now {
 			continue
 		}
-		slow := len(askers) < quickFrom || state.slow < len(askers)-quickEntries
+		slow := len(askers) < quickFrom || state.slow < len(askers)-max(quickEntries, len(askers)/quickShare)
 		var ask core.Ask
 		var ok bool
 		d.with(func(c *core.Cell) { ask, ok = c.NextAsk(slow) })
--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -10,7 +11,6 @@
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/codec"
 	"plantainfold.example/fold/core"
-	"plantainfold.example/fold/flow"
 	"plantainfold.example/fold/lead"
 )
 
@@ -23,7 +23,7 @@
 	// CancelMark follows the id of a job in the key of a wish to cancel it.
 	CancelMark = "~cancel"
 	// hostsKey is the row of the hosts that the owner uses.
-	hostsKey = "lead/hosts"
+	hostsKey = "lead/used"
 )
 
 const (
@@ -33,8 +33,6 @@
 	// sweepEvery is how often rows of ended jobs are removed, sweepRows how many at a time.
 	sweepEvery = 2 * time.Second
 	sweepRows  = 60
-	// entriesOfRequest is how many entries of a call a request takes: two conditions and a row.
-	entriesOfRequest = 3
 	// heldUpAfter is how long a commit may take before runs are started without their records; the table usually takes
 	// a few milliseconds.
 	heldUpAfter = 60 * time.Millisecond
@@ -63,7 +61,7 @@
 			}
 		}
 		due := d.parts.Clock.Now().Sub(d.committed) >= lead.Renew
-		sweep := d.parts.Clock.Now().Sub(swept) >= sweepEvery
+		sweep := d.parts.Clock.Now().Sub(swept) >= sweepEvery && d.term.Usual() < heldUpAfter
 		if sweep {
 			swept = d.parts.Clock.Now()
 		}
@@ -95,6 +93,8 @@
 	if len(b.writes) == 0 && len(b.requests) == 0 && !due && !b.planned && len(b.deletes) == 0 {
 		return nil
 	}
+	var done []string
+	b.moved, done = d.backlog.take(maxRows-len(b.deletes)-len(b.requests)-len(b.writes), b.writes)
 	if err := d.write(ctx, b); err != nil {
 		return err
 	}
@@ -105,28 +105,41 @@
 			c.SetKnown(b.hosts)
 		}
 		orders = c.Orders()
-		d.rows = d.rows[len(b.deletes):]
+		d.rows = append(d.rows[len(b.deletes):], done...)
 		close(d.recorded)
 		d.recorded = make(chan struct{})
-		for _, w := range b.writes {
-			if w.Record.State.Final() && len(w.Record.Parts) == 0 {
-				d.ended[w.Job] = ended{state: w.Record.State, team: w.Record.Team, at: d.parts.Clock.Now()}
-				d.rows = append(d.rows, JobTable+w.Job, JobTable+w.Job+CancelMark)
-			}
-		}
+		d.finished(b.writes)
+		d.finished(b.moved)
 	})
+	d.backlog.keys = d.backlog.keys[len(done):]
 	d.send(ctx, orders)
 	return nil
 }
 
+// finished notes the jobs that have ended; their rows are removed once the final record has a row of its own. The caller
+// holds the lock.
+func (d *Driver) finished(writes []core.Write) {
+	for _, w := range writes {
+		if !w.Record.State.Final() || len(w.Record.Parts) > 0 {
+			continue
+		}
+		d.ended[w.Job] = ended{state: w.Record.State, team: w.Record.Team, at: d.parts.Clock.Now()}
+		if _, shared := d.backlog.records[w.Job]; !shared {
+			d.rows = append(d.rows, JobTable+w.Job, JobTable+w.Job+CancelMark)
+		}
+	}
+}
+
 // batch is what becomes durable together.
 type batch struct {
-	writes   []core.Write
+	writes []core.Write
+	// moved are records of the backlog that get rows of their own.
+	moved    []core.Write
 	requests []*request
 	deletes  []string
 	waiting  map[string]int
-	// hosts are those that this owner uses.
-	hosts        []fold.Host
+	// hosts are those that this owner uses, or for which it waits.
+	hosts        []core.UsedHost
 	hostsChanged bool
 	// planned says that orders wait for the commit although no record has changed.
 	planned bool
@@ -134,49 +147,54 @@
 
 // write commits the batch in as many commits as it needs.
 func (d *Driver) write(ctx context.Context, b batch) error {
-	writes := b.writes
+	writes := slices.Concat(b.writes, b.moved)
 	for first := true; first || len(writes) > 0; first = false {
+		if !first {
+			b.requests = olderChecks(d.takeRequests())
+		}
 		txn := fold.Txn{Deletes: b.deletes}
-		room := maxRows - len(b.deletes) - entriesOfRequest*len(b.requests)
-		size := 0
 		if first && b.hostsChanged {
-			value, err := codec.Encode(usedHosts(b.hosts))
+			value, err := codec.Encode(d.usedHosts(b.hosts))
 			if err != nil {
 				return err
 			}
-			size += len(value)
 			txn.Puts = append(txn.Puts, fold.Put{Key: hostsKey, Value: value})
 		}
-		for len(writes) > 0 && len(txn.Puts) < room && size < maxBytes {
-			value, err := codec.Encode[flow.Record](writes[0].Record)
-			if err != nil {
-				return err
-			}
-			size += len(value)
-			txn.Puts = append(txn.Puts, fold.Put{Key: StateTable + writes[0].Job, Value: value})
-			writes = writes[1:]
+		packed, left, err := d.pack(writes, maxRows-len(b.deletes)-len(b.requests)-len(txn.Puts))
+		if err != nil {
+			return err
 		}
+		txn.Puts = append(txn.Puts, packed.rows...)
 		if err := d.try(ctx, txn, b.requests, b.waiting); err != nil {
 			return err
 		}
-		b.deletes, b.requests = nil, nil
+		d.backlog.note(packed)
+		writes, b.deletes = left, nil
 	}
 	return nil
 }
 
-// usedHost is a host in the row of hosts that this owner uses.
+// usedHosts is the row of the hosts that an owner uses.
+type usedHosts struct {
+	// Epoch is that of the owner.
+	Epoch int64      `json:"epoch"`
+	Hosts []usedHost `json:"hosts"`
+}
+
+// usedHost is a host in the row. Awaited says that an earlier owner used it and that it has not answered this one.
 type usedHost struct {
 	ID      string `json:"id"`
 	Address string `json:"address"`
 	Born    int64  `json:"born"`
+	Awaited bool   `json:"awaited,omitempty"`
 }
 
-func usedHosts(hosts []fold.Host) []usedHost {
-	used := make([]usedHost, 0, len(hosts))
+func (d *Driver) usedHosts(hosts []core.UsedHost) usedHosts {
+	row := usedHosts{Epoch: d.term.Epoch(), Hosts: make([]usedHost, 0, len(hosts))}
 	for _, h := range hosts {
-		used = append(used, usedHost{ID: h.ID, Address: h.Address, Born: h.Born})
+		row.Hosts = append(row.Hosts, usedHost{ID: h.ID, Address: h.Address, Born: h.Born, Awaited: h.Awaited})
 	}
-	return used
+	return row
 }
 
 // try commits a transaction with requests. Requests whose own conditions fail are answered, and the rest is tried again.
@@ -203,9 +221,10 @@
 			if took > lead.Renew {
 				d.log.Warn("Commit was slow.", "rows", len(txn.Puts), "took", took.String())
 			}
-			d.mu.Lock()
-			d.committed = sent
-			d.mu.Unlock()
+			d.with(func(c *core.Cell) {
+				d.committed = sent
+				c.Committed(d.term.Version())
+			})
 			d.setRejected(false)
 			d.recordedAll(ctx, entries)
 			d.accepted(requests)
@@ -222,6 +241,14 @@
 			if !d.pause(ctx, pauseAfterError) {
 				return err
 			}
+		case errorx.IsOfType(err, fold.Overload) && ctx.Err() == nil:
+			// The table is busy and takes one of the next tries.
+			d.setRejected(true)
+			requests = d.expired(requests, err)
+			if !d.pause(ctx, pauseAfterError) {
+				fail(requests, err)
+				return err
+			}
 		default:
 			if !errors.Is(err, context.Canceled) {
 				d.log.Warn("Commit failed.", "rows", len(txn.Puts), "took", took.String(), "error", err)
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -10,6 +10,7 @@
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/core"
+	"plantainfold.example/fold/flow"
 	"plantainfold.example/fold/lead"
 )
 
@@ -84,6 +85,8 @@
 	holders map[string]bool
 	// rows are rows of ended jobs that are to be removed.
 	rows []string
+	// backlog is used by the loop of commits and before it starts.
+	backlog backlog
 
 	// ended holds the states of jobs that ended lately.
 	ended map[string]ended
@@ -113,6 +116,7 @@
 		holders:   make(map[string]bool),
 		ended:     make(map[string]ended),
 		early:     make(map[string]bool),
+		backlog:   backlog{records: make(map[string]flow.Record)},
 		recorded:  make(chan struct{}),
 		loaded:    make(chan struct{}),
 		wake:      make(chan struct{}, 1),
--- a/fold/drive/intake.go
+++ b/fold/drive/intake.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// maxRequests bounds the requests in one commit: each takes two conditions and a row of the platform's 100.
-	maxRequests = 24
+	// maxRequests bounds the requests in one commit; each takes a row of the 100 that the platform takes, and the rest is
+	// left for the progress of jobs.
+	maxRequests = 48
 	// maxQueue bounds the requests that wait for a commit; more are refused at once.
 	maxQueue = 400
 	// queueTime is how long a request may wait for a commit before it is refused: callers then use the rest of their time
@@ -83,9 +84,10 @@
 	r.since, r.done = now, make(chan result, 1)
 	d.intake.mu.Lock()
 	stuck := d.intake.stuck != 0 && now.Sub(d.intake.stuck) > max(stuckTime, stuckCommits*d.intake.usual)
-	if stuck || len(d.intake.waiting) >= maxQueue {
+	end, bounded := ctx.Deadline()
+	if stuck || len(d.intake.waiting) >= maxQueue || bounded && time.Until(end) < d.intake.usual {
 		d.intake.mu.Unlock()
-		return result{err: fold.Refuse(fold.Unavailable, "retry later", "the table does not take records now; the request has not run")}
+		return result{err: fold.Refuse(fold.Overload, "retry later", "the table does not take records now; the request has not run")}
 	}
 	d.intake.waiting = append(d.intake.waiting, r)
 	usual := d.intake.usual
@@ -98,7 +100,7 @@
 	case <-ctx.Done():
 	}
 	if d.withdraw(r) {
-		return result{err: fold.Refuse(fold.Unavailable, "retry later", "the table is too slow for the request; it has not run")}
+		return result{err: fold.Refuse(fold.Overload, "retry later", "the table is too slow for the request; it has not run")}
 	}
 	select {
 	case out := <-r.done:
@@ -130,7 +132,8 @@
 	return taken
 }
 
-// add puts the requests into a transaction.
+// addRequests puts the requests into a transaction. A job has no condition of its own: this owner knows all jobs, and one
+// that another entry has just written under the same id is the same job.
 func addRequests(txn *fold.Txn, requests []*request) {
 	checks := make(map[string]bool)
 	jobs := make(map[string]bool)
@@ -148,7 +151,6 @@
 			continue
 		}
 		jobs[key] = true
-		txn.Checks = append(txn.Checks, fold.Check{Key: key}, fold.Check{Key: StateTable + r.job})
 		txn.Puts = append(txn.Puts, fold.Put{Key: key, Value: r.value})
 	}
 }
@@ -157,15 +159,11 @@
 func conflicted(requests []*request, err error) []*request {
 	key := fold.ConflictKey(err)
 	return slices.DeleteFunc(requests, func(r *request) bool {
-		switch {
-		case r.value != nil && (key == JobTable+r.job || key == StateTable+r.job):
-			r.done <- result{known: true}
-		case key == r.check.Key || key == "":
+		failed := key == r.check.Key || key == ""
+		if failed {
 			r.done <- result{err: err}
-		default:
-			return false
 		}
-		return true
+		return failed
 	})
 }
 
@@ -192,7 +190,8 @@
 	d.update(func(c *core.Cell) {
 		for _, r := range requests {
 			if r.value != nil {
-				d.add(c, r.spec, flow.Record{})
+				c.AddJob(r.spec, d.term.Version())
+				d.cancelEarly(c, r.job)
 			}
 		}
 		for _, r := range requests {
@@ -206,6 +205,19 @@
 	}
 }
 
+// expired answers the requests that have waited too long for a commit, which none of them has reached, and returns the
+// others.
+func (d *Driver) expired(requests []*request, err error) []*request {
+	now := d.parts.Clock.Now()
+	return slices.DeleteFunc(requests, func(r *request) bool {
+		old := now.Sub(r.since) > queueTime
+		if old {
+			r.done <- result{err: err}
+		}
+		return old
+	})
+}
+
 // fail answers requests whose commit failed.
 func fail(requests []*request, err error) {
 	if !errorx.IsOfType(err, fold.Fenced) {
--- a/fold/drive/load.go
+++ b/fold/drive/load.go
@@ -1,7 +1,9 @@
 package drive
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -27,7 +29,7 @@
 // load reads all jobs and their progress, and returns the version of the jobs that was read at least.
 func (d *Driver) load(ctx context.Context) (int64, error) {
 	began := d.parts.Clock.Now()
-	jobs, version, err := d.snapshot(ctx, JobTable)
+	rows, version, err := d.snapshot(ctx, JobTable)
 	if err != nil {
 		return 0, err
 	}
@@ -35,8 +37,11 @@
 	if err != nil {
 		return 0, err
 	}
+	packed, _, err := d.snapshot(ctx, BacklogTable)
+	if err != nil {
+		return 0, err
+	}
 	records := make(map[string]flow.Record, len(states))
-	old := time.Now().Add(-keepEnded).UnixMilli()
 	for _, row := range states {
 		rec, err := codec.Decode[flow.Record](row.Value)
 		if err != nil {
@@ -44,35 +49,61 @@
 			continue
 		}
 		records[strings.TrimPrefix(row.Key, StateTable)] = rec
+	}
+	if err := d.backlog.restore(packed, records); err != nil {
+		return 0, err
+	}
+	d.takeEnded(records, began)
+	hosts, err := d.usedBefore(ctx)
+	if err != nil {
+		return 0, err
+	}
+	jobs := d.takeRows(rows, records)
+	d.with(func(c *core.Cell) {
+		c.Await(hosts)
+		for _, j := range jobs {
+			c.RestoreJob(j, records[j.ID])
+			d.cancelEarly(c, j.ID)
+		}
+		for _, row := range rows {
+			d.takeCancel(c, row)
+		}
+	})
+	d.log.Info("Took over the pool.", "jobs", len(jobs), "records", len(records), "awaited", len(hosts), "took", d.parts.Clock.Now().Sub(began).String())
+	return version, nil
+}
+
+// takeEnded notes the states of jobs that have ended; rows of those that ended long ago are removed.
+func (d *Driver) takeEnded(records map[string]flow.Record, now fold.Instant) {
+	old := time.Now().Add(-keepEnded).UnixMilli()
+	for id, rec := range records {
 		if !rec.State.Final() || len(rec.Parts) > 0 {
 			continue
 		}
 		if rec.Ended != 0 && rec.Ended < old {
-			d.rows = append(d.rows, row.Key)
+			d.rows = append(d.rows, StateTable+id)
 			continue
 		}
-		d.ended[strings.TrimPrefix(row.Key, StateTable)] = ended{state: rec.State, team: rec.Team, at: began}
+		d.ended[id] = ended{state: rec.State, team: rec.Team, at: now}
 	}
-	var hosts []fold.Host
-	if d.parts.Await {
-		if hosts, err = d.usedBefore(ctx); err != nil {
-			return 0, err
+}
+
+// takeRows returns the jobs of the rows in the order in which they were accepted; rows of ended jobs are removed later.
+func (d *Driver) takeRows(rows []fold.Row, records map[string]flow.Record) []flow.Job {
+	jobs := make([]flow.Job, 0, len(rows))
+	for _, row := range rows {
+		if job, ok := d.decodeJob(row, records); ok {
+			jobs = append(jobs, job)
 		}
 	}
-	d.with(func(c *core.Cell) {
-		c.Await(hosts)
-		for _, row := range jobs {
-			d.takeJob(c, row, records)
-		}
-		for _, row := range jobs {
-			d.takeCancel(c, row)
-		}
+	slices.SortFunc(jobs, func(a, b flow.Job) int {
+		return cmp.Or(cmp.Compare(a.Accepted, b.Accepted), cmp.Compare(a.ID, b.ID))
 	})
-	d.log.Info("Took over the pool.", "jobs", len(jobs), "records", len(records), "took", d.parts.Clock.Now().Sub(began).String())
-	return version, nil
+	return jobs
 }
 
-// usedBefore reads the hosts that an earlier owner used.
+// usedBefore reads the hosts on which earlier owners may have started runs without records: all of the recorded ones
+// unless the last owner is known not to have done so, else those for which it still waited itself.
 func (d *Driver) usedBefore(ctx context.Context) ([]fold.Host, error) {
 	for {
 		call, cancel := context.WithTimeout(ctx, tableTime)
@@ -82,13 +113,17 @@
 			return nil, nil
 		}
 		if err == nil {
-			used, err := codec.Decode[[]usedHost](row.Value)
+			used, err := codec.Decode[usedHosts](row.Value)
 			if err != nil {
 				return nil, err
 			}
-			hosts := make([]fold.Host, 0, len(used))
-			for _, u := range used {
-				hosts = append(hosts, fold.Host{ID: u.ID, Address: u.Address, Born: u.Born})
+			// An owner that did not record its hosts may not have heard from all of those before.
+			all := d.parts.Await || used.Epoch != d.term.Epoch()-1
+			var hosts []fold.Host
+			for _, u := range used.Hosts {
+				if all || u.Awaited {
+					hosts = append(hosts, fold.Host{ID: u.ID, Address: u.Address, Born: u.Born})
+				}
 			}
 			return hosts, nil
 		}
@@ -115,23 +150,25 @@
 	}
 }
 
-// takeJob gives the cell a job with its progress; rows of ended jobs are removed later.
-func (d *Driver) takeJob(c *core.Cell, row fold.Row, records map[string]flow.Record) {
+// decodeJob reads the row of a job that has not ended; rows of ended jobs are removed later.
+func (d *Driver) decodeJob(row fold.Row, records map[string]flow.Record) (flow.Job, bool) {
 	id := strings.TrimPrefix(row.Key, JobTable)
 	if strings.HasSuffix(id, CancelMark) {
-		return
+		return flow.Job{}, false
 	}
 	rec := records[id]
 	if rec.State.Final() && len(rec.Parts) == 0 {
-		d.rows = append(d.rows, row.Key)
-		return
+		if _, shared := d.backlog.records[id]; !shared {
+			d.rows = append(d.rows, row.Key)
+		}
+		return flow.Job{}, false
 	}
 	job, err := codec.Decode[flow.Job](row.Value)
 	if err != nil {
 		d.log.Error("Ignored a job that cannot be read.", "key", row.Key, "error", err)
-		return
+		return flow.Job{}, false
 	}
-	d.add(c, job, rec)
+	return job, true
 }
 
 func (d *Driver) takeCancel(c *core.Cell, row fold.Row) {
@@ -158,12 +195,11 @@
 	d.early[id] = true
 }
 
-// add gives the cell a job and carries out a wish to cancel it that came first.
-func (d *Driver) add(c *core.Cell, job flow.Job, rec flow.Record) {
-	c.AddJob(job, rec)
-	if d.early[job.ID] {
-		delete(d.early, job.ID)
-		c.Cancel(job.ID)
+// cancelEarly carries out a wish to cancel the job that came before it.
+func (d *Driver) cancelEarly(c *core.Cell, id string) {
+	if d.early[id] {
+		delete(d.early, id)
+		c.Cancel(id)
 	}
 }
 
@@ -204,8 +240,12 @@
 	}
 	d.update(func(c *core.Cell) {
 		for _, change := range changes {
-			if _, ended := d.ended[strings.TrimPrefix(change.Key, JobTable)]; !change.Deleted && !ended {
-				d.takeJob(c, change.Row, nil)
+			if _, ended := d.ended[strings.TrimPrefix(change.Key, JobTable)]; change.Deleted || ended {
+				continue
+			}
+			if job, ok := d.decodeJob(change.Row, nil); ok {
+				c.AddJob(job, change.Version)
+				d.cancelEarly(c, job.ID)
 			}
 		}
 		for _, change := range changes {
--- a/fold/flow/record.go
+++ b/fold/flow/record.go
@@ -21,6 +21,8 @@
 // it is started, an end before it is acknowledged.
 type Record struct {
 	State State `json:"state"`
+	// Seq grows with each record of the job; of two records the one with the higher number is the newer one.
+	Seq int64 `json:"seq,omitempty"`
 	// Ended is when the state became final, in milliseconds since the Unix epoch.
 	Ended int64 `json:"ended,omitempty"`
 	// Team is kept for the check of keys after the job itself was removed.
--- a/fold/front/front.go
+++ b/fold/front/front.go
@@ -172,7 +172,7 @@
 // last as long again.
 func (f *Front) retryable(err error) error {
 	e := errorx.Cast(err)
-	if e == nil || !errorx.IsOfType(err, fold.Unavailable) {
+	if e == nil || !errorx.IsOfType(err, fold.Unavailable) && !errorx.IsOfType(err, fold.Overload) {
 		return err
 	}
 	_, _, age := f.rules.Now()
@@ -197,7 +197,8 @@
 		return f.write(ctx, job, check)
 	}
 	known, err = owner.Submit(ctx, job, check)
-	if err == nil || errorx.IsOfType(err, fold.Conflict) || ctx.Err() != nil {
+	// Where the owner finds the table overloaded, writes of all entries beside it would make it slower still.
+	if err == nil || errorx.IsOfType(err, fold.Conflict) || errorx.IsOfType(err, fold.Overload) || ctx.Err() != nil {
 		return known, err
 	}
 	unsure := !fold.DidNotRun(err)
--- a/fold/lead/lead.go
+++ b/fold/lead/lead.go
@@ -20,6 +20,8 @@
 	// Where the table is slow, lapseReads times the time of a read are added, because a commit takes longer than a read.
 	Lapse      = 1600 * time.Millisecond
 	lapseReads = 5
+	// SilentLapse is used for an owner that does not answer other entries either; it covers a renewal.
+	SilentLapse = 700 * time.Millisecond
 	// Poll is how often the other entries read the row; it bounds the delay after an owner has handed over.
 	Poll = 400 * time.Millisecond
 	// commitTime bounds one try of a commit to a table that answers within milliseconds. To a slow table a try may take
@@ -53,8 +55,12 @@
 	Waiting map[string]int `json:"waiting,omitempty"`
 }
 
-// LapseOf returns how long the row may stay unchanged when the table takes the given time for a read.
-func LapseOf(read time.Duration) time.Duration {
+// LapseOf returns how long the row may stay unchanged when the table takes the given time for a read and the owner answers
+// other entries or is silent.
+func LapseOf(read time.Duration, silent bool) time.Duration {
+	if silent {
+		return SilentLapse + lapseReads*read
+	}
 	return Lapse + lapseReads*read
 }
 
@@ -106,8 +112,14 @@
 	return t.epoch
 }
 
+// Version returns the version of the table that the last commit made. It must not be called during a commit.
+func (t *Term) Version() int64 {
+	return t.version
+}
+
 // Commit applies the transaction and renews the ownership. It tries until the outcome is known. A Fenced error means
-// that another entry has taken over, a Conflict error that a condition of txn itself has failed; nothing was written.
+// that another entry has taken over, a Conflict error that a condition of txn itself has failed; nothing was written. An
+// Unavailable or Overload error means that the table has not taken a single try.
 func (t *Term) Commit(ctx context.Context, txn fold.Txn, note Note) error {
 	next := t.owner
 	next.Count++
@@ -151,6 +163,9 @@
 		if errorx.IsOfType(err, fold.Invalid) || errorx.IsOfType(err, fold.TooLarge) {
 			return err
 		}
+		if !sent && errorx.IsOfType(err, fold.Overload) {
+			return fold.Overload.Wrap(err, "the table does not take the commit")
+		}
 		if !sent {
 			return fold.Unavailable.Wrap(err, "the table does not take the commit")
 		}
--- a/fold/model/faults.go
+++ b/fold/model/faults.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"plantainfold.example/fold/core"
-	"plantainfold.example/fold/flow"
 )
 
 // approves decides by a hash, so that the answer for a step and a host does not change.
@@ -30,9 +29,11 @@
 	}
 	w.after(commitTime, func() {
 		w.store.jobs[j.spec.ID] = j.spec
+		w.store.version++
+		version := w.store.version
 		if o := w.owner; !o.dead && !o.cut {
 			o.update(func(c *core.Cell) {
-				c.AddJob(j.spec, flow.Record{})
+				c.AddJob(j.spec, version)
 				if w.store.cancels[j.spec.ID] {
 					c.Cancel(j.spec.ID)
 				}
--- a/fold/model/owner.go
+++ b/fold/model/owner.go
@@ -15,8 +15,11 @@
 type store struct {
 	epoch   int64
 	records map[string]flow.Record
-	// used are the hosts that the last owner named as its own.
-	used []fold.Host
+	// version counts commits.
+	version int64
+	// used are the hosts that the owner of usedEpoch named as its own.
+	used      []core.UsedHost
+	usedEpoch int64
 	// noted says that the other entries know of runs without records.
 	noted   bool
 	jobs    map[string]flow.Job
@@ -73,15 +76,13 @@
 	w.owner = o
 	o.tell()
 	o.cell.SetRules(w.rules)
-	if w.store.noted {
-		o.cell.Await(w.store.used)
-		w.store.noted = false
-	}
+	o.cell.Await(w.usedBefore())
+	w.store.noted = false
 	for _, j := range w.jobs {
 		spec, stored := w.store.jobs[j.spec.ID]
 		rec := w.store.records[j.spec.ID]
 		if stored && !(rec.State.Final() && len(rec.Parts) == 0) {
-			o.cell.AddJob(spec, rec)
+			o.cell.RestoreJob(spec, rec)
 		}
 	}
 	for _, j := range w.jobs {
@@ -93,6 +94,17 @@
 	o.tick()
 }
 
+// usedBefore returns the hosts on which earlier owners may have started runs without records, like package drive.
+func (w *World) usedBefore() []fold.Host {
+	var hosts []fold.Host
+	for _, h := range w.store.used {
+		if w.store.noted || w.store.usedEpoch != w.store.epoch-1 || h.Awaited {
+			hosts = append(hosts, h.Host)
+		}
+	}
+	return hosts
+}
+
 func (o *owner) tell() {
 	o.cell.SetTime(o.world.now, o.world.wall())
 }
@@ -178,7 +190,7 @@
 	})
 }
 
-func (o *owner) write(writes []core.Write, hosts []fold.Host) {
+func (o *owner) write(writes []core.Write, hosts []core.UsedHost) {
 	w := o.world
 	if !w.table || o.cut {
 		o.soon(60*time.Millisecond, func() { o.write(writes, hosts) })
@@ -189,11 +201,14 @@
 		return
 	}
 	sent := w.now
+	var version int64
 	w.after(commitTime/2, func() {
 		if o.epoch != w.store.epoch {
 			return
 		}
-		w.store.used = hosts
+		w.store.version++
+		version = w.store.version
+		w.store.used, w.store.usedEpoch = hosts, o.epoch
 		for _, x := range writes {
 			w.store.records[x.Job] = x.Record
 			w.shown(x.Job, x.Record.State)
@@ -210,6 +225,7 @@
 			w.store.noted = false
 		}
 		o.cell.SetKnown(hosts)
+		o.cell.Committed(version)
 		o.cell.Recorded(writes)
 		o.send(o.cell.Orders())
 		o.committing, o.began = false, 0
--- a/fold/node/announce.go
+++ b/fold/node/announce.go
@@ -7,6 +7,7 @@
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/lead"
+	"plantainfold.example/fold/peer"
 )
 
 // announcement says that the owner of an epoch starts runs without records, or no longer does.
@@ -69,6 +70,57 @@
 	n.mu.Unlock()
 }
 
+// closing is what an entry answers to the question about the owner of an epoch that has ended.
+type closing struct {
+	Incarnation string `json:"incarnation"`
+	// Told says that the owner has announced runs without records.
+	Told bool `json:"told"`
+}
+
+// closed ends the epoch for this entry, which refuses its later announcements, and returns what the owner has announced.
+func (n *Node) closed(epoch int64) closing {
+	n.closeEpoch(epoch)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return closing{Incarnation: n.incarnation, Told: n.announcement.Epoch == epoch && n.announcement.On}
+}
+
+// othersDeny reports whether an entry that the last row of the owner names was not told of runs without records. The
+// owner starts such runs only after all of them were told.
+func (n *Node) othersDeny(ctx context.Context, owner lead.Owner) bool {
+	node := n.peers.link()
+	if node == nil || len(owner.Entries) == 0 {
+		return false
+	}
+	rows, err := n.peers.registered(ctx)
+	if err != nil {
+		n.log.Debug("Could not read the entries.", "error", err)
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, pingTime)
+	defer cancel()
+	answers := make(chan bool)
+	asked := 0
+	for _, entry := range rows {
+		if !slices.Contains(owner.Entries, entry.Incarnation) {
+			continue
+		}
+		asked++
+		go func() {
+			told, err := peer.Call[int64, closing](ctx, node, entry.Address, closeCall, owner.Epoch)
+			answers <- err == nil && told.Incarnation == entry.Incarnation && !told.Told
+		}()
+	}
+	denied := false
+	for range asked {
+		if <-answers {
+			denied = true
+			cancel()
+		}
+	}
+	return denied
+}
+
 // mustAwait reports whether an owner may have started runs without records, as far as this entry knows.
 func (n *Node) mustAwait(owner lead.Owner) bool {
 	n.mu.Lock()
--- a/fold/node/link.go
+++ b/fold/node/link.go
@@ -23,6 +23,8 @@
 	// announceCall and inviteCall are made by the owner to the other entries.
 	announceCall = "announce"
 	inviteCall   = "invite"
+	// closeCall is made by a new owner about the one before it.
+	closeCall = "close"
 )
 
 // ownerRest is how long the owner is left alone after it did not answer.
@@ -33,6 +35,28 @@
 	Job   flow.Job   `json:"job"`
 	ID    string     `json:"id,omitempty"`
 	Check fold.Check `json:"check"`
+	// Left is how long the entry waits for the answer, or 0 if that is not bounded.
+	Left time.Duration `json:"left,omitempty"`
+}
+
+// answerTime is kept for the answer of the owner to arrive.
+const answerTime = 40 * time.Millisecond
+
+// bounded ends the owner's work on the wish in time for its answer to arrive.
+func (w wish) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	if w.Left <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, w.Left-answerTime)
+}
+
+// timeLeft returns how long ctx goes on, or 0 if that is not bounded.
+func timeLeft(ctx context.Context) time.Duration {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(time.Millisecond, time.Until(end))
 }
 
 // accepted is the answer to a wish. A failed check travels as a field, because its error names a row.
@@ -50,10 +74,10 @@
 // handleOwner answers the calls that other entries make to the owner.
 func (n *Node) handleOwner(node *peer.Node) {
 	peer.Handle(node, ownsCall, func(context.Context, string, struct{}) (int64, error) {
-		if d := n.owning(); d != nil && d.AtWork() {
-			return d.Epoch(), nil
-		}
-		return 0, nil
+		return n.owned(), nil
+	})
+	peer.Handle(node, closeCall, func(_ context.Context, _ string, epoch int64) (closing, error) {
+		return n.closed(epoch), nil
 	})
 	peer.Handle(node, newsCall, func(_ context.Context, _ string, known int64) (news, error) {
 		return n.tellNews(known), nil
@@ -63,6 +87,8 @@
 		if err != nil {
 			return accepted{}, err
 		}
+		ctx, cancel := w.bounded(ctx)
+		defer cancel()
 		known, err := d.Submit(ctx, w.Job, w.Check)
 		return conflictAsAnswer(accepted{Known: known}, err)
 	})
@@ -71,6 +97,8 @@
 		if err != nil {
 			return accepted{}, err
 		}
+		ctx, cancel := w.bounded(ctx)
+		defer cancel()
 		return conflictAsAnswer(accepted{}, d.Cancel(ctx, w.ID, w.Check))
 	})
 	peer.Handle(node, announceCall, func(ctx context.Context, _ string, a announcement) (bool, error) {
@@ -104,6 +132,20 @@
 	return shown{State: state, Team: team}, nil
 }
 
+// owned returns the epoch in which this entry owns the pool or is about to, or 0. The commit that takes the pool over
+// may succeed long before its answer arrives.
+func (n *Node) owned() int64 {
+	if d := n.owning(); d != nil {
+		if d.AtWork() {
+			return d.Epoch()
+		}
+		return 0
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.attempt
+}
+
 // owning returns the driver of this entry, or nil.
 func (n *Node) owning() *drive.Driver {
 	n.mu.Lock()
@@ -179,13 +221,13 @@
 
 // Submit lets the owner make a job durable.
 func (t there) Submit(ctx context.Context, job flow.Job, check fold.Check) (bool, error) {
-	a, err := callOwner[wish, accepted](ctx, t, submitCall, wish{Job: job, Check: check})
+	a, err := callOwner[wish, accepted](ctx, t, submitCall, wish{Job: job, Check: check, Left: timeLeft(ctx)})
 	return a.Known, a.failed(err)
 }
 
 // Cancel lets the owner make the wish to cancel a job durable.
 func (t there) Cancel(ctx context.Context, id string, check fold.Check) error {
-	a, err := callOwner[wish, accepted](ctx, t, cancelCall, wish{ID: id, Check: check})
+	a, err := callOwner[wish, accepted](ctx, t, cancelCall, wish{ID: id, Check: check, Left: timeLeft(ctx)})
 	return a.failed(err)
 }
 
--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -69,6 +69,8 @@
 	invitation int64
 	// taking is the last epoch from which this entry has begun to take over.
 	taking int64
+	// attempt is the epoch in which this entry tries to own the pool, or 0.
+	attempt int64
 	// announcement is the last one of an owner.
 	announcement announcement
 }
--- a/fold/node/node_test.go
+++ b/fold/node/node_test.go
@@ -8,8 +8,10 @@
 	"github.com/joomcode/errorx"
 
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/codec"
 	"plantainfold.example/fold/flow"
 	"plantainfold.example/fold/front"
+	"plantainfold.example/fold/lead"
 	"plantainfold.example/fold/node"
 )
 
@@ -179,6 +181,32 @@
 	}
 }
 
+// Pattern: the owner leaves while the table is slow to answer. Guards against entries that take over from each other, one
+// after the other, because the first one does not know yet that its takeover has succeeded.
+func TestSlowTakeover(t *testing.T) {
+	c := newCell(t, 3)
+	c.submit(c.fronts[0], 1)
+	c.eventually("the row names the other entries", func() bool { return len(c.owner().Entries) == 2 })
+	before := c.owner()
+	c.table.slow(func(txn fold.Txn) time.Duration {
+		for _, put := range txn.Puts {
+			if owner, err := codec.Decode[lead.Owner](put.Value); put.Key == lead.Key && err == nil && owner.Epoch > before.Epoch && owner.Count == 0 {
+				return 850 * time.Millisecond
+			}
+		}
+		return 0
+	})
+	for i := range 3 {
+		if before.Entry == fmt.Sprintf("entry-%d", i) {
+			c.stops[i]()
+		}
+	}
+	c.eventually("another owner", func() bool { return c.owner().Epoch > before.Epoch && c.owner().Count > 1 })
+	if got := c.owner().Epoch; got != before.Epoch+1 {
+		t.Errorf("epoch %d, want %d: entries took over from each other", got, before.Epoch+1)
+	}
+}
+
 // Guards against settings with which an entry cannot run.
 func TestSettings(t *testing.T) {
 	good := node.Settings{Name: "n", Callers: "a:1", Ready: "a:2", Peers: "a:3", Store: "b:1", Lease: 6000, Grace: 6000}
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -30,6 +30,10 @@
 	weakest   = 0.05
 	// pingTime bounds the question whether the owner is at work.
 	pingTime = 250 * time.Millisecond
+	// silentPings is how many such questions in a row go unanswered before a shorter lapse counts, silentPoll separates
+	// them.
+	silentPings = 2
+	silentPoll  = 100 * time.Millisecond
 	// releaseTime bounds the hand-over of the pool.
 	releaseTime = 1500 * time.Millisecond
 	// countsOld is how old the owner's counts of waiting jobs may be when they are told.
@@ -55,9 +59,12 @@
 			return
 		}
 		term, err := n.take(ctx, owner, version)
+		if err != nil {
+			n.setAttempt(0)
+		}
 		switch {
 		case err == nil:
-			n.serveTerm(ctx, term, n.mustAwait(owner))
+			n.serveTerm(ctx, term, n.mustAwait(owner) && !n.othersDeny(ctx, owner))
 		case ctx.Err() == nil:
 			n.forgetInvitation()
 			n.log.Info("Did not take over the pool.", "owner", owner.Entry, "epoch", owner.Epoch, "error", err)
@@ -68,7 +75,7 @@
 // watch reads the row until its owner has lapsed; it returns an error only when ctx ends.
 func (n *Node) watch(ctx context.Context) (lead.Owner, int64, error) {
 	var s seat
-	contacts := 0
+	contacts, silent := 0, 0
 	for first := true; ; {
 		call, cancel := context.WithTimeout(ctx, tableTime)
 		sent := n.clock.Now()
@@ -90,15 +97,26 @@
 			s.owner, s.version, s.read = owner, version, now
 			s.usual += time.Duration(readWeight * float64(now.Sub(sent)-s.usual))
 			n.setSeat(s)
-			if owner.Entry == "" || now.Sub(s.changed) > lead.LapseOf(s.usual) || n.isInvited(owner.Epoch) || n.vacant(ctx, owner, contacts > 1) {
+			state := n.probe(ctx, owner, contacts > 1)
+			if state == ownerSilent {
+				silent++
+			} else {
+				silent = 0
+			}
+			lapsed := n.clock.Now().Sub(s.changed) > lead.LapseOf(s.usual, silent >= silentPings)
+			if owner.Entry == "" || lapsed || n.isInvited(owner.Epoch) || state == ownerGone {
 				return owner, version, nil
 			}
 		}
+		wait := lead.Poll
+		if silent > 0 {
+			wait = silentPoll
+		}
 		select {
 		case <-ctx.Done():
 			return lead.Owner{}, 0, ctx.Err()
 		case <-n.invitedNow:
-		case <-n.clock.After(lead.Poll):
+		case <-n.clock.After(wait):
 		}
 	}
 }
@@ -138,18 +156,43 @@
 	}
 }
 
-// vacant reports whether the owner that the row names surely does not own the pool any more: its process is gone or says
-// so itself. An owner that does not answer may still be at work. One that the table turns away says that it is not; that
-// counts only while the table serves this entry steadily.
-func (n *Node) vacant(ctx context.Context, owner lead.Owner, steady bool) bool {
+// ownerState is what an entry learns of the owner by asking it.
+type ownerState int
+
+const (
+	// ownerKnown is an owner that answers, or that cannot be asked now.
+	ownerKnown ownerState = iota
+	// ownerSilent does not answer; it may still be at work.
+	ownerSilent
+	// ownerGone does not own the pool any more.
+	ownerGone
+)
+
+// probe asks the owner that the row names whether it is at work. It is gone when its process is, or when it says so
+// itself. One that the table turns away says that it is not at work; that counts only while the table serves this entry
+// steadily.
+func (n *Node) probe(ctx context.Context, owner lead.Owner, steady bool) ownerState {
 	if owner.Entry == n.settings.Name {
-		// An earlier process of this entry.
-		return owner.Incarnation != n.incarnation
+		if owner.Incarnation != n.incarnation {
+			// An earlier process of this entry.
+			return ownerGone
+		}
+		return ownerKnown
+	}
+	if owner.Entry == "" || n.peers.link() == nil {
+		return ownerKnown
 	}
 	ctx, cancel := context.WithTimeout(ctx, pingTime)
 	defer cancel()
 	epoch, err := n.peers.owns(ctx, owner.Address)
-	return err == nil && epoch < owner.Epoch && steady || err != nil && errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case err == nil && epoch < owner.Epoch && steady, errors.Is(err, syscall.ECONNREFUSED):
+		return ownerGone
+	case err != nil:
+		return ownerSilent
+	default:
+		return ownerKnown
+	}
 }
 
 func (n *Node) setSeat(s seat) {
@@ -181,10 +224,17 @@
 		return nil, fold.Refuse(fold.Conflict, "follow the new owner", "the owner's row has changed")
 	}
 	n.closeEpoch(owner.Epoch)
+	n.setAttempt(owner.Epoch + 1)
 	next := lead.Owner{Entry: n.settings.Name, Incarnation: n.incarnation, Address: n.settings.Peers}
 	return lead.Take(ctx, n.parts.Table, n.clock, owner, version, next)
 }
 
+func (n *Node) setAttempt(epoch int64) {
+	n.mu.Lock()
+	n.attempt = epoch
+	n.mu.Unlock()
+}
+
 // serveTerm owns the pool until another entry takes over or ctx ends; then it hands over.
 func (n *Node) serveTerm(ctx context.Context, term *lead.Term, await bool) {
 	n.log.Info("Owner of the pool.", "epoch", term.Epoch(), "await", await)
@@ -197,6 +247,7 @@
 	defer stop()
 	go n.peers.follow(following)
 	n.setDriver(driver)
+	n.setAttempt(0)
 	err := driver.Run(ctx)
 	n.setDriver(nil)
 	if err != nil {
--- a/fold/node/peers.go
+++ b/fold/node/peers.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -27,6 +28,8 @@
 	secretBytes = 32
 	// peersEvery is how often the owner reads which entries there are.
 	peersEvery = 2 * time.Second
+	// peersSoon is how soon it reads again after a change.
+	peersSoon = 400 * time.Millisecond
 	// maxPeers bounds the entries that are read.
 	maxPeers = 500
 	// tableTime bounds a call to the table; startPause separates tries at the start.
@@ -121,36 +124,54 @@
 // follow reads which entries there are until ctx ends.
 func (p *peers) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := p.read(ctx); err != nil && ctx.Err() == nil {
+		changed, err := p.read(ctx)
+		if err != nil && ctx.Err() == nil {
 			p.log.Debug("Could not read the entries.", "error", err)
 		}
+		wait := peersEvery
+		if changed {
+			// Entries that are lost or back together are noticed one after the other.
+			wait = peersSoon
+		}
 		select {
 		case <-ctx.Done():
-		case <-p.clock.After(peersEvery):
+		case <-p.clock.After(wait):
 		}
 	}
 }
 
-func (p *peers) read(ctx context.Context) error {
+// registered reads the registrations of the other entries, by name.
+func (p *peers) registered(ctx context.Context) (map[string]registration, error) {
 	ctx, cancel := context.WithTimeout(ctx, tableTime)
 	defer cancel()
 	rows, err := p.table.Scan(ctx, entryPrefix, "", maxPeers)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	known := make(map[string]registration, len(rows))
-	var mu sync.Mutex
-	var asking sync.WaitGroup
+	entries := make(map[string]registration, len(rows))
 	for _, row := range rows {
 		entry, err := codec.Decode[registration](row.Value)
 		if err != nil {
 			p.log.Warn("Ignored the row of an entry that cannot be read.", "key", row.Key, "error", err)
 			continue
 		}
-		name := strings.TrimPrefix(row.Key, entryPrefix)
-		if name == p.name {
-			continue
+		if name := strings.TrimPrefix(row.Key, entryPrefix); name != p.name {
+			entries[name] = entry
 		}
+	}
+	return entries, nil
+}
+
+// read asks the registered entries whether they answer, and reports whether others do than before.
+func (p *peers) read(ctx context.Context) (changed bool, err error) {
+	entries, err := p.registered(ctx)
+	if err != nil {
+		return false, err
+	}
+	known := make(map[string]registration, len(entries))
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	for name, entry := range entries {
 		asking.Go(func() {
 			call, cancel := context.WithTimeout(ctx, pingTime)
 			defer cancel()
@@ -163,9 +184,10 @@
 	}
 	asking.Wait()
 	p.mu.Lock()
+	changed = !maps.Equal(known, p.known)
 	p.known = known
 	p.mu.Unlock()
-	return nil
+	return changed, nil
 }
 
 // fit is the share of the greatest strength from which on an entry is fit to own the pool.
--- a/fold/node/standin_test.go
+++ b/fold/node/standin_test.go
@@ -14,6 +14,7 @@
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/flow"
 	"plantainfold.example/fold/front"
+	"plantainfold.example/fold/lead"
 	"plantainfold.example/fold/node"
 	"plantainfold.example/fold/plat"
 )
@@ -182,6 +183,14 @@
 	*plat.Table
 	mu   sync.Mutex
 	away bool
+	// lag delays the answer to a commit.
+	lag func(fold.Txn) time.Duration
+}
+
+func (g *gate) slow(lag func(fold.Txn) time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lag = lag
 }
 
 func (g *gate) set(away bool) {
@@ -212,7 +221,14 @@
 	if err := g.pass(ctx); err != nil {
 		return 0, err
 	}
-	return g.Table.Commit(ctx, t)
+	version, err := g.Table.Commit(ctx, t)
+	g.mu.Lock()
+	lag := g.lag
+	g.mu.Unlock()
+	if lag != nil {
+		time.Sleep(lag(t))
+	}
+	return version, err
 }
 
 // cell is a few entries over one table.
@@ -301,6 +317,16 @@
 	c.t.Fatalf("%s: not reached within a minute", what)
 }
 
+// owner returns the row of the owner.
+func (c *cell) owner() lead.Owner {
+	c.t.Helper()
+	owner, _, err := lead.Read(c.t.Context(), c.table.Table)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return owner
+}
+
 func (c *cell) submit(f *front.Front, n int) string {
 	c.t.Helper()
 	id := fmt.Sprintf("%016x", n)
--- /dev/null
+++ b/fold/node/takeover_test.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/codec"
+	"plantainfold.example/fold/lead"
+	"plantainfold.example/fold/peer"
+	"plantainfold.example/fold/plat"
+)
+
+// other serves an entry that answers the question about an epoch, and registers it.
+func other(t *testing.T, table fold.Table, key []byte, name string, answer closing) {
+	t.Helper()
+	side := peer.New(name, answer.Incarnation, key, hclog.NewNullLogger())
+	peer.Handle(side, closeCall, func(context.Context, string, int64) (closing, error) { return answer, nil })
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, side)
+	server := httptest.NewServer(mux)
+	t.Cleanup(func() {
+		_ = side.Close()
+		server.Close()
+	})
+	value, err := codec.Encode(registration{Address: strings.TrimPrefix(server.URL, "http://"), Incarnation: answer.Incarnation})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := table.Commit(t.Context(), fold.Txn{Puts: []fold.Put{{Key: entryPrefix + name, Value: value}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a new owner that waits for all hosts although another entry knows that no runs without records were
+// started, and against one that does not wait because of an entry that cannot know.
+func TestOthersDenyRunsWithoutRecords(t *testing.T) {
+	cases := []struct {
+		name   string
+		others []closing
+		want   bool
+	}{
+		{"nobody answers", nil, false},
+		{"one was not told", []closing{{Incarnation: "b-1"}}, true},
+		{"one was told", []closing{{Incarnation: "b-1", Told: true}}, false},
+		{"only one of two was told", []closing{{Incarnation: "b-1", Told: true}, {Incarnation: "c-1"}}, true},
+		{"started again since", []closing{{Incarnation: "b-2"}}, false},
+		{"not named by the row", []closing{{Incarnation: "d-1"}}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := plat.NewTable()
+			key := []byte("0123456789abcdef0123456789abcdef")
+			for i, o := range c.others {
+				other(t, table, key, "entry-"+string(rune('b'+i)), o)
+			}
+			side := peer.New("entry-a", "a-2", key, hclog.NewNullLogger())
+			t.Cleanup(func() { _ = side.Close() })
+			n := &Node{incarnation: "a-2", log: hclog.NewNullLogger(), peers: &peers{name: "entry-a", table: table, log: hclog.NewNullLogger(), node: side}}
+			owner := lead.Owner{Entry: "entry-a", Incarnation: "a-1", Epoch: 3, Entries: []string{"b-1", "c-1"}}
+			if got := n.othersDeny(t.Context(), owner); got != c.want {
+				t.Errorf("denied %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against an entry that says that it does not own the pool while the answer to its takeover is on its way: others
+// then take over from it.
+func TestAttemptCountsAsOwned(t *testing.T) {
+	n := &Node{}
+	if got := n.owned(); got != 0 {
+		t.Errorf("owned epoch %d, want 0", got)
+	}
+	n.setAttempt(7)
+	if got := n.owned(); got != 7 {
+		t.Errorf("owned epoch %d during a takeover, want 7", got)
+	}
+}
