Do not take the pool over just after the table was slow, and read its owner's row less often

Ruled out: the lapse of the row (1.1 s of 1.6 s), processor time (0.16 cores at most). Change: an entry counts as served only if its usual read is quick, too. Entries ask the owner itself every 0.4 s and read its row every 1.2 s, or at once when it does not say that it is at work; the owner reads changed jobs at most every 150 ms.

--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -63,6 +63,9 @@
 	handOverEvery = 3 * time.Second
 	// rosterEvery is how often the roster is read; a leaving host must be known within the platform's two seconds.
 	rosterEvery = 700 * time.Millisecond
+	// feedPause separates readings of changed jobs. The owner's own commits change them, too; jobs that other entries wrote
+	// are rare.
+	feedPause = 150 * time.Millisecond
 	// feedWait bounds the wait for new jobs, and so the age of what is known of cancelled ones.
 	feedWait = time.Second
 	// feedTime bounds a call of the feed beyond its wait, so that a silent connection is noticed.
--- a/fold/drive/load.go
+++ b/fold/drive/load.go
@@ -213,6 +213,7 @@
 		case err == nil:
 			version = next
 			d.takeChanges(changes)
+			d.pause(ctx, feedPause)
 		case errorx.IsOfType(err, fold.Outdated):
 			rows, next, err := d.snapshot(ctx, JobTable)
 			if err != nil {
--- a/fold/node/announce.go
+++ b/fold/node/announce.go
@@ -40,8 +40,15 @@
 // servedTime is how long the table takes at most for a read when it serves an entry well.
 const servedTime = 50 * time.Millisecond
 
-// served reports whether the table serves this entry well now.
+// served reports whether the table serves this entry well, now and for some time. Just after the table was slow for all,
+// the answer to the owner's commit may be on its way.
 func (n *Node) served(ctx context.Context) bool {
+	n.mu.Lock()
+	usual := n.seat.usual
+	n.mu.Unlock()
+	if usual > servedTime {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(ctx, servedTime)
 	defer cancel()
 	_, _, err := lead.Read(ctx, n.parts.Table)
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -20,6 +20,9 @@
 	// where the table is slow, turnReads times a read, so that the first one is done before the second one tries.
 	takeTurn  = 40 * time.Millisecond
 	turnReads = 3
+	// readEvery is how often the row is read while its owner says that it is at work; the counts of waiting jobs in it may
+	// be two seconds old for callers.
+	readEvery = 1200 * time.Millisecond
 	// readWeight is the weight of the last read in the usual time of one.
 	readWeight = 0.3
 	// spareTurns spreads entries that the row does not name.
@@ -72,40 +75,32 @@
 	}
 }
 
-// watch reads the row until its owner has lapsed; it returns an error only when ctx ends.
+// watch follows the owner until it has lapsed; it returns an error only when ctx ends. An owner that says that it is at
+// work spares reads of its row.
 func (n *Node) watch(ctx context.Context) (lead.Owner, int64, error) {
 	var s seat
 	contacts, silent := 0, 0
-	for first := true; ; {
-		call, cancel := context.WithTimeout(ctx, tableTime)
-		sent := n.clock.Now()
-		owner, version, err := lead.Read(call, n.parts.Table)
-		cancel()
-		now := n.clock.Now()
-		if err != nil {
-			contacts = 0
+	for first := true; ; first = false {
+		state := ownerKnown
+		if !first {
+			state = n.probe(ctx, s.owner, contacts > 1)
+		}
+		if state == ownerSilent {
+			silent++
+		} else {
+			silent = 0
 		}
-		if err == nil {
-			contacts++
-			if first || version != s.version {
-				if s.owner.Epoch != owner.Epoch {
-					n.log.Info("The pool has an owner.", "owner", owner.Entry, "epoch", owner.Epoch)
+		if state != ownerKnown || s.owner.Entry == "" || n.isInvited(s.owner.Epoch) || n.clock.Now().Sub(s.read) >= readEvery {
+			epoch := s.owner.Epoch
+			if n.readSeat(ctx, &s) {
+				contacts++
+				same := s.owner.Epoch == epoch
+				lapsed := n.clock.Now().Sub(s.changed) > lead.LapseOf(s.usual, same && silent >= silentPings)
+				if s.owner.Entry == "" || lapsed || n.isInvited(s.owner.Epoch) || same && state == ownerGone {
+					return s.owner, s.version, nil
 				}
-				s.changed = now
-			}
-			first = false
-			s.owner, s.version, s.read = owner, version, now
-			s.usual += time.Duration(readWeight * float64(now.Sub(sent)-s.usual))
-			n.setSeat(s)
-			state := n.probe(ctx, owner, contacts > 1)
-			if state == ownerSilent {
-				silent++
 			} else {
-				silent = 0
-			}
-			lapsed := n.clock.Now().Sub(s.changed) > lead.LapseOf(s.usual, silent >= silentPings)
-			if owner.Entry == "" || lapsed || n.isInvited(owner.Epoch) || state == ownerGone {
-				return owner, version, nil
+				contacts = 0
 			}
 		}
 		wait := lead.Poll
@@ -121,6 +116,28 @@
 	}
 }
 
+// readSeat reads the row of the owner and reports whether the table answered.
+func (n *Node) readSeat(ctx context.Context, s *seat) bool {
+	ctx, cancel := context.WithTimeout(ctx, tableTime)
+	defer cancel()
+	sent := n.clock.Now()
+	owner, version, err := lead.Read(ctx, n.parts.Table)
+	now := n.clock.Now()
+	if err != nil {
+		return false
+	}
+	if s.changed == 0 || version != s.version {
+		if s.owner.Epoch != owner.Epoch {
+			n.log.Info("The pool has an owner.", "owner", owner.Entry, "epoch", owner.Epoch)
+		}
+		s.changed = now
+	}
+	s.owner, s.version, s.read = owner, version, now
+	s.usual += time.Duration(readWeight * float64(now.Sub(sent)-s.usual))
+	n.setSeat(*s)
+	return true
+}
+
 // isInvited reports whether the owner of the epoch asked this entry to take over.
 func (n *Node) isInvited(epoch int64) bool {
 	n.mu.Lock()
--- a/fold/node/takeover_test.go
+++ b/fold/node/takeover_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -28,10 +29,7 @@
 		_ = side.Close()
 		server.Close()
 	})
-	value, err := codec.Encode(registration{Address: strings.TrimPrefix(server.URL, "http://"), Incarnation: answer.Incarnation})
-	if err != nil {
-		t.Fatal(err)
-	}
+	value := mustEncode(t, registration{Address: strings.TrimPrefix(server.URL, "http://"), Incarnation: answer.Incarnation})
 	if _, err := table.Commit(t.Context(), fold.Txn{Puts: []fold.Put{{Key: entryPrefix + name, Value: value}}}); err != nil {
 		t.Fatal(err)
 	}
@@ -70,6 +68,32 @@
 	}
 }
 
+// Pattern: the table was slow for all entries and has just recovered. Guards against an entry that takes the pool over at
+// the invitation of an owner whose commit is about to be answered.
+func TestServedNowIsNotEnough(t *testing.T) {
+	table := plat.NewTable()
+	if _, err := table.Commit(t.Context(), fold.Txn{Puts: []fold.Put{{Key: lead.Key, Value: mustEncode(t, lead.Owner{Entry: "b", Epoch: 1})}}}); err != nil {
+		t.Fatal(err)
+	}
+	n := &Node{parts: Parts{Table: table}, seat: seat{usual: 4 * time.Millisecond}}
+	if !n.served(t.Context()) {
+		t.Error("an entry that the table always answers at once is not served")
+	}
+	n.seat.usual = 150 * time.Millisecond
+	if n.served(t.Context()) {
+		t.Error("an entry that the table answered slowly a moment ago counts as served")
+	}
+}
+
+func mustEncode[T any](t *testing.T, v T) []byte {
+	t.Helper()
+	value, err := codec.Encode(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
 // Guards against an entry that says that it does not own the pool while the answer to its takeover is on its way: others
 // then take over from it.
 func TestAttemptCountsAsOwned(t *testing.T) {
