Add a soak with separate processes and random faults

pfsoak runs pfnode as separate processes behind loopback proxies that delay, reset, cut one way or silence connections; it kills, pauses, stops and reloads the processes, and lets store and hosts misbehave.

--- /dev/null
+++ b/cmd/pfsoak/main.go
@@ -0,0 +1,12 @@
+// Command pfsoak runs entries as processes, injects faults from outside and checks the promises to callers.
+package main
+
+import (
+	"os"
+
+	"plantainfold.example/pfsoak/internal/app"
+)
+
+func main() {
+	os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/fold/drive/backlog.go
+++ b/fold/drive/backlog.go
@@ -27,8 +27,8 @@
 	number int
 }
 
-// backlogRecord is an element of a row.
-type backlogRecord struct {
+// BacklogRecord is an element of a row of the backlog.
+type BacklogRecord struct {
 	Job    string      `json:"job"`
 	Record flow.Record `json:"record"`
 }
@@ -78,7 +78,7 @@
 
 // packShared puts as many of the writes as fit into a row of the backlog.
 func (d *Driver) packShared(p puts, writes []core.Write) (puts, []core.Write, error) {
-	var records []backlogRecord
+	var records []BacklogRecord
 	size := 0
 	for len(writes) > 0 {
 		value, err := codec.Encode(writes[0].Record)
@@ -89,7 +89,7 @@
 			break
 		}
 		size += len(value)
-		records = append(records, backlogRecord{Job: writes[0].Job, Record: writes[0].Record})
+		records = append(records, BacklogRecord{Job: writes[0].Job, Record: writes[0].Record})
 		p.packed = append(p.packed, writes[0])
 		writes = writes[1:]
 	}
@@ -143,7 +143,7 @@
 // restore takes the rows of earlier owners and puts records that are newer than those of the jobs' own rows into records.
 func (b *backlog) restore(rows []fold.Row, records map[string]flow.Record) error {
 	for _, row := range rows {
-		packed, err := codec.Decode[[]backlogRecord](row.Value)
+		packed, err := codec.Decode[[]BacklogRecord](row.Value)
 		if err != nil {
 			return err
 		}
--- a/fold/model/world.go
+++ b/fold/model/world.go
@@ -38,6 +38,8 @@
 	// lateOrder says that an order is being carried out late, which rules with a time bound excuse.
 	lateOrder bool
 	table     bool
+	// live says that entries run as processes, whose times are excused while there is trouble.
+	live bool
 
 	broken []string
 	counts Counts
@@ -63,6 +65,8 @@
 	sent  fold.Instant
 	// cancelled is when the wish to cancel became durable.
 	cancelled fold.Instant
+	// wished says that a caller has tried to cancel the job.
+	wished    bool
 	hopeless  bool
 	objective time.Duration
 	size      float64
--- a/fold/plat/faulty.go
+++ b/fold/plat/faulty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"plantainfold.example/fold"
 )
@@ -74,3 +75,40 @@
 	})
 	return err
 }
+
+// FaultyLog is the history of a table with faults.
+type FaultyLog struct {
+	log    fold.Log
+	faults *Switch
+}
+
+var _ fold.Log = &FaultyLog{}
+
+// NewFaultyLog returns the history with the faults of the switch.
+func NewFaultyLog(l fold.Log, s *Switch) *FaultyLog {
+	return &FaultyLog{log: l, faults: s}
+}
+
+// followed is the result of a call to a history.
+type followed[T any] struct {
+	rows    []T
+	version int64
+}
+
+// Snapshot returns all rows of a table and the version of the whole.
+func (l *FaultyLog) Snapshot(ctx context.Context, table string) ([]fold.Row, int64, error) {
+	out, err := through(ctx, l.faults, false, func(ctx context.Context) (followed[fold.Row], error) {
+		rows, version, err := l.log.Snapshot(ctx, table)
+		return followed[fold.Row]{rows, version}, err
+	})
+	return out.rows, out.version, err
+}
+
+// Changes waits for changes of a table after the version.
+func (l *FaultyLog) Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]fold.RowChange, int64, error) {
+	out, err := through(ctx, l.faults, false, func(ctx context.Context) (followed[fold.RowChange], error) {
+		rows, version, err := l.log.Changes(ctx, table, after, wait)
+		return followed[fold.RowChange]{rows, version}, err
+	})
+	return out.rows, out.version, err
+}
