--- a/fold/model/live.go
+++ b/fold/model/live.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -36,19 +35,8 @@
 
 // NewLive starts the hosts of a day; record reads the durable record of a job.
 func NewLive(d Day, log hclog.Logger, record func(id string) flow.Record) *Live {
-	w := &World{
-		day: d, random: rand.New(rand.NewPCG(d.Seed, 1)), log: log, now: fold.Instant(time.Hour), start: fold.Instant(time.Hour),
-		byID: make(map[string]*jobTruth), truths: make(map[string]*truth), gangs: make(map[string][]*run), table: true,
-		store: store{records: make(map[string]flow.Record), jobs: make(map[string]flow.Job), cancels: make(map[string]bool)},
-	}
-	w.live = true
-	w.counts.ByClass = make(map[string][2]float64)
-	w.rules = fold.Rules{Revision: 1, Teams: d.Teams}
-	for _, c := range d.Classes {
-		q := c.Queue
-		q.Service = "pool"
-		w.rules.Queues = append(w.rules.Queues, q)
-	}
+	w := newWorld(d)
+	w.live, w.log = true, log
 	w.build()
 	l := &Live{began: time.Now(), stop: make(chan struct{}), done: make(chan struct{}), record: record, w: w, wake: make(chan struct{}, 1), refused: make(map[string]bool)}
 	go l.run()
--- a/fold/model/world.go
+++ b/fold/model/world.go
@@ -90,23 +90,29 @@
 	}
 }
 
-// Play plays a day and returns what happened and which promises were broken.
-func Play(d Day, opts ...Option) (Counts, []string) {
+// newWorld returns a day before its first moment, with its rules and without hosts.
+func newWorld(d Day) *World {
 	w := &World{
 		day: d, random: rand.New(rand.NewPCG(d.Seed, 1)), log: hclog.NewNullLogger(), now: fold.Instant(time.Hour), start: fold.Instant(time.Hour),
 		byID: make(map[string]*jobTruth), truths: make(map[string]*truth), gangs: make(map[string][]*run), table: true,
 		store: store{records: make(map[string]flow.Record), jobs: make(map[string]flow.Job), cancels: make(map[string]bool)},
 	}
 	w.counts.ByClass = make(map[string][2]float64)
-	for _, opt := range opts {
-		opt(w)
-	}
 	w.rules = fold.Rules{Revision: 1, Teams: d.Teams}
 	for _, c := range d.Classes {
 		q := c.Queue
 		q.Service = "pool"
 		w.rules.Queues = append(w.rules.Queues, q)
 	}
+	return w
+}
+
+// Play plays a day and returns what happened and which promises were broken.
+func Play(d Day, opts ...Option) (Counts, []string) {
+	w := newWorld(d)
+	for _, opt := range opts {
+		opt(w)
+	}
 	w.build()
 	for _, f := range d.Faults {
 		w.at(f.At, func() { w.strike(f) })
