--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -54,24 +54,34 @@
 // rankSpan is more than the priorities within a rank.
 const rankSpan = 16
 
-// rank orders parts: tasks that last, then jobs that can still end in time, then late ones, then what a team sent
-// beyond its rate, then jobs that have lost their worth.
-func (c *Cell) rank(p *part) int {
+// class says what the job of a part is still worth: it lasts, can still end in time, is late, is beyond the rate of its
+// team, or has lost its worth.
+func (c *Cell) class(p *part) int {
 	j := p.job
-	class := rankTimely
 	switch {
 	case p.step.Lasting:
-		class = rankLasting
+		return rankLasting
 	case j.spec.Times > 0:
-		class = rankTimely
+		return rankTimely
 	case c.now > j.late:
-		class = rankLost
+		return rankLost
 	case j.excess:
-		class = rankExcess
+		return rankExcess
 	case c.now.Add(c.remaining(p)) > j.due:
-		class = rankLate
+		return rankLate
+	default:
+		return rankTimely
+	}
+}
+
+// rank orders parts by class and priority. Urgent jobs that are late come behind those that are not, but before long jobs
+// that can still end in time: those lose nothing by a short wait, while the urgent ones soon have lost all their worth.
+func (c *Cell) rank(p *part) int {
+	class, priority := c.class(p), min(max(p.job.queue.Priority, 0), rankSpan/2-1)
+	if class == rankLate && p.urgent() {
+		return rankTimely*rankSpan + 1
 	}
-	return class*rankSpan + min(max(j.queue.Priority, 0), rankSpan-1)
+	return class*rankSpan + 2*priority
 }
 
 // remaining is the least time until the job of a part can end.
--- a/fold/core/room.go
+++ b/fold/core/room.go
@@ -50,7 +50,7 @@
 
 // pressing reports whether other work is stopped for the part: it lasts, or it is urgent and can still end in time.
 func (c *Cell) pressing(p *part) bool {
-	return p.step.Lasting || p.job.queue.Priority == 0 && c.rank(p) < rankLate*rankSpan
+	return p.step.Lasting || p.job.queue.Priority == 0 && c.class(p) <= rankTimely
 }
 
 func (p *part) roomAt() fold.Instant {
