Let a new process ask the owner at once, and log repeated refusals once

At the first start of a cell each entry wrote the same line every 55 ms until there was a configuration. Change: 20 ms between the first read and the first question; a refusal that repeats the last one is logged at level debug.

--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/joomcode/errorx"
 
 	"plantainfold.example/fold"
@@ -23,6 +24,8 @@
 	// readEvery is how often the row is read while its owner says that it is at work; the counts of waiting jobs in it may
 	// be two seconds old for callers.
 	readEvery = 1200 * time.Millisecond
+	// firstPoll separates the first read of a process from its first question to the owner.
+	firstPoll = 20 * time.Millisecond
 	// readWeight is the weight of the last read in the usual time of one.
 	readWeight = 0.3
 	// spareTurns spreads entries that the row does not name.
@@ -57,6 +60,7 @@
 
 // own watches the ownership and owns the pool whenever this entry's turn has come, until ctx ends.
 func (n *Node) own(ctx context.Context) {
+	told := ""
 	for ctx.Err() == nil {
 		owner, version, err := n.watch(ctx)
 		if err != nil {
@@ -71,7 +75,13 @@
 			n.serveTerm(ctx, term, n.mustAwait(owner) && !n.othersDeny(ctx, owner))
 		case ctx.Err() == nil:
 			n.forgetInvitation()
-			n.log.Info("Did not take over the pool.", "owner", owner.Entry, "epoch", owner.Epoch, "error", err)
+			// While there is no configuration yet, each try ends the same.
+			level := hclog.Info
+			if err.Error() == told {
+				level = hclog.Debug
+			}
+			told = err.Error()
+			n.log.Log(level, "Did not take over the pool.", "owner", owner.Entry, "epoch", owner.Epoch, "error", err)
 		}
 	}
 }
@@ -102,7 +112,11 @@
 			}
 		}
 		wait := lead.Poll
-		if silent > 0 {
+		switch {
+		case first:
+			// The row may name an earlier process of this entry.
+			wait = firstPoll
+		case silent > 0:
 			wait = silentPoll
 		}
 		select {
