Do not write to a slow table for single callers, nor invite others just after it was slow

At 11.87 s, one second after the store had recovered, an entry took over at the invitation of an owner at work. Change: an entry writes itself only when a read takes less than 80 ms (250 before); an entry is served by the table when no read took more than 50 ms for 3 s.

--- a/fold/front/front.go
+++ b/fold/front/front.go
@@ -25,8 +25,9 @@
 	trustRules = 3 * time.Second
 	// ownerTime bounds a question to the owner, who answers it from memory.
 	ownerTime = 400 * time.Millisecond
-	// probeTime bounds the read before an entry writes to the table on behalf of a caller.
-	probeTime = 250 * time.Millisecond
+	// probeTime bounds the read before an entry writes to the table on behalf of a caller. A table that takes longer, which
+	// is twenty times its usual time, would leave the outcome of the write unknown.
+	probeTime = 80 * time.Millisecond
 	// leastRetry and mostRetry bound the time after which refused callers are to come back.
 	leastRetry = time.Second
 	mostRetry  = 8 * time.Second
--- a/fold/node/announce.go
+++ b/fold/node/announce.go
@@ -37,16 +37,20 @@
 	return true, nil
 }
 
-// servedTime is how long the table takes at most for a read when it serves an entry well.
-const servedTime = 50 * time.Millisecond
+const (
+	// servedTime is how long the table takes at most for a read when it serves an entry well.
+	servedTime = 50 * time.Millisecond
+	// servedFor is how long it must have done so: a commit to a slow table takes up to a few seconds.
+	servedFor = 3 * time.Second
+)
 
 // served reports whether the table serves this entry well, now and for some time. Just after the table was slow for all,
 // the answer to the owner's commit may be on its way.
 func (n *Node) served(ctx context.Context) bool {
 	n.mu.Lock()
-	usual := n.seat.usual
+	slow := n.seat.slow
 	n.mu.Unlock()
-	if usual > servedTime {
+	if slow != 0 && n.clock.Now().Sub(slow) < servedFor {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, servedTime)
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -56,6 +56,8 @@
 	// read is when the row was last read, usual how long a read usually takes.
 	read  fold.Instant
 	usual time.Duration
+	// slow is when a read last took longer than by a table that serves this entry well.
+	slow fold.Instant
 }
 
 // own watches the ownership and owns the pool whenever this entry's turn has come, until ctx ends.
@@ -153,6 +155,9 @@
 	}
 	s.owner, s.version, s.read = owner, version, now
 	s.usual += time.Duration(readWeight * float64(now.Sub(sent)-s.usual))
+	if now.Sub(sent) > servedTime {
+		s.slow = now
+	}
 	n.setSeat(*s)
 	return contacts + 1
 }
--- a/fold/node/takeover_test.go
+++ b/fold/node/takeover_test.go
@@ -75,11 +75,11 @@
 	if _, err := table.Commit(t.Context(), fold.Txn{Puts: []fold.Put{{Key: lead.Key, Value: mustEncode(t, lead.Owner{Entry: "b", Epoch: 1})}}}); err != nil {
 		t.Fatal(err)
 	}
-	n := &Node{parts: Parts{Table: table}, seat: seat{usual: 4 * time.Millisecond}}
+	n := &Node{parts: Parts{Table: table}, clock: fold.BootClock{}}
 	if !n.served(t.Context()) {
 		t.Error("an entry that the table always answers at once is not served")
 	}
-	n.seat.usual = 150 * time.Millisecond
+	n.seat.slow = n.clock.Now().Add(-time.Second)
 	if n.served(t.Context()) {
 		t.Error("an entry that the table answered slowly a moment ago counts as served")
 	}
