Keep the soak's proxies off the addresses of entries

An address was reserved by closing a listener, and the next proxy could be given it; a proxy before itself connects to itself until 20,000 files are open. Change: the listeners stay open until the proxies listen.

--- a/cmd/pfsoak/internal/app/entry.go
+++ b/cmd/pfsoak/internal/app/entry.go
@@ -33,13 +33,18 @@
 	paused  bool
 }
 
-// freeAddress returns an address on loopback that nothing listens at.
-func freeAddress(ctx context.Context) (string, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// reserve returns listeners at free addresses on loopback; they are closed once everything else listens, so that nothing
+// is given an address of the entry: a proxy with itself as its target would connect without end.
+func reserve(ctx context.Context, n int) ([]net.Listener, error) {
+	var reserved []net.Listener
+	for range n {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+		if err != nil {
+			return reserved, err
+		}
+		reserved = append(reserved, l)
 	}
-	return l.Addr().String(), l.Close()
+	return reserved, nil
 }
 
 func newEntry(ctx context.Context, program, dir, name, store, adviser string) (*entry, error) {
@@ -51,11 +56,19 @@
 	if e.adviser, err = newProxy(ctx, adviser); err != nil {
 		return nil, err
 	}
-	addresses := make([]string, 3)
-	for i := range addresses {
-		if addresses[i], err = freeAddress(ctx); err != nil {
-			return nil, err
+	reserved, err := reserve(ctx, 3)
+	defer func() {
+		for _, l := range reserved {
+			// An address that stays taken shows when the entry starts.
+			_ = l.Close()
 		}
+	}()
+	if err != nil {
+		return nil, err
+	}
+	addresses := make([]string, len(reserved))
+	for i, l := range reserved {
+		addresses[i] = l.Addr().String()
 	}
 	e.settings = node.Settings{
 		Name: name, Domain: "soak", Callers: addresses[0], Ready: addresses[1], Peers: addresses[2],
--- a/cmd/pfsoak/internal/app/soak_test.go
+++ b/cmd/pfsoak/internal/app/soak_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 	seed  uint64
 	cause string
 }{
+	{1012, "a proxy was given the address of the entry behind it and connected to itself (too many open files)"},
 	{26, "the soak blamed the next process of an entry for the grace time of the one before"},
 }
 
@@ -57,6 +59,25 @@
 	}
 }
 
+// Guards against a proxy that is given the address of its own target: it would connect to itself without end.
+func TestProxiesDoNotTakeAddressesOfEntries(t *testing.T) {
+	for range 200 {
+		e, err := newEntry(t.Context(), "unused", t.TempDir(), "entry", "127.0.0.1:1", "127.0.0.1:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken := []string{e.settings.Callers, e.settings.Ready, e.settings.Peers}
+		for _, p := range []*proxy{e.store, e.adviser, e.callers} {
+			if slices.Contains(taken, p.address()) {
+				t.Fatalf("a proxy listens at %s, an address of the entry", p.address())
+			}
+		}
+		if err := e.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // Guards against a proxy that forwards what it should hold back, or that does not recover.
 func TestProxyModes(t *testing.T) {
 	server, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
