Rename what the read-through stumbled over

The type closing shared its name with a handler, the method usedHosts with its row; two comments said what their functions do not do, three used another word for host.

--- a/fold/core/ask.go
+++ b/fold/core/ask.go
@@ -85,12 +85,12 @@
 // approve notes a host that the adviser approved of.
 func (a *approvals) approve(h *host) {
 	at, found := slices.BinarySearchFunc(a.approved, h, func(o, h *host) int { return cmp.Compare(o.info.ID, h.info.ID) })
-	switch {
-	case !found:
-		a.approved = slices.Insert(a.approved, at, h)
-	default:
+	if found {
+		// A host that was forgotten and is back has another state.
 		a.approved[at] = h
+		return
 	}
+	a.approved = slices.Insert(a.approved, at, h)
 }
 
 // Ask is a call to the adviser.
--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -12,7 +12,7 @@
 // drift is how much slower a host's clock may run, as a share.
 const drift = 0.02
 
-// host is one worker: its current life and what may run there.
+// host is an instance that runs tasks: its current life and what may run there.
 type host struct {
 	info fold.Host
 	// listed says that the roster named the host last time; gone is since when it does not.
@@ -72,7 +72,7 @@
 // lateOrder is how long after it was sent an order without an answer may be carried out.
 const lateOrder = 13 * time.Second
 
-// host returns the worker with the id, also one that the roster has not named.
+// host returns the host with the id, also one that the roster has not named.
 func (c *Cell) host(id string) *host {
 	h, ok := c.hosts[id]
 	if !ok {
@@ -136,7 +136,7 @@
 // not forget which ends were taken in.
 const forgetHost = 30 * time.Second
 
-// reborn notes that a new life of the worker runs under its id: the earlier one runs nothing any more.
+// reborn notes that a new life of the host runs under its id: the earlier one runs nothing any more.
 func (c *Cell) reborn(h *host, born int64) {
 	first := h.info.Born == 0
 	h.info.Born = born
--- a/fold/drive/backlog.go
+++ b/fold/drive/backlog.go
@@ -104,7 +104,7 @@
 	return p, writes, nil
 }
 
-// note takes what a commit has made durable and returns the jobs whose final record now has a row of its own.
+// note takes what a commit has made durable.
 func (b *backlog) note(p puts) {
 	for _, w := range p.own {
 		delete(b.records, w.Job)
@@ -118,7 +118,8 @@
 	}
 }
 
-// take returns records that are to get rows of their own, at most room, and the rows that are needed no more.
+// take returns records that are to get rows of their own, at most room, or the rows that are needed no more. Jobs whose
+// records are written anyway because they have changed are left out.
 func (b *backlog) take(room int, changed []core.Write) (writes []core.Write, done []string) {
 	if len(b.records) == 0 {
 		return nil, b.keys
--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -154,7 +154,7 @@
 		}
 		txn := fold.Txn{Deletes: b.deletes}
 		if first && b.hostsChanged {
-			value, err := codec.Encode(d.usedHosts(b.hosts))
+			value, err := codec.Encode(d.hostsRow(b.hosts))
 			if err != nil {
 				return err
 			}
@@ -189,7 +189,8 @@
 	Awaited bool   `json:"awaited,omitempty"`
 }
 
-func (d *Driver) usedHosts(hosts []core.UsedHost) usedHosts {
+// hostsRow makes the row of the hosts.
+func (d *Driver) hostsRow(hosts []core.UsedHost) usedHosts {
 	row := usedHosts{Epoch: d.term.Epoch(), Hosts: make([]usedHost, 0, len(hosts))}
 	for _, h := range hosts {
 		row.Hosts = append(row.Hosts, usedHost{ID: h.ID, Address: h.Address, Born: h.Born, Awaited: h.Awaited})
--- a/fold/node/announce.go
+++ b/fold/node/announce.go
@@ -81,19 +81,19 @@
 	n.mu.Unlock()
 }
 
-// closing is what an entry answers to the question about the owner of an epoch that has ended.
-type closing struct {
+// ended is what an entry answers to the question about the owner of an epoch that has ended.
+type ended struct {
 	Incarnation string `json:"incarnation"`
 	// Told says that the owner has announced runs without records.
 	Told bool `json:"told"`
 }
 
 // closed ends the epoch for this entry, which refuses its later announcements, and returns what the owner has announced.
-func (n *Node) closed(epoch int64) closing {
+func (n *Node) closed(epoch int64) ended {
 	n.closeEpoch(epoch)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return closing{Incarnation: n.incarnation, Told: n.announcement.Epoch == epoch && n.announcement.On}
+	return ended{Incarnation: n.incarnation, Told: n.announcement.Epoch == epoch && n.announcement.On}
 }
 
 // othersDeny reports whether an entry that the last row of the owner names was not told of runs without records. The
@@ -118,7 +118,7 @@
 		}
 		asked++
 		go func() {
-			told, err := peer.Call[int64, closing](ctx, node, entry.Address, closeCall, owner.Epoch)
+			told, err := peer.Call[int64, ended](ctx, node, entry.Address, closeCall, owner.Epoch)
 			answers <- err == nil && told.Incarnation == entry.Incarnation && !told.Told
 		}()
 	}
--- a/fold/node/link.go
+++ b/fold/node/link.go
@@ -76,7 +76,7 @@
 	peer.Handle(node, ownsCall, func(context.Context, string, struct{}) (int64, error) {
 		return n.owned(), nil
 	})
-	peer.Handle(node, closeCall, func(_ context.Context, _ string, epoch int64) (closing, error) {
+	peer.Handle(node, closeCall, func(_ context.Context, _ string, epoch int64) (ended, error) {
 		return n.closed(epoch), nil
 	})
 	peer.Handle(node, newsCall, func(_ context.Context, _ string, known int64) (news, error) {
--- a/fold/node/takeover_test.go
+++ b/fold/node/takeover_test.go
@@ -18,10 +18,10 @@
 )
 
 // other serves an entry that answers the question about an epoch, and registers it.
-func other(t *testing.T, table fold.Table, key []byte, name string, answer closing) {
+func other(t *testing.T, table fold.Table, key []byte, name string, answer ended) {
 	t.Helper()
 	side := peer.New(name, answer.Incarnation, key, hclog.NewNullLogger())
-	peer.Handle(side, closeCall, func(context.Context, string, int64) (closing, error) { return answer, nil })
+	peer.Handle(side, closeCall, func(context.Context, string, int64) (ended, error) { return answer, nil })
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, side)
 	server := httptest.NewServer(mux)
@@ -40,15 +40,15 @@
 func TestOthersDenyRunsWithoutRecords(t *testing.T) {
 	cases := []struct {
 		name   string
-		others []closing
+		others []ended
 		want   bool
 	}{
 		{"nobody answers", nil, false},
-		{"one was not told", []closing{{Incarnation: "b-1"}}, true},
-		{"one was told", []closing{{Incarnation: "b-1", Told: true}}, false},
-		{"only one of two was told", []closing{{Incarnation: "b-1", Told: true}, {Incarnation: "c-1"}}, true},
-		{"started again since", []closing{{Incarnation: "b-2"}}, false},
-		{"not named by the row", []closing{{Incarnation: "d-1"}}, false},
+		{"one was not told", []ended{{Incarnation: "b-1"}}, true},
+		{"one was told", []ended{{Incarnation: "b-1", Told: true}}, false},
+		{"only one of two was told", []ended{{Incarnation: "b-1", Told: true}, {Incarnation: "c-1"}}, true},
+		{"started again since", []ended{{Incarnation: "b-2"}}, false},
+		{"not named by the row", []ended{{Incarnation: "d-1"}}, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
