Acknowledge nothing to a host that may have started again

A look that follows an unanswered one carried the number of the last end of the earlier life, by which the new one, which counts from 1, forgets ends that nobody has seen. Change: such a look acknowledges nothing.

--- a/fold/drive/load_test.go
+++ b/fold/drive/load_test.go
@@ -84,10 +84,13 @@
 	started, ended map[string]time.Time
 	// loses makes every so many looks at a host go without an answer; looks counts them.
 	loses, looks int
+	// lost says that the last look at a host had no answer; badAcks counts looks after one that acknowledge ends.
+	lost    map[string]bool
+	badAcks int
 }
 
 func newPool(count int, takes time.Duration) *pool {
-	p := &pool{count: count, takes: takes, began: time.Now(), ends: make(map[string][]fold.HostEnd), last: make(map[string]int64), runs: make(map[string]map[string]fold.HostRun), wake: make(map[string]chan struct{}), started: make(map[string]time.Time), ended: make(map[string]time.Time)}
+	p := &pool{count: count, takes: takes, began: time.Now(), ends: make(map[string][]fold.HostEnd), last: make(map[string]int64), runs: make(map[string]map[string]fold.HostRun), wake: make(map[string]chan struct{}), started: make(map[string]time.Time), ended: make(map[string]time.Time), lost: make(map[string]bool)}
 	for i := range count {
 		id := fmt.Sprintf("host-%02d", i)
 		p.wake[id] = make(chan struct{}, 1)
@@ -107,7 +110,12 @@
 
 func (p *pool) Hold(ctx context.Context, h fold.Host, q fold.HoldRequest) (fold.HoldReply, error) {
 	p.mu.Lock()
-	if p.looks++; p.loses > 0 && p.looks%p.loses == 0 {
+	if p.lost[h.ID] && q.Acked != 0 {
+		p.badAcks++
+	}
+	p.looks++
+	p.lost[h.ID] = p.loses > 0 && p.looks%p.loses == 0
+	if p.lost[h.ID] {
 		p.mu.Unlock()
 		<-ctx.Done()
 		return fold.HoldReply{}, fold.Unknown.Wrap(ctx.Err(), "no answer")
@@ -290,7 +298,8 @@
 }
 
 // Pattern: one in seven answers of hosts is lost while urgent jobs of two steps run. Guards against a second step that waits
-// because the ends of the first one were in a lost answer.
+// because the ends of the first one were in a lost answer, and against ends of another life of the host that are
+// acknowledged by the numbers of the one before.
 func TestLostAnswersOfHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const jobs = 60
@@ -309,6 +318,9 @@
 		time.Sleep(20 * time.Second)
 		hosts.mu.Lock()
 		defer hosts.mu.Unlock()
+		if hosts.badAcks > 0 {
+			t.Errorf("%d looks after a lost answer acknowledge ends", hosts.badAcks)
+		}
 		for n := range jobs {
 			id := check(n, 2).ID
 			ended := hosts.ended[flow.TaskName{Job: id, Index: 1}.String()]
--- a/fold/drive/orders.go
+++ b/fold/drive/orders.go
@@ -92,7 +92,8 @@
 			continue
 		}
 		if lost > 0 {
-			req.Wait = 0
+			// Another life may answer under the id, whose ends are numbered anew: nothing is acknowledged until it has told.
+			req.Wait, req.Acked = 0, 0
 		}
 		sent := d.parts.Clock.Now()
 		call, cancel := context.WithTimeout(ctx, req.Wait+holdTime)
