--- a/fold/drive/load_test.go
+++ b/fold/drive/load_test.go
@@ -274,6 +274,8 @@
 		if refused > 0 || slow > 0 || completed != jobs {
 			t.Errorf("of %d jobs %d were refused and %d are completed; %d tasks started after %s", jobs, refused, completed, slow, urgentStart)
 		}
+		table.mu.Lock()
+		defer table.mu.Unlock()
 		if table.rows > 100 {
 			t.Errorf("a commit had %d entries, more than the platform takes", table.rows)
 		}
@@ -291,6 +293,8 @@
 		if _, err := d.Submit(t.Context(), check(1, 1), fold.Check{}); err != nil {
 			t.Error(err)
 		}
+		table.mu.Lock()
+		defer table.mu.Unlock()
 		if table.turnedAway == 0 {
 			t.Error("no call was turned away")
 		}
