Let other entries look after hosts for the owner

Cause: one owner makes every call to every host. Ruled out: size itself. A profile of an owner with 700 hosts shows a quarter of the time in the collector, which scans the stacks of three goroutines a host, and decisions, calls and commits behind it.

Change: package relay looks after hosts: leases, reports, orders. The owner runs one relay itself; with more hosts than its machine carries it asks the strongest other entries for sessions. A session acts on the owner's permission (leases, starts) only as long as it lasts by its own clock, counted from before it asked; orders older than a second are refused unsent; a batch whose answer was lost is called for again. Silent relays lose their hosts after 0.65 s, and a host that does not answer one relay is given to another one once. The arithmetic of leases leaves core (package lease); TestNoRenewalWhileSilent moves from core to relay and also checks that permission is needed, and TestAcknowledgement checks the acknowledgements that core now orders.

--- a/fold/core/ask.go
+++ b/fold/core/ask.go
@@ -188,11 +188,13 @@
 		renewal = p.job.queue.Advice.Valid / 2
 	}
 	var found []candidate
+	potential := 0.0
 	for _, h := range open {
 		if !p.allowed(h) || p.advice.no[h.info.ID] {
 			continue
 		}
 		slots := c.slots(p, h, h.info.Capacity.Sub(h.used))
+		potential += slots
 		if p.granted(h, c.now.Add(renewal)) {
 			// What is approved already needs no call.
 			need -= slots
@@ -206,7 +208,8 @@
 		}
 		found = append(found, candidate{host: h, slots: slots})
 	}
-	if need <= 0 {
+	if need <= 0 || p.step.Gang && potential < float64(p.free) {
+		// Without room for all of its members a gang has no use for tickets.
 		return nil
 	}
 	if len(found) == 0 && c.pressing(p) {
--- a/fold/core/bench_test.go
+++ b/fold/core/bench_test.go
@@ -31,8 +31,7 @@
 	}
 	cell.SetHosts(list)
 	for _, h := range list {
-		cell.Hold(h.ID, 1, true)
-		cell.Report(h.ID, now, fold.HoldReply{Clock: wall, Born: 1})
+		cell.Report(h.ID, now, fold.HoldReply{Clock: wall, Born: 1}, 6*time.Second)
 	}
 	add := func(n int, q fold.Queue, cpu int64, count int) {
 		cell.AddJob(flow.Job{ID: fmt.Sprintf("%016x", n), Team: fmt.Sprintf("team-%d", n%20), Queue: q, Accepted: wall, Steps: []flow.Step{{Count: count, Size: fold.Resources{CPU: cpu, Memory: 8000}, Estimate: 6000, Saves: true}}}, 1)
--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -48,8 +48,9 @@
 	later []*part
 
 	dirty []*job
-	// orders collects what the driver is to send.
-	orders Orders
+	// orders collects what the driver is to send, touched the hosts whose runs have changed since.
+	orders  Orders
+	touched []*host
 	// planned are runs that wait for their record, recorded those whose record is being written.
 	planned, recorded []*run
 	// gauges learns how long tasks of a queue take compared with their estimates.
@@ -119,6 +120,11 @@
 	c.wall = wall
 }
 
+// Now returns the time that the cell was last told.
+func (c *Cell) Now() fold.Instant {
+	return c.now
+}
+
 // SetRules puts a revision of the configuration in force.
 func (c *Cell) SetRules(rules fold.Rules) {
 	if rules.Revision < c.rules.Revision {
--- a/fold/core/core_test.go
+++ b/fold/core/core_test.go
@@ -9,10 +9,14 @@
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/core"
 	"plantainfold.example/fold/flow"
+	"plantainfold.example/fold/lease"
 )
 
 const id = "5c0e7a21d94b36f8"
 
+// leaseTime is the lease that hosts grant.
+const leaseTime = 6 * time.Second
+
 // bench drives a cell by hand.
 type bench struct {
 	t    *testing.T
@@ -26,7 +30,7 @@
 func newBench(t *testing.T, rules fold.Rules, hosts ...fold.Host) *bench {
 	t.Helper()
 	b := &bench{t: t, now: fold.Instant(time.Hour), wall: 1e9, hosts: hosts}
-	b.cell = core.New(core.Times{Lease: 6 * time.Second, Stop: 900 * time.Millisecond, Keep: 4 * time.Second}, hclog.NewNullLogger())
+	b.cell = core.New(core.Times{Lease: leaseTime, Stop: 900 * time.Millisecond, Keep: 4 * time.Second}, hclog.NewNullLogger())
 	b.cell.SetTime(b.now, b.wall)
 	b.cell.SetRules(rules)
 	b.roster()
@@ -47,8 +51,7 @@
 }
 
 func (b *bench) report(h fold.Host, runs []fold.HostRun, ends []fold.HostEnd) {
-	b.cell.Hold(h.ID, 1, true)
-	b.cell.Report(h.ID, b.now, fold.HoldReply{Clock: b.wall, Born: h.Born, Runs: runs, Ends: ends})
+	b.cell.Report(h.ID, b.now, fold.HoldReply{Clock: b.wall, Born: h.Born, Runs: runs, Ends: ends}, lease.Longest(leaseTime))
 }
 
 // decide plans, records and returns the orders.
@@ -148,10 +151,9 @@
 	b.hosts = append(b.hosts, host("b", 1000))
 	b.cell.SetHosts(b.hosts)
 	b.report(b.hosts[1], nil, nil)
-	b.cell.HoldFailed("a", 1)
+	b.cell.HoldFailed("a", 1, lease.Longest(leaseTime))
 	for range 50 {
 		b.wait(100 * time.Millisecond)
-		b.cell.Hold("a", 1, true)
 		b.report(b.hosts[1], nil, nil)
 		if got := len(b.decide().Starts); got != 0 {
 			t.Fatalf("started again although the lease has not ended")
@@ -163,21 +165,6 @@
 	}
 }
 
-// Guards against a renewal that keeps the lease of a silent host from ever ending.
-func TestNoRenewalWhileSilent(t *testing.T) {
-	b := newBench(t, fold.Rules{}, host("a", 1000))
-	if _, req, _ := b.cell.Hold("a", 1, true); req.Until == 0 {
-		t.Error("no renewal for a host that answers")
-	}
-	b.cell.HoldFailed("a", 1)
-	if _, req, _ := b.cell.Hold("a", 1, true); req.Until != 0 {
-		t.Error("a renewal for a host that does not answer")
-	}
-	if _, req, _ := b.cell.Hold("a", 1, false); req.Until != 0 {
-		t.Error("a renewal by an owner that may not renew")
-	}
-}
-
 // Guards against a start that was still waiting for its record when its host came back in a new life.
 func TestPlanOfALostHost(t *testing.T) {
 	b := newBench(t, fold.Rules{}, host("a", 1000))
@@ -199,15 +186,17 @@
 	b.cell.AddJob(job(queue(0), step(1)), 1)
 	b.decide()
 	b.report(b.hosts[0], nil, []fold.HostEnd{{Number: 1, Task: id + ".0.0.0", Run: 1, How: fold.EndDone}})
-	if _, req, _ := b.cell.Hold("a", 1, true); req.Acked != 0 {
-		t.Errorf("end %d acknowledged before its record", req.Acked)
+	b.cell.Decide()
+	writes := b.cell.Snapshot()
+	if acks := b.cell.Orders().Acks; len(acks) != 0 || b.cell.Contacts()[0].Acked != 0 {
+		t.Errorf("ends acknowledged before their record: %+v", acks)
 	}
 	if state, _, _ := b.cell.Shown(id); state == flow.Completed {
 		t.Error("shown as completed before its record")
 	}
-	b.decide()
-	if _, req, _ := b.cell.Hold("a", 1, true); req.Acked != 1 {
-		t.Errorf("end %d acknowledged after the record, want 1", req.Acked)
+	b.cell.Recorded(writes)
+	if acks := b.cell.Orders().Acks; len(acks) != 1 || acks[0] != (core.Ack{Host: "a", Born: 1, Number: 1}) || b.cell.Contacts()[0].Acked != 1 {
+		t.Errorf("acknowledged after the record: %+v, want end 1", acks)
 	}
 }
 
@@ -330,3 +319,28 @@
 		t.Errorf("paces %+v far below the target, want more", paces)
 	}
 }
+
+// Guards against calls to the adviser, again and again, for a gang that has no room even where it may run: they keep others
+// from their calls.
+func TestNoAdviceForAGangWithoutRoom(t *testing.T) {
+	asked := queue(0)
+	asked.Advice = &fold.AdvicePolicy{Decide: time.Millisecond, Valid: 2 * time.Second}
+	gang := step(5)
+	gang.Gang = true
+	cases := []struct {
+		name string
+		cpu  int64
+		want bool
+	}{
+		{"room for four", 2000, false},
+		{"room for six", 3000, true},
+	}
+	for _, c := range cases {
+		b := newBench(t, fold.Rules{}, host("a", c.cpu), host("b", c.cpu))
+		b.cell.AddJob(job(asked, gang), 1)
+		b.cell.Decide()
+		if _, ok := b.cell.NextAsk(true); ok != c.want {
+			t.Errorf("%s: called: %v, want %v", c.name, ok, c.want)
+		}
+	}
+}
--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -16,6 +16,7 @@
 	r.host.order = append(r.host.order, r)
 	r.host.used = r.host.used.Add(p.step.Claim())
 	r.host.weigh(p.step, 1)
+	c.touch(r.host)
 	if p.perHost == nil {
 		p.perHost = make(map[*host]int)
 	}
@@ -26,6 +27,14 @@
 	c.count(r.task)
 }
 
+// touch notes that the runs of a host have changed.
+func (c *Cell) touch(h *host) {
+	if !h.touched {
+		h.touched = true
+		c.touched = append(c.touched, h)
+	}
+}
+
 // weigh counts n more runs of the step among those that disturb each other on the host.
 func (h *host) weigh(s *flow.Step, n int) {
 	if s.Fill {
@@ -55,6 +64,7 @@
 	}
 	r.host.used = r.host.used.Sub(p.step.Claim())
 	r.host.weigh(p.step, -1)
+	c.touch(r.host)
 	if p.perHost[r.host]--; p.perHost[r.host] == 0 {
 		delete(p.perHost, r.host)
 	}
--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -7,11 +7,9 @@
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/flow"
+	"plantainfold.example/fold/lease"
 )
 
-// drift is how much slower a host's clock may run, as a share.
-const drift = 0.02
-
 // host is an instance that runs tasks: its current life and what may run there.
 type host struct {
 	info fold.Host
@@ -36,13 +34,12 @@
 	unsure []unsureStart
 	barred []unsureStart
 
-	// clock is the host's clock in milliseconds when it last answered, at is when that answer arrived.
-	clock int64
-	at    fold.Instant
-	// until is the longest lease that was asked for, on the host's clock.
-	until int64
-	// foreign is when leases that this owner did not renew have surely ended.
-	foreign fold.Instant
+	// foreign is when leases that this owner did not renew have surely ended, leased is the same for its own.
+	foreign, leased fold.Instant
+	// wait is how long the host may wait before it reports, as was last ordered; touched says that its runs have changed
+	// since.
+	wait    time.Duration
+	touched bool
 	// silent is since when calls go unanswered, or 0.
 	silent fold.Instant
 
@@ -76,7 +73,7 @@
 func (c *Cell) host(id string) *host {
 	h, ok := c.hosts[id]
 	if !ok {
-		h = &host{info: fold.Host{ID: id}, runs: make(map[runKey]*run), foreign: c.now.Add(c.foreignLease()), gone: c.now}
+		h = &host{info: fold.Host{ID: id}, wait: idleWait, runs: make(map[runKey]*run), foreign: c.now.Add(c.foreignLease()), gone: c.now}
 		c.hosts[id] = h
 		at, _ := slices.BinarySearchFunc(c.ranked, id, func(o *host, id string) int { return cmp.Compare(o.info.ID, id) })
 		c.ranked = slices.Insert(c.ranked, at, h)
@@ -87,12 +84,7 @@
 // foreignLease is how long after the start of this owner an earlier one may have kept runs alive: it renews leases for
 // as long as it may act without the table.
 func (c *Cell) foreignLease() time.Duration {
-	return c.times.Keep + stretch(c.times.Lease)
-}
-
-// stretch returns the time that a lease may last on a slow clock.
-func stretch(lease time.Duration) time.Duration {
-	return time.Duration(float64(lease) / (1 - drift))
+	return c.times.Keep + lease.Stretch(c.times.Lease)
 }
 
 // SetHosts takes a complete reading of the roster.
@@ -140,7 +132,7 @@
 func (c *Cell) reborn(h *host, born int64) {
 	first := h.info.Born == 0
 	h.info.Born = born
-	h.adopted, h.clock, h.at, h.until, h.foreign = false, 0, 0, 0, c.now.Add(stretch(c.times.Lease))
+	h.adopted, h.leased, h.foreign = false, 0, c.now.Add(lease.Stretch(c.times.Lease))
 	h.seen, h.ackNext, h.acked = 0, 0, 0
 	h.health = health{}
 	for _, u := range h.unsure {
@@ -181,44 +173,40 @@
 
 // leaseEnd is when everything on the host has surely lapsed unless a lease is renewed.
 func (h *host) leaseEnd() fold.Instant {
-	end := h.foreign
-	if h.at != 0 && h.until > h.clock {
-		end = max(end, h.at.Add(stretch(time.Duration(h.until-h.clock)*time.Millisecond)+leaseMargin))
-	}
-	return end
+	return max(h.foreign, h.leased)
 }
 
-// leaseMargin covers the rounding of clocks in milliseconds.
-const leaseMargin = 20 * time.Millisecond
+// Contact is a host that is to be looked at.
+type Contact struct {
+	Host fold.Host
+	// Acked is the highest number of an end of this life that is recorded.
+	Acked int64
+	// Wait is how long the host may wait for an end before it reports.
+	Wait time.Duration
+}
 
-// Hold returns the next request to a host: it renews the leases if the owner may.
-func (c *Cell) Hold(id string, fence int64, renew bool) (fold.Host, fold.HoldRequest, bool) {
-	h, ok := c.hosts[id]
-	if !ok || h.info.Address == "" || (!h.listed && len(h.runs) == 0 && c.awaited[id] == 0) {
-		return fold.Host{}, fold.HoldRequest{}, false
-	}
-	// A host that does not answer may still receive renewals; without them its leases end, and its tasks can go elsewhere.
-	req := fold.HoldRequest{Fence: fence, Acked: h.acked, Until: c.lease(h, renew && h.silent == 0)}
-	if h.adopted && h.silent == 0 {
-		req.Wait = c.patience(h)
+// Contacts lists the hosts to look at: those of the roster, and others that may have runs.
+func (c *Cell) Contacts() []Contact {
+	contacts := make([]Contact, 0, len(c.ranked))
+	for _, h := range c.ranked {
+		if c.contacted(h) {
+			contacts = append(contacts, Contact{Host: h.info, Acked: h.acked, Wait: h.wait})
+		}
 	}
-	return h.info, req, true
+	return contacts
 }
 
-// Settled reports whether all ends that the host has told are recorded, so that its next report waits for a new one.
-func (c *Cell) Settled(id string) bool {
-	h, ok := c.hosts[id]
-	return !ok || h.acked >= h.seen
+func (c *Cell) contacted(h *host) bool {
+	return h.info.Address != "" && (h.listed || len(h.runs) > 0 || c.awaited[h.info.ID] != 0)
 }
 
-// lease returns the lease to ask a host for, in milliseconds of its clock, or 0 for none.
-func (c *Cell) lease(h *host, renew bool) int64 {
-	if !renew || h.at == 0 {
-		return 0
+// Contact returns the host with the id if it is to be looked at.
+func (c *Cell) Contact(id string) (Contact, bool) {
+	h, ok := c.hosts[id]
+	if !ok || !c.contacted(h) {
+		return Contact{}, false
 	}
-	until := h.clock + (c.now.Sub(h.at) + c.times.Lease).Milliseconds()
-	h.until = max(h.until, until)
-	return until
+	return Contact{Host: h.info, Acked: h.acked, Wait: h.wait}, true
 }
 
 const (
@@ -254,12 +242,20 @@
 	return h.serving > 0, h.filling > 0
 }
 
-// HoldFailed notes that a host did not answer.
-func (c *Cell) HoldFailed(id string, born int64) {
+// Leased notes that leases on a host may last for the given time from now on.
+func (c *Cell) Leased(id string, left time.Duration) {
+	if h, ok := c.hosts[id]; ok && left > 0 {
+		h.leased = max(h.leased, c.now.Add(left))
+	}
+}
+
+// HoldFailed notes that a host did not answer and that its leases last for the given time unless they are renewed.
+func (c *Cell) HoldFailed(id string, born int64, left time.Duration) {
 	h, ok := c.hosts[id]
 	if !ok || h.info.Born != born {
 		return
 	}
+	c.Leased(id, left)
 	if h.silent == 0 {
 		h.silent = c.now
 		if len(h.runs) > 0 || h.listed {
@@ -268,8 +264,9 @@
 	}
 }
 
-// Report takes a host's answer to a request that was sent at the given instant.
-func (c *Cell) Report(id string, sent fold.Instant, reply fold.HoldReply) {
+// Report takes a host's answer to a request that was sent after the given instant; left is how long the leases there
+// last unless they are renewed.
+func (c *Cell) Report(id string, sent fold.Instant, reply fold.HoldReply, left time.Duration) {
 	h, ok := c.hosts[id]
 	if !ok || reply.Born < h.info.Born {
 		return
@@ -281,14 +278,11 @@
 		c.log.Info("Host answers again.", "host", id, "after", c.now.Sub(h.silent).String())
 		h.silent = 0
 	}
-	// Answers may overtake each other; the clock only moves forward.
-	if reply.Clock > h.clock {
-		h.clock, h.at = reply.Clock, c.now
-	}
+	c.Leased(id, left)
 	first := !h.adopted
 	if first {
 		// The fence of this owner is in force there: no earlier owner renews leases any more.
-		h.adopted, h.foreign = true, c.now.Add(stretch(c.times.Lease))
+		h.adopted, h.foreign = true, c.now.Add(lease.Stretch(c.times.Lease))
 	}
 	c.takeEnds(h, reply.Ends)
 	c.takeRuns(h, sent, reply, first)
--- a/fold/core/orders.go
+++ b/fold/core/orders.go
@@ -9,10 +9,12 @@
 	"plantainfold.example/fold"
 )
 
-// Start is an order to start a run; its record is durable.
+// Start is an order to start a run; its record is durable. The lease and the fence are added when it is sent.
 type Start struct {
 	Host fold.Host
 	Req  fold.StartRequest
+	// Job is the id of the job, whose text the request carries.
+	Job string
 }
 
 // Stop is an order to stop a run.
@@ -30,11 +32,26 @@
 	Percent int
 }
 
+// Ack says that the ends of a host are recorded up to a number.
+type Ack struct {
+	Host   string
+	Born   int64
+	Number int64
+}
+
+// Wait changes how long a host may wait for an end before it reports.
+type Wait struct {
+	Host string
+	Wait time.Duration
+}
+
 // Orders is what the driver is to send.
 type Orders struct {
 	Starts []Start
 	Stops  []Stop
 	Paces  []Pace
+	Acks   []Ack
+	Waits  []Wait
 }
 
 const (
@@ -48,6 +65,14 @@
 
 // Orders returns what has to be sent now.
 func (c *Cell) Orders() Orders {
+	for _, h := range c.touched {
+		h.touched = false
+		if wait := c.patience(h); wait != h.wait {
+			h.wait = wait
+			c.orders.Waits = append(c.orders.Waits, Wait{Host: h.info.ID, Wait: wait})
+		}
+	}
+	c.touched = c.touched[:0]
 	out := c.orders
 	c.orders = Orders{}
 	return out
@@ -59,8 +84,8 @@
 	r.ordered = c.now
 	c.stats.Starts++
 	p := r.task.part
-	c.orders.Starts = append(c.orders.Starts, Start{Host: r.host.info, Req: fold.StartRequest{
-		Task: r.key().task, Run: r.number, Spec: p.job.spec.Spec, Until: c.lease(r.host, true), Saved: r.task.saved, Ticket: r.ticket,
+	c.orders.Starts = append(c.orders.Starts, Start{Host: r.host.info, Job: p.job.spec.ID, Req: fold.StartRequest{
+		Task: r.key().task, Run: r.number, Spec: p.job.spec.Spec, Saved: r.task.saved, Ticket: r.ticket,
 	}})
 }
 
--- a/fold/core/record.go
+++ b/fold/core/record.go
@@ -30,7 +30,10 @@
 // Recorded releases the orders and acknowledgements that waited for the last snapshot.
 func (c *Cell) Recorded(writes []Write) {
 	for _, h := range c.ranked {
-		h.acked = max(h.acked, h.ackNext)
+		if h.ackNext > h.acked {
+			h.acked = h.ackNext
+			c.orders.Acks = append(c.orders.Acks, Ack{Host: h.info.ID, Born: h.info.Born, Number: h.acked})
+		}
 	}
 	for _, r := range c.recorded {
 		if r.phase != phasePlanned || r.gone {
--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -99,6 +99,7 @@
 		return err
 	}
 	var orders core.Orders
+	var over []string
 	d.with(func(c *core.Cell) {
 		c.Recorded(b.writes)
 		if b.hostsChanged {
@@ -106,19 +107,18 @@
 		}
 		orders = c.Orders()
 		d.rows = append(d.rows[len(b.deletes):], done...)
-		close(d.recorded)
-		d.recorded = make(chan struct{})
-		d.finished(b.writes)
+		over = d.finished(b.writes)
 		d.finished(b.moved)
 	})
 	d.backlog.keys = d.backlog.keys[len(done):]
-	d.send(ctx, orders)
+	d.send(orders)
+	d.forgetTexts(over)
 	return nil
 }
 
-// finished notes the jobs that have ended; their rows are removed once the final record has a row of its own. The caller
-// holds the lock.
-func (d *Driver) finished(writes []core.Write) {
+// finished notes and returns the jobs that have ended; their rows are removed once the final record has a row of its own.
+// The caller holds the lock.
+func (d *Driver) finished(writes []core.Write) (jobs []string) {
 	for _, w := range writes {
 		if !w.Record.State.Final() || len(w.Record.Parts) > 0 {
 			continue
@@ -127,7 +127,9 @@
 		if _, shared := d.backlog.records[w.Job]; !shared {
 			d.rows = append(d.rows, JobTable+w.Job, JobTable+w.Job+CancelMark)
 		}
+		jobs = append(jobs, w.Job)
 	}
+	return jobs
 }
 
 // batch is what becomes durable together.
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/joomcode/errorx"
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/core"
 	"plantainfold.example/fold/flow"
 	"plantainfold.example/fold/lead"
+	"plantainfold.example/fold/relay"
 )
 
 // Parts are what a driver works with.
@@ -33,6 +33,11 @@
 	Announce func(ctx context.Context, entries []string, epoch, number int64, on bool) bool
 	// Invite asks an entry that the table serves to take over from the epoch.
 	Invite func(ctx context.Context, epoch int64)
+	// Room is how many hosts this entry can look after beside its decisions; Domain is its failure domain.
+	Room   int
+	Domain string
+	// Helpers returns the other entries that can look after hosts, the strongest first.
+	Helpers func() []Helper
 	// Await says that an earlier owner may have started runs without records.
 	Await  bool
 	Clock  fold.Clock
@@ -49,9 +54,8 @@
 
 // Meter takes the figures of a driver.
 type Meter interface {
+	relay.Meter
 	Commit(took time.Duration, rows int)
-	Start(took time.Duration, err error)
-	Hold(took time.Duration, err error)
 	Ask(took time.Duration, err error)
 	Decide(took time.Duration)
 }
@@ -88,8 +92,6 @@
 	cell *core.Cell
 	// committed is when the last commit that succeeded was sent; leases are renewed for a bounded time after it.
 	committed fold.Instant
-	// holders are the hosts with a loop that reads their reports.
-	holders map[string]bool
 	// rows are rows of ended jobs that are to be removed.
 	rows []string
 	// backlog is used by the loop of commits and before it starts.
@@ -99,9 +101,8 @@
 	ended map[string]ended
 	// early holds wishes to cancel jobs that are not known yet.
 	early map[string]bool
-	// recorded is closed and replaced after each commit.
-	recorded chan struct{}
 
+	links   links
 	intake  intake
 	notice  notice
 	loaded  chan struct{}
@@ -120,17 +121,19 @@
 		term:      term,
 		cell:      core.New(parts.Times, parts.Logger.Named("core")),
 		committed: parts.Clock.Now(),
-		holders:   make(map[string]bool),
 		ended:     make(map[string]ended),
 		early:     make(map[string]bool),
 		backlog:   backlog{records: make(map[string]flow.Record)},
-		recorded:  make(chan struct{}),
 		loaded:    make(chan struct{}),
 		wake:      make(chan struct{}, 1),
 		record:    make(chan struct{}, 1),
 		askWake:   make(chan struct{}, 1),
 		deposed:   make(chan error, 1),
 	}
+	d.links = links{
+		seats: make(map[string]*seat), sessions: make(map[uint64]*session), asking: make(map[string]bool), rest: make(map[string]fold.Instant),
+		sent: make(map[uint64]sent), began: parts.Clock.Now(), checked: parts.Clock.Now(),
+	}
 	d.tell()
 	d.cell.SetRules(rules)
 	return d
@@ -145,16 +148,13 @@
 	if err != nil {
 		return err
 	}
+	d.links.own = d.startOwn(ctx)
+	defer func() { _ = d.links.own.relay.Close() }()
+	d.spawn(func() { d.runLinks(ctx) })
 	d.spawn(func() { d.follow(ctx, version) })
 	d.spawn(func() { d.readRoster(ctx) })
 	d.spawn(func() { d.commit(ctx) })
 	d.spawn(func() { d.ask(ctx) })
-	var awaited []string
-	d.with(func(c *core.Cell) { awaited = c.Awaited() })
-	for _, id := range awaited {
-		d.holders[id] = true
-		d.spawn(func() { d.hold(ctx, id) })
-	}
 	close(d.loaded)
 	return d.decide(ctx)
 }
@@ -239,7 +239,7 @@
 			took = time.Since(began)
 			d.parts.Meter.Decide(took)
 		})
-		d.send(ctx, orders)
+		d.send(orders)
 		poke(d.record)
 		poke(d.askWake)
 		select {
@@ -292,12 +292,3 @@
 		return true
 	}
 }
-
-// fenced ends the term when a host answers that it obeys a newer owner.
-func (d *Driver) fenced(err error) bool {
-	if errorx.IsOfType(err, fold.HostFenced) {
-		d.depose(err)
-		return true
-	}
-	return false
-}
--- a/fold/drive/load.go
+++ b/fold/drive/load.go
@@ -276,15 +276,8 @@
 			d.log.Info("Read the roster again.", "hosts", len(hosts))
 			failed = false
 		}
-		d.update(func(c *core.Cell) {
-			c.SetHosts(hosts)
-			for _, h := range hosts {
-				if !d.holders[h.ID] {
-					d.holders[h.ID] = true
-					d.spawn(func() { d.hold(ctx, h.ID) })
-				}
-			}
-		})
+		d.update(func(c *core.Cell) { c.SetHosts(hosts) })
+		d.seatHosts()
 		d.pause(ctx, rosterEvery)
 	}
 }
--- a/fold/drive/load_test.go
+++ b/fold/drive/load_test.go
@@ -190,6 +190,8 @@
 	d := drive.New(drive.Parts{
 		Table: table, Log: log, Runner: hosts, Roster: hosts, Clock: clock{}, Logger: hclog.NewNullLogger(), Meter: noMeter{},
 		Askers:   func() []drive.Asker { return nil },
+		Helpers:  func() []drive.Helper { return nil },
+		Room:     1000,
 		Entries:  func() ([]string, int) { return nil, 0 },
 		Stronger: func() bool { return false },
 		Announce: func(context.Context, []string, int64, int64, bool) bool { return true },
--- a/fold/drive/orders.go
+++ b/fold/drive/orders.go
@@ -1,138 +1,166 @@
 package drive
 
 import (
-	"context"
-	"time"
-
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/core"
+	"plantainfold.example/fold/relay"
 )
 
-const (
-	// orderTime bounds a call to a host; hosts answer within milliseconds, and a start can be repeated safely.
-	orderTime = 200 * time.Millisecond
-	// holdTime bounds a look at a host beyond the wait that was asked for: an answer that is lost holds up what waits for
-	// the ends in it.
-	holdTime = 250 * time.Millisecond
-	// maxLost is how many looks in a row may go unanswered before the host counts as silent; single answers get lost.
-	maxLost = 1
-	// holdPause separates looks at a host that does not answer.
-	holdPause = 250 * time.Millisecond
-	// recordWait bounds the wait for the record of ends between two looks at a host.
-	recordWait = 300 * time.Millisecond
-	// idlePause separates checks whether a host without an address is back.
-	idlePause = 500 * time.Millisecond
-)
+// sent is an order whose outcome is not known yet.
+type sent struct {
+	by    carrier
+	start *core.Start
+	stop  *core.Stop
+	pace  *core.Pace
+}
 
-// send carries orders out, each on its own, and gives the answers to the cell.
-func (d *Driver) send(ctx context.Context, orders core.Orders) {
-	for _, s := range orders.Starts {
-		d.spawn(func() { d.start(ctx, s) })
-	}
-	for _, s := range orders.Stops {
-		d.spawn(func() {
-			err := d.call(ctx, func(ctx context.Context) error {
-				return d.parts.Runner.Stop(ctx, s.Host, s.Task, s.Run, d.term.Epoch())
-			})
-			d.with(func(c *core.Cell) { c.Stopped(s, err) })
-		})
-	}
-	for _, p := range orders.Paces {
-		d.spawn(func() {
-			err := d.call(ctx, func(ctx context.Context) error {
-				return d.parts.Runner.Pace(ctx, p.Host, p.Task, p.Run, p.Percent, d.term.Epoch())
-			})
-			d.with(func(c *core.Cell) { c.Paced(p, err) })
-		})
+// apply gives the outcome of the order to the cell.
+func (s sent) apply(c *core.Cell, err error) {
+	switch {
+	case s.start != nil:
+		c.Started(*s.start, err)
+	case s.stop != nil:
+		c.Stopped(*s.stop, err)
+	case s.pace != nil:
+		c.Paced(*s.pace, err)
 	}
 }
 
-func (d *Driver) start(ctx context.Context, s core.Start) {
-	s.Req.Fence = d.term.Epoch()
-	sent := d.parts.Clock.Now()
-	err := d.call(ctx, func(ctx context.Context) error {
-		if !d.mayRenew() {
-			// The process may have stood still; a later owner counts on no new leases.
-			return fold.Refuse(fold.Unavailable, "wait for the table", "the ownership was not renewed in time")
-		}
-		return d.parts.Runner.Start(ctx, s.Host, s.Req)
-	})
-	d.parts.Meter.Start(d.parts.Clock.Now().Sub(sent), err)
-	var orders core.Orders
-	d.with(func(c *core.Cell) {
-		c.Started(s, err)
-		orders = c.Orders()
-	})
-	d.send(ctx, orders)
-	if err != nil {
-		poke(d.wake)
+// errUnassigned refuses orders for a host that no carrier looks after at the moment.
+var errUnassigned = fold.Refuse(fold.Unavailable, "send the order again", "no entry looks after the host")
+
+// sorter sorts orders by the carriers of their hosts; the lock of the links is held meanwhile.
+type sorter struct {
+	links   *links
+	batches map[carrier]*relay.Orders
+	refused []sent
+}
+
+// of returns the batch for the carrier of a host, or nil.
+func (s *sorter) of(host string) *relay.Orders {
+	at, ok := s.links.seats[host]
+	if !ok {
+		return nil
+	}
+	b, ok := s.batches[at.by]
+	if !ok {
+		b = &relay.Orders{}
+		s.batches[at.by] = b
 	}
+	return b
 }
 
-func (d *Driver) call(ctx context.Context, fn func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, orderTime)
-	defer cancel()
-	err := fn(ctx)
-	d.fenced(err)
-	return err
+// number returns the batch and the number for an order to a host; an order without a carrier is refused.
+func (s *sorter) number(host string, order sent) (*relay.Orders, uint64) {
+	b := s.of(host)
+	if b == nil {
+		s.refused = append(s.refused, order)
+		return nil, 0
+	}
+	order.by = s.links.seats[host].by
+	s.links.number++
+	s.links.sent[s.links.number] = order
+	return b, s.links.number
 }
 
-// hold renews the leases of one host and reads its reports until the host is gone.
-func (d *Driver) hold(ctx context.Context, id string) {
-	lost := 0
-	for ctx.Err() == nil {
-		var host fold.Host
-		var req fold.HoldRequest
-		var ok bool
-		d.with(func(c *core.Cell) { host, req, ok = c.Hold(id, d.term.Epoch(), d.renewable()) })
-		if !ok {
-			if !d.pause(ctx, idlePause) {
-				return
-			}
-			continue
+// send passes orders on to the carriers of their hosts.
+func (d *Driver) send(orders core.Orders) {
+	l := &d.links
+	l.mu.Lock()
+	s := &sorter{links: l, batches: make(map[carrier]*relay.Orders)}
+	for _, o := range orders.Starts {
+		if b, n := s.number(o.Host.ID, sent{start: &o}); b != nil {
+			b.Starts = append(b.Starts, relay.Start{Number: n, Host: o.Host.ID, Task: o.Req.Task, Run: o.Req.Run, Saved: o.Req.Saved, Ticket: o.Req.Ticket, Job: o.Job, Spec: o.Req.Spec})
 		}
-		if lost > 0 {
-			// Another life may answer under the id, whose ends are numbered anew: nothing is acknowledged until it has told.
-			req.Wait, req.Acked = 0, 0
+	}
+	for _, o := range orders.Stops {
+		if b, n := s.number(o.Host.ID, sent{stop: &o}); b != nil {
+			b.Stops = append(b.Stops, relay.Stop{Number: n, Host: o.Host.ID, Task: o.Task, Run: o.Run})
+		}
+	}
+	for _, o := range orders.Paces {
+		if b, n := s.number(o.Host.ID, sent{pace: &o}); b != nil {
+			b.Paces = append(b.Paces, relay.Pace{Number: n, Host: o.Host.ID, Task: o.Task, Run: o.Run, Percent: o.Percent})
+		}
+	}
+	for _, a := range orders.Acks {
+		if b := s.of(a.Host); b != nil {
+			b.Acks = append(b.Acks, relay.Ack{Host: a.Host, Born: a.Born, Number: a.Number})
 		}
-		sent := d.parts.Clock.Now()
-		call, cancel := context.WithTimeout(ctx, req.Wait+holdTime)
-		reply, err := d.parts.Runner.Hold(call, host, req)
-		cancel()
-		d.parts.Meter.Hold(d.parts.Clock.Now().Sub(sent), err)
-		if err != nil {
-			if ctx.Err() != nil || d.fenced(err) {
-				return
-			}
-			if lost++; lost > maxLost {
-				d.update(func(c *core.Cell) { c.HoldFailed(id, host.Born) })
-				d.pause(ctx, holdPause)
-			}
-			continue
+	}
+	for _, w := range orders.Waits {
+		if b := s.of(w.Host); b != nil {
+			b.Waits = append(b.Waits, relay.Wait{Host: w.Host, Wait: w.Wait})
 		}
-		lost = 0
-		d.update(func(c *core.Cell) { c.Report(id, sent, reply) })
-		d.awaitRecord(ctx, id)
+	}
+	for by, b := range s.batches {
+		by.give(*b)
+	}
+	l.mu.Unlock()
+	if len(s.refused) > 0 {
+		d.resolve(s.refused, errUnassigned)
 	}
 }
 
-// awaitRecord waits until the ends that the host has told are recorded, because it repeats them at once before; without
-// a record it goes on after a while, so that leases are renewed.
-func (d *Driver) awaitRecord(ctx context.Context, id string) {
-	limit := d.parts.Clock.After(recordWait)
-	for {
-		var settled bool
-		var recorded chan struct{}
-		d.with(func(c *core.Cell) { settled, recorded = c.Settled(id), d.recorded })
-		if settled {
-			return
+// resolve gives one outcome of several orders to the cell.
+func (d *Driver) resolve(orders []sent, err error) {
+	var more core.Orders
+	d.with(func(c *core.Cell) {
+		for _, s := range orders {
+			s.apply(c, err)
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-limit:
-			return
-		case <-recorded:
+		more = c.Orders()
+	})
+	d.send(more)
+	poke(d.wake)
+}
+
+// learn gives the news of a carrier to the cell. Looks at hosts that another carrier looks after by now are left out.
+func (d *Driver) learn(by carrier, news relay.News) {
+	if news.Fenced {
+		d.depose(fold.HostFenced.New("a host obeys a newer owner"))
+	}
+	l := &d.links
+	outcomes := make([]sent, len(news.Results))
+	var silent []string
+	l.mu.Lock()
+	for i, r := range news.Results {
+		outcomes[i] = l.sent[r.Number]
+		delete(l.sent, r.Number)
+	}
+	mine := func(host string) bool {
+		seat, ok := l.seats[host]
+		return ok && seat.by == by
+	}
+	reports := news.Reports[:0]
+	for _, r := range news.Reports {
+		if mine(r.Host) {
+			l.seats[r.Host].tried = false
+			reports = append(reports, r)
 		}
 	}
+	silences := news.Silences[:0]
+	for _, s := range news.Silences {
+		if mine(s.Host) {
+			silences = append(silences, s)
+			silent = append(silent, s.Host)
+		}
+	}
+	l.mu.Unlock()
+	var orders core.Orders
+	d.with(func(c *core.Cell) {
+		for i, r := range news.Results {
+			outcomes[i].apply(c, r.Failed.Err())
+		}
+		for _, r := range reports {
+			c.Report(r.Host, r.Sent, r.Reply, r.Left)
+		}
+		for _, s := range silences {
+			c.HoldFailed(s.Host, s.Born, s.Left)
+		}
+		orders = c.Orders()
+	})
+	d.send(orders)
+	poke(d.wake)
+	d.tryOthers(silent)
 }
--- a/fold/model/owner.go
+++ b/fold/model/owner.go
@@ -9,6 +9,7 @@
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/core"
 	"plantainfold.example/fold/flow"
+	"plantainfold.example/fold/lease"
 )
 
 // store is the durable state.
@@ -57,19 +58,27 @@
 	clear int
 	// cut says that the owner does not reach the table, although others do.
 	cut      bool
-	holding  map[string]bool
+	holding  map[string]*holding
 	waiting  []func()
 	asking   int
 	slow     int
 	deciding bool
 }
 
+// holding is what the owner knows of its looks at a host, like package relay.
+type holding struct {
+	grant lease.Grant
+	// born is the life that last answered, seen the highest number of its ends; lost counts looks without an answer.
+	born, seen int64
+	lost       int
+}
+
 var errTimeout = errors.New("no answer")
 
 // takeOver starts an owner that knows what is durable.
 func (w *World) takeOver() {
 	w.store.epoch++
-	o := &owner{world: w, epoch: w.store.epoch, holding: make(map[string]bool), committed: w.now}
+	o := &owner{world: w, epoch: w.store.epoch, holding: make(map[string]*holding), committed: w.now}
 	o.cell = core.New(core.Times{
 		Lease: maxLease, Stop: stopTime, Restore: restore, Save: saveEvery, Early: 250 * time.Millisecond, Keep: keepTime,
 	}, w.log)
@@ -160,8 +169,8 @@
 	}
 	o.update(func(c *core.Cell) { c.SetHosts(hosts) })
 	for _, h := range o.world.hosts {
-		if !o.holding[h.info.ID] {
-			o.holding[h.info.ID] = true
+		if o.holding[h.info.ID] == nil {
+			o.holding[h.info.ID] = &holding{}
 			o.hold(h)
 		}
 	}
@@ -299,8 +308,12 @@
 		o.update(func(c *core.Cell) { c.Started(s, fold.Refuse(fold.Unavailable, "", "not renewed")) })
 		return
 	}
-	h := o.world.find(s.Host.ID)
-	s.Req.Fence = o.epoch
+	h, look := o.world.find(s.Host.ID), o.holding[s.Host.ID]
+	if look == nil || look.lost > 0 || !look.grant.Known() {
+		o.update(func(c *core.Cell) { c.Started(s, fold.Refuse(fold.Unavailable, "", "the host does not answer")) })
+		return
+	}
+	s.Req.Fence, s.Req.Until = o.epoch, look.grant.Renew(o.world.now, maxLease)
 	var err error
 	o.order(h, s.Host.Born, func() { err = h.start(s.Req) }, func(timeout bool) {
 		if timeout {
@@ -354,12 +367,25 @@
 // hold renews the leases of a host and reads its reports, again and again.
 func (o *owner) hold(h *host) {
 	o.tell()
-	_, req, ok := o.cell.Hold(h.info.ID, o.epoch, o.world.now.Sub(o.committed) < keepTime)
+	contact, ok := o.cell.Contact(h.info.ID)
 	if !ok {
 		o.soon(500*time.Millisecond, func() { o.hold(h) })
 		return
 	}
-	sent, born := o.world.now, h.info.Born
+	look := o.holding[h.info.ID]
+	req := fold.HoldRequest{Fence: o.epoch}
+	if look.lost == 0 {
+		if o.world.now.Sub(o.committed) < keepTime {
+			req.Until = look.grant.Renew(o.world.now, maxLease)
+		}
+		if look.grant.Known() {
+			req.Wait = contact.Wait
+		}
+		if contact.Host.Born == look.born {
+			req.Acked = contact.Acked
+		}
+	}
+	sent, born := o.world.now, contact.Host.Born
 	o.reach(h, req.Wait+holdTime, func(answer func(func())) {
 		h.hold(req, func(reply fold.HoldReply, err error) {
 			answer(func() {
@@ -367,16 +393,30 @@
 					o.fenced(err)
 					return
 				}
-				o.update(func(c *core.Cell) { c.Report(h.info.ID, sent, reply) })
+				look.heard(reply, o.world.now)
+				o.update(func(c *core.Cell) { c.Report(h.info.ID, sent, reply, look.grant.Left(o.world.now)) })
 				o.awaitRecord(h)
 			})
 		})
 	})(func() {
-		o.update(func(c *core.Cell) { c.HoldFailed(h.info.ID, born) })
+		look.lost++
+		o.update(func(c *core.Cell) { c.HoldFailed(h.info.ID, born, look.grant.Left(o.world.now)) })
 		o.soon(holdPause, func() { o.hold(h) })
 	})
 }
 
+// heard takes a host's answer.
+func (l *holding) heard(reply fold.HoldReply, now fold.Instant) {
+	if reply.Born != l.born {
+		*l = holding{born: reply.Born}
+	}
+	l.lost = 0
+	l.grant.Heard(max(1, reply.Clock), now)
+	for _, e := range reply.Ends {
+		l.seen = max(l.seen, e.Number)
+	}
+}
+
 // awaitRecord goes on once the ends of the host are recorded, or after a while.
 func (o *owner) awaitRecord(h *host) {
 	went := false
@@ -388,7 +428,8 @@
 	}
 	var check func()
 	check = func() {
-		if o.cell.Settled(h.info.ID) {
+		contact, ok := o.cell.Contact(h.info.ID)
+		if look := o.holding[h.info.ID]; !ok || contact.Acked >= look.seen || contact.Host.Born != look.born {
 			next()
 			return
 		}
--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -73,6 +73,8 @@
 	attempt int64
 	// announcement is the last one of an owner.
 	announcement announcement
+	// carrying is the last session in which this entry looks after hosts for the owner.
+	carrying carrying
 }
 
 // New returns an entry; Run starts it.
@@ -89,7 +91,10 @@
 	n.rules = front.NewRules(parts.Rules, clock, log, n.ruled)
 	n.rules.Ask(n.askNews)
 	n.front = front.New(parts.Table, n.rules, parts.Rules, clock, log, n.waiting, n.owner)
-	n.peers = &peers{name: s.Name, incarnation: n.incarnation, strength: s.Strength(), address: s.Peers, table: parts.Table, adviser: parts.Adviser, clock: clock, log: log.Named("peers")}
+	n.peers = &peers{
+		name: s.Name, table: parts.Table, adviser: parts.Adviser, clock: clock, log: log.Named("peers"),
+		own: registration{Address: s.Peers, Incarnation: n.incarnation, Strength: s.Strength(), Domain: s.Domain, Room: s.Room()},
+	}
 	return n, nil
 }
 
@@ -226,6 +231,7 @@
 		return n.parts.Adviser.Advise(ctx, q.Step, q.Hosts)
 	})
 	n.handleOwner(node)
+	n.handleRelays(node)
 	n.peers.setNode(node)
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, node)
@@ -242,6 +248,7 @@
 	case err := <-failed:
 		n.log.Error("Stopped serving other entries.", "error", err)
 	}
+	n.stopCarrying()
 	_ = server.Close()
 	_ = node.Close()
 }
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -286,6 +286,7 @@
 	b, _, _ := n.rules.Now()
 	driver := drive.New(drive.Parts{
 		Table: n.parts.Table, Log: n.parts.Log, Runner: n.parts.Runner, Roster: n.parts.Roster,
+		Room: n.settings.Room(), Domain: n.settings.Domain, Helpers: n.peers.helpers,
 		Askers: n.peers.askers, Entries: n.peers.entries, Stronger: n.peers.stronger, Announce: n.peers.announce, Invite: n.peers.invite, Await: await, Clock: n.clock, Logger: n.log, Times: n.settings.Times(), Meter: n.meter,
 	}, term, b.Rules())
 	following, stop := context.WithCancel(ctx)
--- a/fold/node/peers.go
+++ b/fold/node/peers.go
@@ -45,6 +45,9 @@
 	Incarnation string `json:"incarnation"`
 	// Strength rates how well the entry can own the pool.
 	Strength float64 `json:"strength"`
+	// Domain is the failure domain of the entry, Room how many hosts it can look after.
+	Domain string `json:"domain,omitempty"`
+	Room   int    `json:"room,omitempty"`
 }
 
 // advising is the question of an advise call.
@@ -56,19 +59,20 @@
 // peers knows the other entries.
 type peers struct {
 	name    string
-	address string
 	table   fold.Table
 	adviser fold.Adviser
 	clock   fold.Clock
 	log     hclog.Logger
 
-	incarnation string
-	strength    float64
+	// own is what this entry registers.
+	own registration
 
 	mu   sync.Mutex
 	node *peer.Node
 	// known are the other entries that answered when they were last asked.
 	known map[string]registration
+	// rows are the registrations of all other entries that were last read.
+	rows map[string]registration
 }
 
 // setNode sets the entry's side of the connections to others.
@@ -103,7 +107,7 @@
 
 // register writes the entry's row.
 func (p *peers) register(ctx context.Context) error {
-	value, err := codec.Encode(registration{Address: p.address, Incarnation: p.incarnation, Strength: p.strength})
+	value, err := codec.Encode(p.own)
 	if err != nil {
 		return err
 	}
@@ -168,6 +172,9 @@
 	if err != nil {
 		return false, err
 	}
+	p.mu.Lock()
+	p.rows = entries
+	p.mu.Unlock()
 	known := make(map[string]registration, len(entries))
 	var mu sync.Mutex
 	var asking sync.WaitGroup
@@ -213,7 +220,7 @@
 	ranked := p.ranked()
 	for _, entry := range ranked {
 		incarnations = append(incarnations, entry.Incarnation)
-		if entry.Strength >= fit*max(p.strength, ranked[0].Strength) {
+		if entry.Strength >= fit*max(p.own.Strength, ranked[0].Strength) {
 			strong++
 		}
 	}
@@ -223,7 +230,7 @@
 // stronger reports whether this entry is not fit to own the pool beside the strongest one.
 func (p *peers) stronger() bool {
 	ranked := p.ranked()
-	return len(ranked) > 0 && p.strength < fit*ranked[0].Strength
+	return len(ranked) > 0 && p.own.Strength < fit*ranked[0].Strength
 }
 
 // invite asks the strongest entries, one after the other, to take the pool over from the epoch at once.
@@ -277,6 +284,29 @@
 // errServed says that the table serves another entry well.
 var errServed = errors.New("the table serves the entry")
 
+// helpers returns the other entries that can look after hosts, the strongest first.
+func (p *peers) helpers() []drive.Helper {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.node == nil {
+		return nil
+	}
+	found := make([]helper, 0, len(p.rows))
+	for name, entry := range p.rows {
+		if entry.Room > 0 {
+			found = append(found, helper{name: name, registration: entry, node: p.node, own: p.own.Address})
+		}
+	}
+	slices.SortFunc(found, func(a, b helper) int {
+		return cmp.Or(cmp.Compare(b.Strength, a.Strength), cmp.Compare(a.name, b.name))
+	})
+	helpers := make([]drive.Helper, len(found))
+	for i, h := range found {
+		helpers[i] = h
+	}
+	return helpers
+}
+
 // link returns this entry's side of the connections to others, or nil before it serves them.
 func (p *peers) link() *peer.Node {
 	p.mu.Lock()
--- a/fold/node/settings.go
+++ b/fold/node/settings.go
@@ -94,6 +94,22 @@
 	return s.Cores * min(1, s.Link/ownerLink)
 }
 
+const (
+	// hostsPerCore is how many hosts a core looks after beside other work, hostsPerLink the same for a link of 1 Mbit/s: a
+	// host takes about 2 ms of processor time and 3 KB a second while urgent tasks come and go.
+	hostsPerCore = 150
+	hostsPerLink = 10
+)
+
+// Room returns how many hosts the entry can look after.
+func (s Settings) Room() int {
+	room := s.Cores * hostsPerCore
+	if s.Link > 0 {
+		room = min(room, s.Link*hostsPerLink)
+	}
+	return int(room)
+}
+
 // Times returns the bounds of the platform's hosts.
 func (s Settings) Times() core.Times {
 	return core.Times{Lease: ms(s.Lease), Stop: ms(s.Stop), Restore: ms(s.Restore), Save: ms(s.Save), Early: ms(s.Early), Keep: keepTime}
