Keep one unreadable row or message from harming others

A handler of a call between entries that panics ended the process; a shared row or a row of used hosts that cannot be read kept every owner from taking over, for ever; a job whose record cannot be read ran again from its beginning, tasks that were done among them.

Change: a panic ends its own call with an unknown outcome and a log line with the stack; unreadable rows are logged and left; a job whose record cannot be read does not run.

--- a/fold/drive/backlog.go
+++ b/fold/drive/backlog.go
@@ -141,19 +141,21 @@
 	return writes, nil
 }
 
-// restore takes the rows of earlier owners and puts records that are newer than those of the jobs' own rows into records.
-func (b *backlog) restore(rows []fold.Row, records map[string]flow.Record) error {
+// restoreBacklog takes the rows of earlier owners and puts records that are newer than those of the jobs' own rows into
+// records. A row that cannot be read is left where it is; the jobs in it go on from their own rows.
+func (d *Driver) restoreBacklog(rows []fold.Row, records map[string]flow.Record) {
+	b := &d.backlog
 	for _, row := range rows {
 		packed, err := codec.Decode[[]BacklogRecord](row.Value)
 		if err != nil {
-			return err
+			d.log.Error("Ignored shared records that cannot be read.", "key", row.Key, "error", err)
+			continue
 		}
 		b.keys = append(b.keys, row.Key)
 		for _, p := range packed {
-			if p.Record.Seq > records[p.Job].Seq {
+			if p.Record.Seq > records[p.Job].Seq && !d.unreadable[p.Job] {
 				records[p.Job], b.records[p.Job] = p.Record, p.Record
 			}
 		}
 	}
-	return nil
 }
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -100,6 +100,8 @@
 
 	// ended holds the states of jobs that ended lately.
 	ended map[string]ended
+	// unreadable are jobs whose records cannot be read; they do not run.
+	unreadable map[string]bool
 	// early holds wishes to cancel jobs that are not known yet.
 	early map[string]bool
 
@@ -126,13 +128,15 @@
 		committed: parts.Clock.Now(),
 		ended:     make(map[string]ended),
 		early:     make(map[string]bool),
-		backlog:   backlog{records: make(map[string]flow.Record)},
-		used:      used{rows: make(map[string]string)},
-		loaded:    make(chan struct{}),
-		wake:      make(chan struct{}, 1),
-		record:    make(chan struct{}, 1),
-		askWake:   make(chan struct{}, 1),
-		deposed:   make(chan error, 1),
+
+		unreadable: make(map[string]bool),
+		backlog:    backlog{records: make(map[string]flow.Record)},
+		used:       used{rows: make(map[string]string)},
+		loaded:     make(chan struct{}),
+		wake:       make(chan struct{}, 1),
+		record:     make(chan struct{}, 1),
+		askWake:    make(chan struct{}, 1),
+		deposed:    make(chan error, 1),
 	}
 	d.links = links{
 		seats: make(map[string]*seat), sessions: make(map[uint64]*session), asking: make(map[string]bool), rest: make(map[string]fold.Instant),
--- a/fold/drive/load.go
+++ b/fold/drive/load.go
@@ -43,16 +43,17 @@
 	}
 	records := make(map[string]flow.Record, len(states))
 	for _, row := range states {
+		id := strings.TrimPrefix(row.Key, StateTable)
 		rec, err := codec.Decode[flow.Record](row.Value)
 		if err != nil {
-			d.log.Error("Ignored a record that cannot be read.", "key", row.Key, "error", err)
+			// Without its progress the job would run from its beginning, tasks that are done among them.
+			d.log.Error("Left a job alone whose record cannot be read.", "job", id, "error", err)
+			d.unreadable[id] = true
 			continue
 		}
-		records[strings.TrimPrefix(row.Key, StateTable)] = rec
-	}
-	if err := d.backlog.restore(packed, records); err != nil {
-		return 0, err
+		records[id] = rec
 	}
+	d.restoreBacklog(packed, records)
 	d.takeEnded(records, began)
 	hosts, err := d.usedBefore(ctx)
 	if err != nil {
@@ -124,6 +125,9 @@
 	if strings.HasSuffix(id, CancelMark) {
 		return flow.Job{}, false
 	}
+	if d.unreadable[id] {
+		return flow.Job{}, false
+	}
 	rec := records[id]
 	if rec.State.Final() && len(rec.Parts) == 0 {
 		if _, shared := d.backlog.records[id]; !shared {
--- a/fold/drive/load_test.go
+++ b/fold/drive/load_test.go
@@ -34,8 +34,8 @@
 	waiting int
 	// turnedAway counts refused calls, commits those that were applied; refuse turns the next ones away.
 	turnedAway, commits, refuse int
-	// rows is the greatest number of entries in a commit.
-	rows int
+	// rows is the greatest number of entries in a commit, bytes the longest value.
+	rows, bytes int
 }
 
 // maxWaiting transactions are waiting when the part turns calls away; the platform's part takes a second's worth.
@@ -61,6 +61,9 @@
 	p.waiting--
 	p.commits++
 	p.rows = max(p.rows, len(t.Checks)+len(t.Puts)+len(t.Deletes))
+	for _, put := range t.Puts {
+		p.bytes = max(p.bytes, len(put.Value))
+	}
 	p.mu.Unlock()
 	<-p.turn
 	if ctx.Err() != nil {
@@ -204,7 +207,7 @@
 		Table: table, Log: log, Runner: hosts, Roster: hosts, Clock: clock{}, Logger: hclog.NewNullLogger(), Meter: noMeter{},
 		Askers:   func() []drive.Asker { return nil },
 		Helpers:  func() []drive.Helper { return nil },
-		Room:     1000,
+		Room:     20000,
 		Entries:  func() ([]string, int) { return nil, 0 },
 		Stronger: func() bool { return false },
 		Announce: func(context.Context, []string, int64, int64, bool) bool { return true },
--- a/fold/drive/used.go
+++ b/fold/drive/used.go
@@ -96,7 +96,8 @@
 		d.used.rows[row.Key] = string(row.Value)
 		found, err := codec.Decode[usedHosts](row.Value)
 		if err != nil {
-			return nil, err
+			d.log.Error("Ignored a row of used hosts that cannot be read.", "key", row.Key, "error", err)
+			continue
 		}
 		// An owner that did not record its hosts may not have heard from all of those before.
 		all := d.parts.Await || found.Epoch != d.term.Epoch()-1
--- a/fold/peer/link.go
+++ b/fold/peer/link.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -104,7 +106,7 @@
 	ctx := otel.GetTextMapPropagator().Extract(l.node.stop, carrier)
 	ctx, span := otel.Tracer("peer").Start(ctx, "peer "+f.Kind)
 	defer span.End()
-	out, err := fn(ctx, l.from, f.Body)
+	out, err := l.guard(ctx, f, fn)
 	if err != nil {
 		_ = l.send(frame{ID: f.ID, Error: fold.ToWire(err)})
 		return
@@ -117,6 +119,17 @@
 	_ = l.send(frame{ID: f.ID, Body: body})
 }
 
+// guard calls the function that answers a call. A message that makes it panic harms only its own call.
+func (l *link) guard(ctx context.Context, f frame, fn handler) (out any, err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			l.node.log.Error("A call made its handler panic.", "from", l.from, "call", f.Kind, "fault", fmt.Sprint(fault), "stack", string(debug.Stack()))
+			out, err = nil, fold.Refuse(fold.Unknown, "see the log of the entry", "the call %q failed unexpectedly", f.Kind)
+		}
+	}()
+	return fn(ctx, l.from, f.Body)
+}
+
 func (l *link) send(f frame) error {
 	ctx, cancel := context.WithTimeout(l.node.stop, writeTime)
 	defer cancel()
