Do not call the adviser for room that is asked for already

Hundreds of steps wait there for a full cell; each of them asks for the few places that become free, one step gets them, and the others ask again as soon as their answer is there. Ruled out: gangs (TestNoAdviceForA- GangWithoutRoom holds), tickets that run out (calls for one step come 0.1 s apart, tickets last 2.5 s).

Change: calls under way may want half as much again as the free room, and a twentieth of the capacity beside it; calls for one step that have led to no start come less and less often, up to 0.8 s apart (0.2 s for work that others give way to).

--- a/fold/core/ask.go
+++ b/fold/core/ask.go
@@ -16,6 +16,12 @@
 	// yes and no hold the hosts whose answer is known; it does not change.
 	yes, no map[string]bool
 	asking  bool
+	// waited is how many tasks waited at the last call, asked when it was made, barren how many calls in a row have led to no
+	// start.
+	waited, barren int
+	asked          fold.Instant
+	// wants is the share of the capacity that the call under way is for.
+	wants float64
 	// again is when the next call may be made.
 	again fold.Instant
 	// room is when work may next be stopped for the part.
@@ -40,6 +46,11 @@
 	askSpare = 1.6
 	// askPause separates calls for one step after an answer that approved of too few hosts.
 	askPause = 100 * time.Millisecond
+	// barrenPause separates calls for one step that have led to no start, because the room went to others meanwhile. It
+	// doubles with each call up to barrenMost, or up to barrenUrgent for work that others give way to.
+	barrenPause  = 50 * time.Millisecond
+	barrenMost   = 800 * time.Millisecond
+	barrenUrgent = 200 * time.Millisecond
 	// askFailed separates calls for one step after a call that failed.
 	askFailed = 200 * time.Millisecond
 	// quickCall bounds the calls that count as quick.
@@ -150,15 +161,62 @@
 	if !c.within(p.job.spec.Team, p.step.Size) && !c.pressing(p) {
 		return Ask{}, false
 	}
+	wants := c.share(p)
+	if c.crowded(p, wants) || c.now < p.advice.asked.Add(c.barrenPause(p)) {
+		return Ask{}, false
+	}
 	hosts := c.askHosts(p)
 	if len(hosts) == 0 {
 		return Ask{}, false
 	}
-	p.advice.asking = true
-	c.asks++
+	if p.free < p.advice.waited || p.advice.asked == 0 {
+		p.advice.barren = 0
+	} else {
+		p.advice.barren++
+	}
+	p.advice.asking, p.advice.wants, p.advice.asked, p.advice.waited = true, wants, c.now, p.free
+	c.wanted[p.job.queue.Service] += wants
 	return Ask{Step: p.stepName(), Hosts: hosts, Takes: policy.Decide + time.Duration(len(hosts))*policy.Each, part: p}, true
 }
 
+// barrenPause is how long after its last call a step is asked for again.
+func (c *Cell) barrenPause(p *part) time.Duration {
+	if p.free < p.advice.waited || p.advice.barren == 0 {
+		return 0
+	}
+	most := barrenMost
+	if c.pressing(p) {
+		most = barrenUrgent
+	}
+	return min(most, barrenPause<<min(p.advice.barren, maxBarren))
+}
+
+// maxBarren bounds the doublings of barrenPause.
+const maxBarren = 8
+
+const (
+	// askAhead is how much of the free room calls under way may want, askSoon how much of the capacity beside it: room that
+	// becomes free while a call is under way.
+	askAhead = 1.5
+	askSoon  = 0.05
+)
+
+// share is how much of the capacity of its service the waiting tasks of a part take.
+func (c *Cell) share(p *part) float64 {
+	return float64(max(1, p.free)) * p.step.Claim().Dominant(c.room[p.job.queue.Service].capacity)
+}
+
+// crowded reports whether the calls under way want the room already that a part would ask for. Its own call would then come
+// to nothing, and keep the adviser from calls that do not. Work that others give way to is not held up.
+func (c *Cell) crowded(p *part, wants float64) bool {
+	service := p.job.queue.Service
+	wanted, room := c.wanted[service], c.room[service]
+	if wanted <= 0 || c.pressing(p) {
+		return false
+	}
+	return wanted+wants > askSoon+askAhead*room.spare()
+}
+
 func (c *Cell) wantsCopies(p *part) bool {
 	if !p.step.Copies {
 		return false
@@ -328,7 +386,7 @@
 	}
 	until := issued.Add(valid)
 	p.advice.asking = false
-	c.asks--
+	c.wanted[p.job.queue.Service] -= p.advice.wants
 	if err != nil {
 		p.advice.again = c.now.Add(askFailed)
 		return
--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -65,14 +65,16 @@
 	good map[string]float64
 	// open lists the hosts that took new work in the last round of decisions, by service.
 	open map[string][]*host
+	// room adds up the open hosts of a service, wanted what is waited for by calls to the adviser that are under way, as shares
+	// of its capacity.
+	room   map[string]room
+	wanted map[string]float64
 	// found is reused for the hosts on which one part may start.
 	found []*host
 	// largest is at least the largest room on an open host, by service, as of the last round of decisions.
 	largest map[string]fold.Resources
 	// askFrom is where among the open hosts the next call to the adviser looks first.
 	askFrom int
-	// asks counts calls to the adviser that are under way.
-	asks int
 	// known are the lives of hosts that the last record of hosts names. Only there a run may be started before it is
 	// recorded, because a later owner looks there before it starts anything.
 	known map[string]int64
@@ -104,6 +106,19 @@
 	Considered int64
 }
 
+// room is the free and the whole capacity of hosts.
+type room struct {
+	free, capacity fold.Resources
+}
+
+// spare is the free share of the processors or of the memory, whichever is scarcer.
+func (r room) spare() float64 {
+	if r.capacity.CPU <= 0 || r.capacity.Memory <= 0 {
+		return 0
+	}
+	return min(float64(r.free.CPU)/float64(r.capacity.CPU), float64(r.free.Memory)/float64(r.capacity.Memory))
+}
+
 // team is a client account's use of the hosts.
 type team struct {
 	rule fold.TeamRule
@@ -130,6 +145,8 @@
 
 		open:    make(map[string][]*host),
 		largest: make(map[string]fold.Resources),
+		room:    make(map[string]room),
+		wanted:  make(map[string]float64),
 	}
 }
 
--- a/fold/core/core_test.go
+++ b/fold/core/core_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -344,3 +345,62 @@
 		}
 	}
 }
+
+// Pattern: many late jobs wait for hosts that are full, and one place after the other becomes free. Guards against a call to
+// the adviser by each of them for the one place, which only one gets: the calls keep the adviser from others.
+func TestCallsInACrowd(t *testing.T) {
+	const hosts, waiting = 20, 50
+	asked := queue(2)
+	asked.Advice = &fold.AdvicePolicy{Decide: 40 * time.Millisecond, Valid: 2500 * time.Millisecond}
+	var list []fold.Host
+	for n := range hosts {
+		list = append(list, host(fmt.Sprintf("h%02d", n), 1000))
+	}
+	b := newBench(t, fold.Rules{Queues: []fold.Queue{asked}}, list...)
+	for n := range waiting {
+		j := job(asked, step(5))
+		j.ID = fmt.Sprintf("%016x", n+1)
+		b.cell.AddJob(j, 1)
+	}
+	// advise answers all calls that are made now, and returns how many.
+	advise := func() (calls int) {
+		var asks []core.Ask
+		for {
+			ask, ok := b.cell.NextAsk(true)
+			if !ok {
+				break
+			}
+			asks = append(asks, ask)
+		}
+		b.wait(40 * time.Millisecond)
+		for _, ask := range asks {
+			var advice fold.Advice
+			for _, id := range ask.Hosts {
+				advice.Grants = append(advice.Grants, fold.Grant{Host: id, Ticket: "t"})
+			}
+			b.cell.Advised(ask, advice, b.now, nil)
+		}
+		return len(asks)
+	}
+	var running []core.Start
+	for range 20 {
+		running = append(running, b.decide().Starts...)
+		advise()
+	}
+	if len(running) != hosts {
+		t.Fatalf("%d starts on %d hosts", len(running), hosts)
+	}
+	calls, ended := 0, 0
+	for n := range hosts {
+		s := running[n]
+		b.report(s.Host, nil, []fold.HostEnd{{Number: 1, Task: s.Req.Task, Run: s.Req.Run, How: fold.EndDone}})
+		ended++
+		for range 4 {
+			b.decide()
+			calls += advise()
+		}
+	}
+	if calls > 4*ended {
+		t.Errorf("%d calls for %d places", calls, ended)
+	}
+}
--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -102,6 +102,7 @@
 		c.open[service] = hosts[:0]
 	}
 	clear(c.largest)
+	clear(c.room)
 	for _, h := range c.ranked {
 		if !h.open(c.now) {
 			continue
@@ -109,6 +110,7 @@
 		service := h.info.Service
 		c.open[service] = append(c.open[service], h)
 		free, largest := h.info.Capacity.Sub(h.used), c.largest[service]
+		c.room[service] = room{free: c.room[service].free.Add(free), capacity: c.room[service].capacity.Add(h.info.Capacity)}
 		c.largest[service] = fold.Resources{CPU: max(largest.CPU, free.CPU), Memory: max(largest.Memory, free.Memory), Accel: max(largest.Accel, free.Accel)}
 	}
 }
