Count calls and bytes by purpose on the metrics address

Cause: what an entry's link and processor are used for had to be worked out from profiles; the operators' page names no measure of it.

Change: plantainfold_messages and plantainfold_bytes by purpose (commit, read, feed, look, start, stop, pace, advice, and each call between entries) and direction.

--- a/cmd/pfnode/internal/app/serve.go
+++ b/cmd/pfnode/internal/app/serve.go
@@ -63,6 +63,7 @@
 	if err != nil {
 		return err
 	}
+	client.Watch(n.Traffic)
 	stop := c.reload(log)
 	defer stop()
 	return n.Run(c.ctx)
--- a/fold/node/meter.go
+++ b/fold/node/meter.go
@@ -20,6 +20,8 @@
 type meter struct {
 	commits, starts, holds, asks, decides, calls metric.Float64Histogram
 	rows                                         metric.Int64Counter
+	// messages and bytes count what calls carry, by purpose.
+	messages, bytes metric.Int64Counter
 }
 
 var _ drive.Meter = &meter{}
@@ -50,6 +52,12 @@
 		return nil, fold.Invalid.Wrap(err, "make the counter of rows")
 	}
 	m.rows = rows
+	if m.messages, err = source.Int64Counter("plantainfold.messages", metric.WithDescription("Calls with an answer, by purpose.")); err != nil {
+		return nil, fold.Invalid.Wrap(err, "make the counter of calls")
+	}
+	if m.bytes, err = source.Int64Counter("plantainfold.bytes", metric.WithUnit("By"), metric.WithDescription("Bytes of the bodies of calls, by purpose and direction.")); err != nil {
+		return nil, fold.Invalid.Wrap(err, "make the counter of bytes")
+	}
 	return m, nil
 }
 
@@ -61,6 +69,14 @@
 	return attribute.Bool("failed", err != nil)
 }
 
+// traffic takes what a call has carried, in bytes.
+func (m *meter) traffic(purpose string, sent, received int) {
+	by := attribute.String("purpose", purpose)
+	m.messages.Add(context.Background(), 1, metric.WithAttributes(by))
+	m.bytes.Add(context.Background(), int64(sent), metric.WithAttributes(by, attribute.String("direction", "sent")))
+	m.bytes.Add(context.Background(), int64(received), metric.WithAttributes(by, attribute.String("direction", "received")))
+}
+
 // Commit takes the time of a commit.
 func (m *meter) Commit(took time.Duration, rows int) {
 	record(m.commits, took)
--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -98,6 +98,11 @@
 	return n, nil
 }
 
+// Traffic counts what a call has carried, in bytes, for the metrics.
+func (n *Node) Traffic(purpose string, sent, received int) {
+	n.meter.traffic(purpose, sent, received)
+}
+
 // Run serves until ctx ends, then hands over what the entry owns and finishes the requests under way.
 func (n *Node) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.Background())
@@ -227,6 +232,7 @@
 		return
 	}
 	node := peer.New(n.settings.Name, n.incarnation, key, n.log)
+	node.Watch(n.Traffic)
 	peer.Handle(node, adviseCall, func(ctx context.Context, _ string, q advising) (fold.Advice, error) {
 		return n.parts.Adviser.Advise(ctx, q.Step, q.Hosts)
 	})
--- a/fold/peer/link.go
+++ b/fold/peer/link.go
@@ -88,6 +88,7 @@
 	}
 	select {
 	case f := <-answer:
+		l.node.seen(kind, len(body), len(f.Body))
 		return f.Body, f.Error.Err()
 	case <-l.done:
 		return nil, fold.Unknown.New("connection to %s ended before its answer to %s", l.from, kind)
@@ -116,6 +117,7 @@
 		_ = l.send(frame{ID: f.ID, Error: fold.ToWire(fold.Unknown.Wrap(err, "encode answer"))})
 		return
 	}
+	l.node.seen(f.Kind, len(body), len(f.Body))
 	_ = l.send(frame{ID: f.ID, Body: body})
 }
 
--- a/fold/peer/node.go
+++ b/fold/peer/node.go
@@ -30,6 +30,9 @@
 	log         hclog.Logger
 	handlers    map[string]handler
 
+	// seen takes what a call of a kind has carried, in bytes.
+	seen func(kind string, sent, received int)
+
 	// secure returns the TLS configuration for dialing, or nil for connections in the clear.
 	secure func() (*tls.Config, error)
 
@@ -50,12 +53,18 @@
 		cellKey:     cellKey,
 		log:         log.Named("peer"),
 		handlers:    make(map[string]handler),
+		seen:        func(string, int, int) {},
 		links:       make(map[string]*link),
 		stop:        stop,
 		cancel:      cancel,
 	}
 }
 
+// Watch lets seen take the kind of each call, made or answered, and the bytes of its bodies; it is set before the first call.
+func (n *Node) Watch(seen func(kind string, sent, received int)) {
+	n.seen = seen
+}
+
 // Handle registers the function that answers calls of a kind.
 func Handle[In, Out any](n *Node, kind string, fn func(ctx context.Context, from string, in In) (Out, error)) {
 	n.handlers[kind] = func(ctx context.Context, from string, body cbor.RawMessage) (any, error) {
