Show that a queue starves after another one changes its service

The share of capacity that a call for advice asks for is added to one service and, when the queue has been sent to another one meanwhile, subtracted from that one. The first service then gets no calls any more.

--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -32,7 +32,7 @@
 	if len(jobs) == 0 {
 		return errors.New("no job was accepted")
 	}
-	w.checkLost(jobs)
+	w.checkLost(serviceName, jobs)
 	w.checkExits()
 	return nil
 }
--- a/review/stand/rowsize.go
+++ b/review/stand/rowsize.go
@@ -40,7 +40,7 @@
 	if len(jobs) == 0 {
 		return errors.New("no job was accepted")
 	}
-	w.checkLost(jobs)
+	w.checkLost(serviceName, jobs)
 	w.checkExits()
 	w.store.mu.Lock()
 	w.log("the store has refused %d transactions; the last: %s", w.store.rejected, w.store.lastRejected)
--- a/review/stand/traffic.go
+++ b/review/stand/traffic.go
@@ -60,9 +60,9 @@
 	idleTime = 3 * time.Second
 )
 
-// checkLost applies the rule LOST `finish_s` after the end of the traffic. The steps of the jobs have no predecessors, no
-// tenant has a limit, and the case leaves far more than half of the service's capacity free.
-func (w *world) checkLost(jobs []accepted) {
+// checkLost applies the rule LOST `finish_s` after the end of the traffic to jobs of a service. Their steps have no
+// predecessors, and no tenant has a limit.
+func (w *world) checkLost(service string, jobs []accepted) {
 	time.Sleep(finishTime)
 	var open []accepted
 	var mu sync.Mutex
@@ -96,8 +96,8 @@
 			delete(idle, id)
 		}
 	}
-	used, capacity := w.usage()
-	w.log("in use at the workers: %d of %d, %d of %d MB", used.CPU, capacity.CPU, used.Mem, capacity.Mem)
+	used, capacity := w.usage(service)
+	w.log("in use at the workers of the service: %d of %d, %d of %d MB", used.CPU, capacity.CPU, used.Mem, capacity.Mem)
 	for _, j := range open {
 		if idle[j.id] && used.CPU*2 < capacity.CPU && used.Mem*2 < capacity.Mem {
 			state, _ := w.state(j.key, j.prefix, j.id)
@@ -128,9 +128,12 @@
 	return jobs
 }
 
-// usage returns what runs on the workers that are up, and their capacity.
-func (w *world) usage() (used, capacity size) {
+// usage returns what runs on the workers of a service, and their capacity.
+func (w *world) usage(service string) (used, capacity size) {
 	for _, k := range w.workers {
+		if k.service != service {
+			continue
+		}
 		k.mu.Lock()
 		capacity.CPU += k.capacity.CPU
 		capacity.Mem += k.capacity.Mem
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -12,14 +12,11 @@
 	"time"
 )
 
-// Figures of a worker, from the site centinela-visitas.
+// Figures of a worker that are the same on the sites of the cases.
 const (
-	holdMax     = 6000
 	maxEndsSent = 500
 	stopTime    = 50 * time.Millisecond
 	heartbeat   = 1500 * time.Millisecond
-	// checkpointMs is `checkpoint_s` in milliseconds.
-	checkpointMs = 2000
 )
 
 // size is an amount of resources.
@@ -157,18 +154,18 @@
 	delete(k.runs, r.task)
 	k.highest[r.task] = max(k.highest[r.task], r.number)
 	k.lastEnd++
-	k.ends = append(k.ends, ended{n: k.lastEnd, task: r.task, how: how, number: r.number, saved: r.checkpoint()})
+	k.ends = append(k.ends, ended{n: k.lastEnd, task: r.task, how: how, number: r.number, saved: r.checkpoint(k.w.site.checkpointMs)})
 	k.w.rules.end(k, r.task, r.number, how, k.lastEnd)
 	close(k.changed)
 	k.changed = make(chan struct{})
 }
 
-// checkpoint returns the newest checkpoint of a run.
-func (r *run) checkpoint() string {
+// checkpoint returns the newest checkpoint of a run; one is written in each interval.
+func (r *run) checkpoint(intervalMs int64) string {
 	if r.saved == "-" {
 		return ""
 	}
-	ms := (r.base + time.Since(r.begun)).Milliseconds() / checkpointMs * checkpointMs
+	ms := (r.base + time.Since(r.begun)).Milliseconds() / intervalMs * intervalMs
 	if ms == 0 {
 		return r.saved
 	}
@@ -274,7 +271,7 @@
 
 // renew takes a lease. The caller holds the lock.
 func (k *worker) renew(until int64) {
-	k.leaseEnd = max(k.leaseEnd, min(until, k.clock()+holdMax))
+	k.leaseEnd = max(k.leaseEnd, min(until, k.clock()+k.w.site.holdMaxMs))
 }
 
 // ack forgets ends. The caller holds the lock.
@@ -321,7 +318,7 @@
 		if !r.lasts && r.work > 0 {
 			percent = min(99, int(100*(r.base+time.Since(r.begun))/r.work))
 		}
-		running = append(running, []any{r.task, r.number, r.checkpoint(), percent, r.size.CPU})
+		running = append(running, []any{r.task, r.number, r.checkpoint(k.w.site.checkpointMs), percent, r.size.CPU})
 	}
 	list := make([][]any, 0, len(k.ends))
 	for _, e := range k.ends[:min(len(k.ends), maxEndsSent)] {
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -50,6 +50,16 @@
 	Every  int64  `json:"interval_ms,omitempty"`
 }
 
+// site holds the bounds of a site that differ between the sites of the cases, in milliseconds.
+type site struct {
+	holdMaxMs, checkpointMs int64
+}
+
+var (
+	centinelaVisitas = site{holdMaxMs: 6000, checkpointMs: 2000}
+	mhcCrier         = site{holdMaxMs: 10000, checkpointMs: 500}
+)
+
 // world holds the stand-ins and the processes of a case.
 type world struct {
 	dir, program string
@@ -58,9 +68,12 @@
 	store        *store
 	rules        *rules
 	storeAddress string
-	workers      []*worker
-	entries      []*entry
-	config       config
+	// adviserAddress is the address of the adviser, or "".
+	adviserAddress string
+	workers        []*worker
+	entries        []*entry
+	config         config
+	site           site
 
 	mu     sync.Mutex
 	record *os.File
@@ -90,6 +103,8 @@
 	Attempts    int     `json:"max_attempts"`
 	Slack       float64 `json:"slack_factor"`
 	AllowAnyone bool    `json:"allow_anonymous"`
+
+	Advice *advicePolicy `json:"placement_advice,omitempty"`
 }
 
 type service struct {
@@ -116,14 +131,10 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, program: "target/pfnode", trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: record, jobs: make(map[string]jobBody), store: newStore()}
+	w := &world{dir: dir, program: "target/pfnode", trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: record, jobs: make(map[string]jobBody), store: newStore(), site: centinelaVisitas}
 	w.rules = newRules(w)
 	w.storeAddress = freeAddress()
-	l, err := net.Listen("tcp", w.storeAddress)
-	if err != nil {
-		return nil, err
-	}
-	go func() { _ = http.Serve(l, w.store) }()
+	listen(w.storeAddress, w.store)
 	w.config = config{
 		Version: 1,
 		Routes: []route{
@@ -141,6 +152,15 @@
 	return w, nil
 }
 
+// listen serves an address of the case.
+func listen(address string, handler http.Handler) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		panic(err)
+	}
+	go func() { _ = http.Serve(l, handler) }()
+}
+
 // log writes a line to the record.
 func (w *world) log(format string, args ...any) {
 	w.mu.Lock()
@@ -156,10 +176,15 @@
 	return time.Now()
 }
 
-// addWorkers starts workers of one kind.
+// addWorkers starts workers of the first service.
 func (w *world) addWorkers(n int, capacity size) error {
+	return w.addWorkersOf(serviceName, n, capacity)
+}
+
+// addWorkersOf starts workers of a service.
+func (w *world) addWorkersOf(service string, n int, capacity size) error {
 	for i := range n {
-		k := newWorker(w, fmt.Sprintf("i-%04x%04x", 0x7f3a, 0x1000+len(w.workers)), serviceName, "zone-1", capacity, []string{"a", fmt.Sprintf("r1-%d", i/8)})
+		k := newWorker(w, fmt.Sprintf("i-%04x%04x", 0x7f3a, 0x1000+len(w.workers)), service, "zone-1", capacity, []string{"a", fmt.Sprintf("r1-%d", i/8)})
 		w.workers = append(w.workers, k)
 		if err := k.start(); err != nil {
 			return err
@@ -214,8 +239,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	settings, _ := json.Marshal(map[string]any{
-		"name": e.name, "domain": "zone-1", "callers": e.callers, "ready": e.ready, "peers": e.peers, "store": e.w.storeAddress, "adviser": "127.0.0.1:9",
-		"level": "info", "lease": 6000, "stop": 900, "restore": 100, "save": 2000, "early": 250, "grace": 6000, "cores": 0.4, "link": 1000.0, "memory": e.memoryMB,
+		"name": e.name, "domain": "zone-1", "callers": e.callers, "ready": e.ready, "peers": e.peers, "store": e.w.storeAddress, "adviser": e.w.adviserAddress,
+		"level": "info", "lease": e.w.site.holdMaxMs, "stop": 900, "restore": 100, "save": e.w.site.checkpointMs, "early": 250, "grace": 6000, "cores": 0.4, "link": 1000.0, "memory": e.memoryMB,
 	})
 	path := filepath.Join(e.w.dir, e.name+".json")
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
