--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -78,6 +78,8 @@
 	mu     sync.Mutex
 	record *os.File
 	jobs   map[string]jobBody
+	// operated is when the store acknowledged the newest config.
+	operated time.Time
 	// closing is set while the case ends.
 	closing bool
 }
@@ -173,7 +175,8 @@
 	text, _ := json.Marshal(w.config)
 	w.store.put("op", "config", text)
 	w.log("operator: config %d acknowledged", w.config.Version)
-	return time.Now()
+	w.operated = time.Now()
+	return w.operated
 }
 
 // addWorkers starts workers of the first service.
