--- a/review/stand/rules.go
+++ b/review/stand/rules.go
@@ -10,7 +10,6 @@
 type history struct {
 	worker  *worker
 	number  int
-	spec    string
 	started time.Time
 	ended   time.Time
 	how     string
@@ -50,7 +49,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.starts++
-	u.runs[r.task] = append(u.runs[r.task], &history{worker: k, number: r.number, spec: r.spec, started: r.started})
+	u.runs[r.task] = append(u.runs[r.task], &history{worker: k, number: r.number, started: r.started})
 	job := r.task[:min(16, len(r.task))]
 	if _, ok := u.jobs[job]; !ok {
 		u.jobs[job] = r.started
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -28,16 +28,15 @@
 
 // run is a run of a task on a worker.
 type run struct {
-	task, spec string
-	number     int
-	started    time.Time
-	begun      time.Time
-	work       time.Duration
-	lasts      bool
-	saved      string
-	base       time.Duration
-	stopping   bool
-	size       size
+	task     string
+	number   int
+	started  time.Time
+	begun    time.Time
+	work     time.Duration
+	saved    string
+	base     time.Duration
+	stopping bool
+	size     size
 }
 
 // ended is the end of a run.
@@ -138,7 +137,7 @@
 			switch {
 			case lapsed:
 				k.end(r, "lapsed")
-			case !r.lasts && !r.stopping && r.base+now.Sub(r.begun) >= r.work:
+			case !r.stopping && r.base+now.Sub(r.begun) >= r.work:
 				k.end(r, "done")
 			}
 		}
@@ -191,15 +190,13 @@
 		return
 	}
 	var in struct {
-		Task    string `json:"task"`
-		Run     int    `json:"run"`
-		Spec    string `json:"spec"`
-		Until   int64  `json:"deadline_ms"`
-		Fence   int64  `json:"fencing_token"`
-		Acked   int64  `json:"ack_seq"`
-		WaitMs  int64  `json:"wait_ms"`
-		Saved   string `json:"last_checkpoint"`
-		Percent int    `json:"percent"`
+		Task   string `json:"task"`
+		Run    int    `json:"run"`
+		Until  int64  `json:"deadline_ms"`
+		Fence  int64  `json:"fencing_token"`
+		Acked  int64  `json:"ack_seq"`
+		WaitMs int64  `json:"wait_ms"`
+		Saved  string `json:"last_checkpoint"`
 	}
 	if err := json.Unmarshal(text, &in); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -239,7 +236,7 @@
 		answer(w, http.StatusOK, body)
 		return
 	case "run-start":
-		reason := k.begin(in.Task, in.Run, in.Spec, in.Until, in.Saved)
+		reason := k.begin(in.Task, in.Run, in.Until, in.Saved)
 		clock := k.clock()
 		k.mu.Unlock()
 		if reason != "" {
@@ -283,7 +280,7 @@
 }
 
 // begin starts a run and returns the reason of a rejection. The caller holds the lock.
-func (k *worker) begin(task string, number int, spec string, until int64, saved string) string {
+func (k *worker) begin(task string, number int, until int64, saved string) string {
 	if r, ok := k.runs[task]; ok && r.number == number {
 		k.renew(until)
 		return ""
@@ -298,7 +295,7 @@
 	k.renew(until)
 	p := k.w.planOf(task)
 	now := time.Now()
-	r := &run{task: task, spec: spec, number: number, started: now, begun: now, work: p.work, lasts: p.lasts, saved: saved, size: p.size}
+	r := &run{task: task, number: number, started: now, begun: now, work: p.work, saved: saved, size: p.size}
 	if !p.saves {
 		r.saved = "-"
 	} else if ms, err := strconv.ParseInt(saved[:min(8, len(saved))], 16, 64); err == nil {
@@ -315,7 +312,7 @@
 	running := make([][]any, 0, len(k.runs))
 	for _, r := range k.runs {
 		percent := 100
-		if !r.lasts && r.work > 0 {
+		if r.work > 0 {
 			percent = min(99, int(100*(r.base+time.Since(r.begun))/r.work))
 		}
 		running = append(running, []any{r.task, r.number, r.checkpoint(k.w.site.checkpointMs), percent, r.size.CPU})
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -24,21 +24,17 @@
 // plan is what a worker does for a task.
 type plan struct {
 	work  time.Duration
-	lasts bool
 	saves bool
 	size  size
 }
 
 // step is a step of a job as a client sends it.
 type step struct {
-	Count         int    `json:"count"`
-	CPU           int64  `json:"cpu,omitempty"`
-	Mem           int64  `json:"mem_mb,omitempty"`
-	Estimate      int64  `json:"estimate_ms,omitempty"`
-	After         []int  `json:"after,omitempty"`
-	Checkpointing bool   `json:"checkpointing,omitempty"`
-	Requirements  string `json:"requirements,omitempty"`
-	LongRunning   bool   `json:"long_running,omitempty"`
+	Count         int   `json:"count"`
+	CPU           int64 `json:"cpu,omitempty"`
+	Mem           int64 `json:"mem_mb,omitempty"`
+	Estimate      int64 `json:"estimate_ms,omitempty"`
+	Checkpointing bool  `json:"checkpointing,omitempty"`
 }
 
 // jobBody is the body of a job.
@@ -142,7 +138,6 @@
 		Routes: []route{
 			{Name: "r-check", Host: "plan.example", Prefix: "/check/", Kind: "non_idempotent", TimeoutMs: 3000, Target: 250, Priority: 0, Service: serviceName, Attempts: 3, Slack: 1.5},
 			{Name: "r-night", Host: "plan.example", Prefix: "/night/", Kind: "non_idempotent", TimeoutMs: 3000, Target: 1200, Priority: 2, Service: serviceName, Attempts: 3, Slack: 2.2},
-			{Name: "r-watch", Host: "plan.example", Prefix: "/watch/", Kind: "non_idempotent", TimeoutMs: 3000, Target: 2500, Priority: 1, Service: serviceName, Attempts: 2, Slack: 2.2},
 		},
 		Services: []service{{Name: serviceName}},
 		Tenants: []tenant{
@@ -210,7 +205,7 @@
 		return plan{work: time.Second}
 	}
 	s := j.Steps[n]
-	return plan{work: time.Duration(s.Estimate) * time.Millisecond, lasts: s.LongRunning, saves: s.Checkpointing, size: size{CPU: s.CPU, Mem: s.Mem}}
+	return plan{work: time.Duration(s.Estimate) * time.Millisecond, saves: s.Checkpointing, size: size{CPU: s.CPU, Mem: s.Mem}}
 }
 
 // entry is a process of the project.
@@ -225,15 +220,15 @@
 	exits   int
 	// killed is set if the case ended the process itself.
 	killed bool
-	// restartAfter is the platform's delay before it starts an ended process again.
-	restartAfter time.Duration
-	gone         bool
 }
 
+// restartAfter is the platform's delay before it starts an ended process again.
+const restartAfter = 500 * time.Millisecond
+
 // addEntries adds entries that are not started yet.
 func (w *world) addEntries(n int) {
 	for range n {
-		w.entries = append(w.entries, &entry{w: w, name: fmt.Sprintf("front-%d", len(w.entries)+1), callers: freeAddress(), ready: freeAddress(), peers: freeAddress(), memoryMB: 284, restartAfter: 500 * time.Millisecond})
+		w.entries = append(w.entries, &entry{w: w, name: fmt.Sprintf("front-%d", len(w.entries)+1), callers: freeAddress(), ready: freeAddress(), peers: freeAddress(), memoryMB: 284})
 	}
 }
 
@@ -279,8 +274,8 @@
 		} else {
 			e.w.log("process %s has ended by itself: %v; %s", e.name, err, e.lastLines())
 		}
-		time.Sleep(e.restartAfter)
-		if !e.w.isClosing() && !e.isGone() {
+		time.Sleep(restartAfter)
+		if !e.w.isClosing() {
 			_ = e.start()
 		}
 	}()
@@ -297,12 +292,6 @@
 	return ""
 }
 
-func (e *entry) isGone() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.gone
-}
-
 func (w *world) isClosing() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
