--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -328,7 +329,7 @@
 // connections, so that a program that starts again finds it free.
 func freeAddress() string {
 	for {
-		address := "127.0.0.1:" + strconv.Itoa(11000+rand.IntN(20000))
+		address := loopback + ":" + strconv.Itoa(11000+rand.IntN(20000))
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
@@ -344,6 +345,9 @@
 	}
 }
 
+// loopback is a loopback address of this process alone, so that cases that run at the same time do not take each other's ports.
+var loopback = fmt.Sprintf("127.%d.%d.1", 1+(os.Getpid()>>8)%250, os.Getpid()%256)
+
 var taken = struct {
 	sync.Mutex
 	addresses map[string]bool
