--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -55,7 +55,6 @@
 	// rejected counts transactions that were refused with 400 or 413, and lastRejected tells why.
 	rejected     int
 	lastRejected string
-	gone         int
 	// part serializes the transactions.
 	part sync.Mutex
 }
@@ -277,7 +276,6 @@
 	for {
 		s.mu.Lock()
 		if after < s.discarded {
-			s.gone++
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
