Show that an owner denies jobs that it has stored

An owner that wakes after another entry has taken over reports its commit as not applied, although the attempt before may have been. Callers get 503, and the jobs run.

--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -52,6 +52,10 @@
 	start       time.Time
 	// busy makes the store answer 503 to calls of the entries.
 	busy bool
+	// slow multiplies the time of an answer.
+	slow int
+	// onCommit is called with the rows of each transaction that was applied, before it is answered.
+	onCommit func(writes []rowRef)
 	// rejected counts transactions that were refused with 400 or 413, and lastRejected tells why.
 	rejected     int
 	lastRejected string
@@ -60,7 +64,7 @@
 }
 
 func newStore() *store {
-	return &store{changed: make(chan struct{}), rows: make(map[string]map[string]rowRef), historyTime: time.Hour, start: time.Now()}
+	return &store{changed: make(chan struct{}), rows: make(map[string]map[string]rowRef), historyTime: time.Hour, start: time.Now(), slow: 1}
 }
 
 func rowKey(part, key string) string { return part + "\x00" + key }
@@ -124,10 +128,22 @@
 	s.mu.Unlock()
 }
 
+func (s *store) setSlow(x int) {
+	s.mu.Lock()
+	s.slow = x
+	s.mu.Unlock()
+}
+
+func (s *store) setOnCommit(fn func(writes []rowRef)) {
+	s.mu.Lock()
+	s.onCommit = fn
+	s.mu.Unlock()
+}
+
 // ServeHTTP serves the calls of the entries.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	busy := s.busy
+	busy, slow := s.busy, time.Duration(s.slow)
 	s.mu.Unlock()
 	if busy {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -135,12 +151,12 @@
 	}
 	switch r.URL.Path {
 	case "/-/rows-tx":
-		s.serveTx(w, r)
+		s.serveTx(w, r, slow)
 	case "/-/rows-get":
-		time.Sleep(answerTime)
+		time.Sleep(answerTime * slow)
 		s.serveGet(w, r)
 	case "/-/rows-feed":
-		time.Sleep(answerTime)
+		time.Sleep(answerTime * slow)
 		s.serveFeed(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
@@ -155,7 +171,7 @@
 	http.Error(w, why, status)
 }
 
-func (s *store) serveTx(w http.ResponseWriter, r *http.Request) {
+func (s *store) serveTx(w http.ResponseWriter, r *http.Request, slow time.Duration) {
 	text, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -221,9 +237,13 @@
 		s.publish()
 	}
 	version = s.version
+	onCommit := s.onCommit
 	s.mu.Unlock()
 	s.part.Unlock()
-	time.Sleep(answerTime)
+	if ok && onCommit != nil {
+		onCommit(in.Writes)
+	}
+	time.Sleep(answerTime * slow)
 	if !ok {
 		answer(w, http.StatusPreconditionFailed, map[string]any{"rows": failed, "row_version": version, "server_time_ms": s.clock()})
 		return
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -246,7 +246,8 @@
 		return err
 	}
 	p := exec.Command(e.w.program, "serve")
-	p.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "PLANTAINFOLD_BOOT=" + path}
+	// A machine of the sites has one core, and the list of processors shows the process one.
+	p.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "PLANTAINFOLD_BOOT=" + path, "GOMAXPROCS=1"}
 	p.Stdout, p.Stderr = out, out
 	if err := p.Start(); err != nil {
 		return err
