--- a/review/stand/move.go
+++ b/review/stand/move.go
@@ -12,7 +12,6 @@
 
 // playMove sends a queue to another service by a config, while large jobs of the queue wait.
 func playMove(w *world) error {
-	w.site = mhcCrier
 	policy := advicePolicy{DecisionMs: 560, PerItemMs: 8, ValidityMs: 2000}
 	w.config.Services = append(w.config.Services, service{Name: otherService})
 	w.config.Routes[1].Advice = &policy
--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -11,7 +11,7 @@
 // playPoison hands in one job that can never be done, beside steady traffic.
 func playPoison(w *world) error {
 	w.operate()
-	if err := w.addWorkers(4, size{CPU: 64000, Mem: 131072}); err != nil {
+	if err := w.addWorkers(4, size{CPU: 16000, Mem: 32768}); err != nil {
 		return err
 	}
 	w.addEntries(3)
--- a/review/stand/refused.go
+++ b/review/stand/refused.go
@@ -19,7 +19,6 @@
 
 // playRefused freezes the owner as the answer to a commit with new jobs is on its way, while the store is slow.
 func playRefused(w *world) error {
-	w.site = kerrozSable
 	w.operate()
 	if err := w.addWorkers(4, size{CPU: 16000, Mem: 32768}); err != nil {
 		return err
--- a/review/stand/rowsize.go
+++ b/review/stand/rowsize.go
@@ -10,7 +10,7 @@
 // playRowSize hands in one scheduled job whose occurrences overlap, beside steady traffic.
 func playRowSize(w *world) error {
 	w.operate()
-	if err := w.addWorkers(12, size{CPU: 64000, Mem: 131072}); err != nil {
+	if err := w.addWorkers(35, size{CPU: 16000, Mem: 32768}); err != nil {
 		return err
 	}
 	w.addEntries(3)
--- a/review/stand/twice.go
+++ b/review/stand/twice.go
@@ -10,14 +10,14 @@
 // playTwice takes the store away while a large job ends.
 func playTwice(w *world) error {
 	w.operate()
-	if err := w.addWorkers(3, size{CPU: 64000, Mem: 131072}); err != nil {
+	if err := w.addWorkers(3, size{CPU: 16000, Mem: 32768}); err != nil {
 		return err
 	}
 	w.addEntries(3)
 	if err := w.startEntries(); err != nil {
 		return err
 	}
-	body := jobBody{Spec: "rebuild the week", Steps: []step{{Count: 2000, CPU: 80, Mem: 40, Estimate: 3000}}}
+	body := jobBody{Spec: "rebuild the week", Steps: []step{{Count: 2000, CPU: 20, Mem: 40, Estimate: 3000}}}
 	id, ok := w.submit("key-north-1", "/night/", body)
 	if !ok {
 		return errors.New("the job was not accepted")
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// Figures of a worker that are the same on the sites of the cases.
+// Figures of a worker.
 const (
 	maxEndsSent = 500
 	stopTime    = 50 * time.Millisecond
@@ -154,18 +154,18 @@
 	delete(k.runs, r.task)
 	k.highest[r.task] = max(k.highest[r.task], r.number)
 	k.lastEnd++
-	k.ends = append(k.ends, ended{n: k.lastEnd, task: r.task, how: how, number: r.number, saved: r.checkpoint(k.w.site.checkpointMs)})
+	k.ends = append(k.ends, ended{n: k.lastEnd, task: r.task, how: how, number: r.number, saved: r.checkpoint()})
 	k.w.rules.end(k, r.task, r.number, how, k.lastEnd)
 	close(k.changed)
 	k.changed = make(chan struct{})
 }
 
 // checkpoint returns the newest checkpoint of a run; one is written in each interval.
-func (r *run) checkpoint(intervalMs int64) string {
+func (r *run) checkpoint() string {
 	if r.saved == "-" {
 		return ""
 	}
-	ms := (r.base + time.Since(r.begun)).Milliseconds() / intervalMs * intervalMs
+	ms := (r.base + time.Since(r.begun)).Milliseconds() / checkpointMs * checkpointMs
 	if ms == 0 {
 		return r.saved
 	}
@@ -269,7 +269,7 @@
 
 // renew takes a lease. The caller holds the lock.
 func (k *worker) renew(until int64) {
-	k.leaseEnd = max(k.leaseEnd, min(until, k.clock()+k.w.site.holdMaxMs))
+	k.leaseEnd = max(k.leaseEnd, min(until, k.clock()+holdMaxMs))
 }
 
 // ack forgets ends. The caller holds the lock.
@@ -316,7 +316,7 @@
 		if r.work > 0 {
 			percent = min(99, int(100*(r.base+time.Since(r.begun))/r.work))
 		}
-		running = append(running, []any{r.task, r.number, r.checkpoint(k.w.site.checkpointMs), percent, r.size.CPU})
+		running = append(running, []any{r.task, r.number, r.checkpoint(), percent, r.size.CPU})
 	}
 	list := make([][]any, 0, len(k.ends))
 	for _, e := range k.ends[:min(len(k.ends), maxEndsSent)] {
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -46,15 +46,10 @@
 	Every  int64  `json:"interval_ms,omitempty"`
 }
 
-// site holds the bounds of a site that differ between the sites of the cases, in milliseconds.
-type site struct {
-	holdMaxMs, checkpointMs int64
-}
-
-var (
-	centinelaVisitas = site{holdMaxMs: 6000, checkpointMs: 2000}
-	mhcCrier         = site{holdMaxMs: 10000, checkpointMs: 500}
-	kerrozSable      = site{holdMaxMs: 6000, checkpointMs: 1000}
+// Bounds of the site mhc-crier, in milliseconds.
+const (
+	holdMaxMs    = 10000
+	checkpointMs = 500
 )
 
 // world holds the stand-ins and the processes of a case.
@@ -70,7 +65,6 @@
 	workers        []*worker
 	entries        []*entry
 	config         config
-	site           site
 
 	mu     sync.Mutex
 	record *os.File
@@ -128,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, program: "target/pfnode", trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: record, jobs: make(map[string]jobBody), store: newStore(), site: centinelaVisitas}
+	w := &world{dir: dir, program: "target/pfnode", trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: record, jobs: make(map[string]jobBody), store: newStore()}
 	w.rules = newRules(w)
 	w.storeAddress = freeAddress()
 	listen(w.storeAddress, w.store)
@@ -235,7 +229,7 @@
 	defer e.mu.Unlock()
 	settings, _ := json.Marshal(map[string]any{
 		"name": e.name, "domain": "zone-1", "callers": e.callers, "ready": e.ready, "peers": e.peers, "store": e.w.storeAddress, "adviser": e.w.adviserAddress,
-		"level": "info", "lease": e.w.site.holdMaxMs, "stop": 900, "restore": 100, "save": e.w.site.checkpointMs, "early": 250, "grace": 6000, "cores": 0.4, "link": 1000.0, "memory": e.memoryMB,
+		"level": "info", "lease": holdMaxMs, "stop": 900, "restore": 100, "save": checkpointMs, "early": 250, "grace": 6000, "cores": 0.4, "link": 1000.0, "memory": e.memoryMB,
 	})
 	path := filepath.Join(e.w.dir, e.name+".json")
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
