Report a commit as unknown after a takeover

The store had applied the commit, but its answer was lost while the owner stood still; the repeated attempt met the row of the next owner and returned Fenced, which claims that nothing was applied. That row has replaced the one that would show the commit, so it proves nothing.

Ruled out: the 80 ms limit of the read in Front.write, which only decides whether the wrong trait reaches the caller; a late execution of the repeated attempt, because the check of the owner's row then fails for good.

After an attempt without an answer, a takeover by another entry now gives Unknown. Front.Submit then asks the next owner, which knows the job.

--- a/fold/drive/intake.go
+++ b/fold/drive/intake.go
@@ -221,7 +221,8 @@
 	})
 }
 
-// failRequests answers requests after a failed commit. The commit's outcome is unknown unless another entry has taken over.
+// failRequests answers requests after a failed commit. The commit's outcome is unknown unless a Fenced error proves that
+// another entry took over first.
 func failRequests(requests []*request, err error) {
 	if !errorx.IsOfType(err, fold.Fenced) {
 		err = fold.Unknown.Wrap(err, "the outcome of the commit is not known")
--- a/fold/lead/lead.go
+++ b/fold/lead/lead.go
@@ -106,7 +106,8 @@
 }
 
 // TakeOver takes the ownership over from the previous owner, whose row has the given version; next describes the
-// new owner. A Fenced or Conflict error means that another entry was faster; the other errors are those of Commit.
+// new owner. A Fenced or Conflict error means that another entry was faster; the other errors are those of Commit. After any
+// error except Unknown the takeover has no effect.
 func TakeOver(ctx context.Context, table fold.Table, clock fold.Clock, previous Owner, version int64, next Owner) (*Term, error) {
 	next.Epoch, next.CommitCount, next.Waiting, next.Entries, next.FitCount = previous.Epoch+1, 0, previous.Waiting, nil, 0
 	t := &Term{table: table, clock: clock, epoch: next.Epoch, owner: next, version: version}
@@ -127,8 +128,9 @@
 }
 
 // Commit applies the transaction and renews the ownership. It tries until the outcome is known; an Unknown error means that
-// ctx ended first. A Fenced error means that another entry has taken over. A Conflict error means that a check of txn failed
-// and nothing was written. An Unavailable or Overload error means that no attempt has taken or will take effect.
+// ctx ended first, or that another entry took over after an attempt without an answer. A Fenced error means that another
+// entry has taken over and nothing was written. A Conflict error means that a check of txn failed and nothing was written. An
+// Unavailable or Overload error means that no attempt has taken or will take effect.
 func (t *Term) Commit(ctx context.Context, txn fold.Txn, state PoolState) error {
 	next := t.owner
 	next.CommitCount++
@@ -168,7 +170,7 @@
 			return err
 		}
 		if errorx.IsOfType(err, fold.Conflict) {
-			return t.resolveConflict(ctx, next, err)
+			return t.resolveConflict(ctx, next, err, mayHaveRun)
 		}
 		if errorx.IsOfType(err, fold.Invalid) || errorx.IsOfType(err, fold.TooLarge) {
 			return err
@@ -204,8 +206,9 @@
 }
 
 // resolveConflict reads the row after a conflict. It finds out whether an earlier attempt has succeeded, a check of the
-// transaction has failed, or another entry has taken over.
-func (t *Term) resolveConflict(ctx context.Context, next Owner, conflict error) error {
+// transaction has failed, or another entry has taken over. mayHaveRun reports whether an earlier attempt had no answer. The
+// row of a later owner does not show whether such an attempt was applied before the takeover.
+func (t *Term) resolveConflict(ctx context.Context, next Owner, conflict error, mayHaveRun bool) error {
 	for {
 		found, version, err := t.readOwner(ctx)
 		switch {
@@ -214,6 +217,8 @@
 			return nil
 		case err == nil && version == t.version:
 			return conflict
+		case err == nil && mayHaveRun:
+			return fold.Refuse(fold.Unknown, "stop acting as the owner", "entry %q owns the pool in epoch %d; an earlier attempt to commit in epoch %d may have been applied", found.Entry, found.Epoch, next.Epoch)
 		case err == nil:
 			return fold.Refuse(fold.Fenced, "stop acting as the owner", "entry %q owns the pool in epoch %d", found.Entry, found.Epoch)
 		}
--- a/fold/lead/lead_test.go
+++ b/fold/lead/lead_test.go
@@ -108,6 +108,46 @@
 	}
 }
 
+// Guards against an owner that takes a commit without an answer for one that was not applied, because the row of the next
+// owner no longer shows it.
+func TestTakeoverHidesACommit(t *testing.T) {
+	cases := []struct {
+		name string
+		// applied reports whether the attempt without an answer reaches the table.
+		applied bool
+	}{
+		{"applied before the takeover", true},
+		{"lost on its way", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := &faultyTable{Table: plat.NewTable()}
+			term := takeOver(t, table, "one")
+			lost := false
+			fail := func() error {
+				if lost {
+					return nil
+				}
+				lost = true
+				takeOver(t, table.Table, "two")
+				return fold.Unknown.New("the answer was lost")
+			}
+			if c.applied {
+				table.after = fail
+			} else {
+				table.before = fail
+			}
+			err := term.Commit(t.Context(), fold.Txn{Puts: []fold.Put{{Key: "state/a", Value: []byte("x")}}}, lead.PoolState{})
+			if err == nil || fold.DidNotRun(err) {
+				t.Errorf("error %v, want one that leaves open whether the commit was applied", err)
+			}
+			if _, err := table.Get(t.Context(), "state/a"); (err == nil) != c.applied {
+				t.Errorf("row written: %v, want %v", err == nil, c.applied)
+			}
+		})
+	}
+}
+
 // Guards against an epoch that does not increase with a takeover, and against a row that still names an owner after it
 // handed over.
 func TestHandOver(t *testing.T) {
