Keep runs that an incomplete report does not list

A worker returns at most 500 unacknowledged ends. Runs behind these stand in neither list of its answer, and the owner took them for lost: after a confirmed stop, or at once after a takeover.

Ruled out: expired leases, because every worker answered throughout; starts without a record, because each first run had ended done.

The adapter now marks an answer with a full page of ends, and a run counts as missing only in a complete report. The same holds for inherited runs and for hosts on which an earlier owner may have started runs without a record; those were found by reading the related paths.

--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -21,7 +21,11 @@
 	// enforcesFence reports whether this incarnation has answered a request that carries this owner's fence. From then on,
 	// the host refuses orders of earlier owners.
 	enforcesFence bool
-	runs          map[runKey]*run
+	// compared reports whether a complete report of this incarnation was compared with the runs that may exist there.
+	compared bool
+	// moreEnds reports whether the last report left out ends. A run that it does not list may then have ended.
+	moreEnds bool
+	runs     map[runKey]*run
 	// runList holds the runs in the order in which they were planned.
 	runList []*run
 	// used is the capacity that live runs claim, including planned ones.
@@ -145,6 +149,7 @@
 	h.info.Incarnation = incarnation
 	c.hostsChanged = true
 	h.enforcesFence, h.ownLeaseEnd, h.foreignLeaseEnd = false, 0, c.now.Add(lease.OnSlowestClock(c.times.Lease))
+	h.compared, h.moreEnds = false, false
 	h.lastEnd, h.nextAck, h.lastAck = 0, 0, 0
 	h.health = health{}
 	for _, u := range h.unconfirmedStarts {
@@ -298,14 +303,17 @@
 		c.hostsChanged = true
 	}
 	c.RecordLease(id, remaining)
-	firstReport := !h.enforcesFence
-	if firstReport {
+	if !h.enforcesFence {
 		c.hostsChanged = true
 		// The host now enforces the fence of this owner, so earlier owners can renew no lease.
 		h.enforcesFence, h.foreignLeaseEnd = true, c.now.Add(lease.OnSlowestClock(c.times.Lease))
 	}
+	if reply.MoreEnds != h.moreEnds {
+		h.moreEnds = reply.MoreEnds
+		c.log.Info("Changed whether the host reports all ended runs; until it does, no run counts as lost.", "host", id, "complete", !reply.MoreEnds, "runs", len(h.runs), "acked", h.lastAck)
+	}
 	c.applyEnds(h, reply.Ends)
-	c.compareRuns(h, sent, reply, firstReport)
+	c.compareRuns(h, sent, reply)
 }
 
 // applyEnds applies the ends that were not applied before, in order.
@@ -320,33 +328,41 @@
 }
 
 // compareRuns compares the runs that the host lists with the runs that were ordered.
-func (c *Cell) compareRuns(h *host, sent fold.Instant, reply fold.HoldReply, firstReport bool) {
+func (c *Cell) compareRuns(h *host, sent fold.Instant, reply fold.HoldReply) {
 	listed := make(map[runKey]bool, len(reply.Runs))
 	for _, hr := range reply.Runs {
 		key := runKey{task: hr.Task, run: hr.Run}
 		listed[key] = true
 		r, ok := h.runs[key]
 		if !ok {
-			// A run that an earlier owner started without a record is adopted on the first report.
-			if name, valid := flow.ParseTaskName(hr.Task); !firstReport || !valid || !c.adoptRun(h, c.findTask(name), hr) {
+			// A run that an earlier owner started without a record is adopted until a complete report was compared.
+			if name, valid := flow.ParseTaskName(hr.Task); h.compared || !valid || !c.adoptRun(h, c.findTask(name), hr) {
 				c.handleUnknownRun(h, hr)
 			}
 			continue
 		}
 		c.updateProgress(r, hr)
 	}
+	if reply.MoreEnds {
+		return
+	}
+	firstComplete := !h.compared
+	if firstComplete {
+		h.compared, c.hostsChanged = true, true
+	}
 	for _, r := range h.copyRuns() {
 		if listed[r.key()] || r.phase == phasePlanned {
 			continue
 		}
-		c.handleMissing(r, sent, firstReport)
+		c.handleMissing(r, sent, firstComplete)
 	}
 }
 
-// handleMissing handles a run that its host does not list.
-func (c *Cell) handleMissing(r *run, sent fold.Instant, firstReport bool) {
+// handleMissing handles a run that a complete report of its host does not list. firstComplete reports whether it is the
+// first such report.
+func (c *Cell) handleMissing(r *run, sent fold.Instant, firstComplete bool) {
 	switch {
-	case r.inherited && firstReport:
+	case r.inherited && firstComplete:
 		// The host now enforces the fence of this owner and refuses a late order of an earlier one.
 		c.loseRun(r, "host does not know it")
 	case r.stopAckedAt != 0 && r.stopAckedAt < sent:
@@ -385,15 +401,18 @@
 // answered this owner and are not silent.
 func (c *Cell) loseExpiredRuns() {
 	for _, h := range c.hostsByID {
-		if len(h.runs) == 0 || h.silentSince == 0 && h.enforcesFence {
+		if len(h.runs) == 0 || !h.leasesExpired(c.now) {
 			continue
 		}
-		if c.now > h.leaseEnd() {
-			for _, r := range h.copyRuns() {
-				if r.phase != phasePlanned {
-					c.loseRun(r, "lease ended")
-				}
+		for _, r := range h.copyRuns() {
+			if r.phase != phasePlanned {
+				c.loseRun(r, "lease ended")
 			}
 		}
 	}
 }
+
+// leasesExpired reports whether all leases on the host have expired. Those of a host that answers this owner are renewed.
+func (h *host) leasesExpired(now fold.Instant) bool {
+	return (h.silentSince != 0 || !h.enforcesFence) && now > h.leaseEnd()
+}
--- a/fold/core/takeover.go
+++ b/fold/core/takeover.go
@@ -9,12 +9,12 @@
 // RecordedHost is a host in the record that an owner writes about its hosts.
 type RecordedHost struct {
 	fold.Host
-	// Awaited reports whether an earlier owner used the host and this one has not received an answer from it.
+	// Awaited reports whether an earlier owner used the host and this one has not received a complete report from it.
 	Awaited bool
 }
 
 // SetAwaited sets the hosts that an earlier owner recorded as its own. It may have started runs there without a record. Jobs
-// of that owner therefore start nothing until each host has answered or restarted, or its leases have ended.
+// of that owner therefore start nothing until each host has sent a complete report or restarted, or its leases have ended.
 func (c *Cell) SetAwaited(hosts []fold.Host) {
 	c.awaited = make(map[string]int64)
 	for _, info := range hosts {
@@ -32,7 +32,7 @@
 	}
 }
 
-// Awaited returns the ids of hosts of an earlier owner that have not answered yet.
+// Awaited returns the ids of hosts of an earlier owner that have not sent a complete report yet.
 func (c *Cell) Awaited() []string {
 	ids := make([]string, 0, len(c.awaited))
 	for id := range c.awaited {
@@ -42,15 +42,15 @@
 	return ids
 }
 
-// updateAwaited removes awaited hosts that have answered or restarted, or whose leases have ended.
+// updateAwaited removes awaited hosts that have sent a complete report or restarted, or whose leases have ended.
 func (c *Cell) updateAwaited() {
 	for id, incarnation := range c.awaited {
 		h, ok := c.hosts[id]
 		switch {
-		case !ok || h.enforcesFence || h.info.Incarnation > incarnation:
+		case !ok || h.compared || h.info.Incarnation > incarnation:
 			delete(c.awaited, id)
 			c.hostsChanged = true
-		case c.now > h.foreignLeaseEnd:
+		case h.leasesExpired(c.now):
 			// The run numbers used there are unknown.
 			c.runNumberGap = maxUnrecordedRuns
 			delete(c.awaited, id)
--- a/fold/host.go
+++ b/fold/host.go
@@ -106,8 +106,12 @@
 	Clock int64
 	// Incarnation is the incarnation of the host that answered.
 	Incarnation int64 `json:"Born"`
-	Runs        []HostRun
-	Ends        []HostEnd
+	// Runs lists all runs that have not ended.
+	Runs []HostRun
+	// Ends lists the unacknowledged ends with the lowest numbers.
+	Ends []HostEnd
+	// MoreEnds is true if there may be unacknowledged ends that Ends does not list.
+	MoreEnds bool `json:"MoreEnds,omitempty"`
 }
 
 // StartRequest starts a run of a task.
