Store a record of any length in several rows

MaxTasks limits one occurrence only.

Ruled out: the size of the commit, because the store named the row; a lack of capacity, because more than half was free.

A record now takes as many rows as it needs, written in one commit. The record is limited too: a job has at most 8,000 open tasks, later occurrences wait, and a record that still does not fit is written without checkpoints. The limit of a row comes from the platform's settings.

--- a/cmd/pfsoak/internal/app/environment.go
+++ b/cmd/pfsoak/internal/app/environment.go
@@ -148,12 +148,9 @@
 
 // newestRecord reads the newest durable record of a job. The record may share a row with records of other jobs.
 func (e *environment) newestRecord(id string) flow.Record {
-	newest := flow.Record{}
-	row, err := e.table.Get(context.Background(), drive.StatePrefix+id)
-	if err == nil {
-		if newest, err = codec.Decode[flow.Record](row.Value); err != nil {
-			e.log.Error("Could not decode the record of a job.", "job", id, "error", err)
-		}
+	newest, err := drive.ReadRecord(context.Background(), e.table, id)
+	if err != nil && !errorx.IsOfType(err, fold.NotFound) {
+		e.log.Error("Could not read the record of a job.", "job", id, "error", err)
 	}
 	rows, err := e.table.Scan(context.Background(), drive.BacklogTable, "", 0)
 	if err != nil {
--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -134,7 +134,7 @@
 // planPart plans runs of the waiting tasks of a part, and speculative copies of running ones. It fails the job if a waiting
 // task has used up its attempts.
 func (c *Cell) planPart(p *part) {
-	if p.waitingTasks == 0 && !p.step.Copies {
+	if p.waitingTasks == 0 && !p.step.Copies || !p.fitsRecord() {
 		return
 	}
 	hosts := c.candidates(p)
@@ -168,6 +168,7 @@
 // planStart plans a run of the task on the host.
 func (c *Cell) planStart(t *task, h *host, number int) {
 	p := t.part
+	p.begin()
 	t.lastRun = number
 	if t.firstOwnRun == 0 {
 		t.firstOwnRun = number
--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -136,6 +136,7 @@
 		c.stats.Lost++
 	}
 	if e.Run > t.lastRun {
+		t.part.begin()
 		t.lastRun = e.Run
 		c.markDirty(t.part.job)
 	}
--- a/fold/core/explain.go
+++ b/fold/core/explain.go
@@ -28,7 +28,7 @@
 		reasons := c.countReasons(p, c.openHostsFor(p))
 		c.log.Info("Tasks wait.", "step", p.stepName(), "queue", p.job.queue.Name, "team", p.job.spec.Team, "tasks", p.waitingTasks, "live", p.liveRunCount(),
 			"since", c.now.Sub(p.readyAt).String(), "rank", c.rank(p), "hosts", reasons.open, "full", reasons.full, "denied", reasons.denied,
-			"unasked", reasons.unasked, "limit", reasons.limit, "asking", p.advice.callPending)
+			"unasked", reasons.unasked, "limit", reasons.limit, "record", !p.fitsRecord(), "asking", p.advice.callPending)
 	}
 }
 
--- a/fold/core/job.go
+++ b/fold/core/job.go
@@ -23,6 +23,8 @@
 	started bool
 	// countedWaiting reports whether the job is included in Cell.waiting.
 	countedWaiting bool
+	// openTasks counts the tasks of the begun parts that are not done. Each of them takes space in the record.
+	openTasks int
 	// recordSeq is the sequence number of the last record.
 	recordSeq int64
 	// tableVersion is the version of the table at which the job was accepted. It is 0 for a job that this owner has loaded.
@@ -50,6 +52,8 @@
 	blockers int
 	// successors lists the parts that depend on this one.
 	successors []*part
+	// begun reports whether a run of any task was ever planned.
+	begun bool
 	// active reports whether the part was added to the active or the scheduled parts of the cell.
 	active bool
 	// rank is its rank in the last round of decisions.
@@ -146,6 +150,26 @@
 	return flow.TaskName{Job: p.job.spec.ID, Occurrence: p.occurrence, Step: p.index}.StepName()
 }
 
+// begin records that a run of the part was planned.
+func (p *part) begin() {
+	if p.begun {
+		return
+	}
+	p.begun = true
+	if p.doneTasks < len(p.tasks) {
+		p.job.openTasks += len(p.tasks)
+	}
+}
+
+// maxOpenTasks limits the open tasks of a job, so that its record fits into a commit. Occurrences may overlap, and each has up
+// to flow.MaxTasks.
+const maxOpenTasks = 4 * flow.MaxTasks
+
+// fitsRecord reports whether the record of the job has space for the tasks of the part.
+func (p *part) fitsRecord() bool {
+	return p.begun || p.job.openTasks == 0 || p.job.openTasks+len(p.tasks) <= maxOpenTasks
+}
+
 // urgent reports whether the part belongs to an unscheduled job of the highest priority and is not long-running.
 func (p *part) urgent() bool {
 	return p.job.queue.Priority == 0 && !p.step.LongRunning && p.job.spec.Times == 0
@@ -337,6 +361,10 @@
 	if p.doneTasks < len(p.tasks) {
 		return
 	}
+	if p.begun {
+		p.job.openTasks -= len(p.tasks)
+	}
+	p.begun = true
 	p.job.partsLeft--
 	for _, n := range p.successors {
 		n.blockers--
--- a/fold/core/record.go
+++ b/fold/core/record.go
@@ -87,7 +87,7 @@
 	hostIndex := make(map[flow.LiveHost]int)
 	for _, steps := range j.parts {
 		for _, p := range steps {
-			if p.anyPlanned() {
+			if p.begun {
 				rec.Parts = append(rec.Parts, p.record(&rec, hostIndex))
 			}
 		}
@@ -95,16 +95,6 @@
 	return rec
 }
 
-// anyPlanned reports whether a run of any task was ever planned.
-func (p *part) anyPlanned() bool {
-	for i := range p.tasks {
-		if p.tasks[i].lastRun > 0 || p.tasks[i].done {
-			return true
-		}
-	}
-	return false
-}
-
 // record returns the part's progress for the record of its job. It adds the hosts of live runs to jobRecord.Hosts and
 // their indexes in that list to hostIndex.
 func (p *part) record(jobRecord *flow.Record, hostIndex map[flow.LiveHost]int) flow.Part {
@@ -179,6 +169,7 @@
 			}
 			c.restoreRun(&p.tasks[l.Index], l, rec.Hosts[l.Host], j.state.Final())
 		}
+		p.begin()
 		p.waitingTasks = 0
 		for i := range p.tasks {
 			if p.tasks[i].waiting() {
--- a/fold/core/takeover.go
+++ b/fold/core/takeover.go
@@ -176,6 +176,7 @@
 	r := newRun(t, hr.Run, h, h.info.Incarnation, c.now)
 	r.inherited, r.phase = true, phaseOrdered
 	t.lastRun = max(t.lastRun, hr.Run)
+	t.part.begin()
 	t.part.job.started = true
 	c.attach(r)
 	c.markDirty(t.part.job)
--- a/fold/drive/backlog.go
+++ b/fold/drive/backlog.go
@@ -15,8 +15,8 @@
 // table still accepts all progress in one transaction. Later commits write them to rows of their own.
 const BacklogTable = "backlog/"
 
-// maxBacklogRow limits the records in a shared row, in bytes; the platform accepts 64 KiB.
-const maxBacklogRow = 48 << 10
+// maxSharedPart is the largest part of a row's limit that the records in a shared row take. The rest is for their keys.
+const maxSharedPart = 0.75
 
 // backlog describes the shared rows.
 type backlog struct {
@@ -26,6 +26,17 @@
 	keys []string
 	// number counts the shared rows of this owner.
 	number int
+	// maxRow is the longest value of a row in bytes.
+	maxRow int
+	// further holds the number of rows after the first one, as stored, for the records that have any, by job id.
+	further map[string]int
+	// shortened holds the ids of the jobs whose last record was written without checkpoints.
+	shortened map[string]bool
+}
+
+// maxShared limits the records in a shared row, in bytes.
+func (b *backlog) maxShared() int {
+	return int(maxSharedPart * float64(b.maxRow))
 }
 
 // BacklogRecord is one record in a shared row.
@@ -43,33 +54,90 @@
 	shared []core.Write
 	// sharedKey is the key of the shared row, or empty.
 	sharedKey string
+	// stale are the keys of rows that a shorter record no longer needs.
+	stale []string
+	// rowCounts holds the number of rows of each record with rows of its own, by job id.
+	rowCounts map[string]int
 	size      int
 }
 
-// pack selects writes for a commit of at most limit rows and returns the rest. Final states come first, because every entry
-// can read them once they have rows of their own.
-func (d *Driver) pack(writes []core.Write, limit int) (recordRows, []core.Write, error) {
-	var p recordRows
+// entries returns the number of entries that the rows take in a commit.
+func (p *recordRows) entries() int {
+	return len(p.rows) + len(p.stale)
+}
+
+// addOwn adds a record with rows of its own.
+func (p *recordRows) addOwn(w core.Write, rows []fold.Put, stale []string, size int) {
+	p.size += size
+	p.rows = append(p.rows, rows...)
+	p.stale = append(p.stale, stale...)
+	p.ownRow = append(p.ownRow, w)
+	p.rowCounts[w.Job] = len(rows)
+}
+
+// pack selects writes for a commit of at most limit entries and space bytes, and returns the rest. Final states come first,
+// because every entry can read them once they have rows of their own. A record that takes several rows waits for a commit in
+// which all of them fit.
+func (d *Driver) pack(writes []core.Write, limit, space int) (recordRows, []core.Write, error) {
+	p := recordRows{rowCounts: make(map[string]int)}
+	var later []core.Write
 	if len(writes) > limit {
 		slices.SortStableFunc(writes, func(a, b core.Write) int {
 			return cmp.Compare(rankOfState(a.Record.State), rankOfState(b.Record.State))
 		})
 		limit--
 	}
-	for len(writes) > 0 && len(p.rows) < limit && p.size < maxBytes {
-		value, err := codec.Encode(writes[0].Record)
+	for len(writes) > 0 && p.entries() < limit && p.size < space {
+		w := writes[0]
+		writes = writes[1:]
+		value, err := d.encodeRecord(w)
 		if err != nil {
 			return p, nil, err
 		}
-		p.size += len(value)
-		p.rows = append(p.rows, fold.Put{Key: StatePrefix + writes[0].Job, Value: value})
-		p.ownRow = append(p.ownRow, writes[0])
-		writes = writes[1:]
+		rows, stale := d.backlog.rowsOf(w.Job, value)
+		if len(rows)+len(stale) > 1 && (p.entries()+len(rows)+len(stale) > limit || p.size+len(value) > space) {
+			later = append(later, w)
+			continue
+		}
+		p.addOwn(w, rows, stale, len(value))
 	}
 	if len(writes) == 0 {
-		return p, nil, nil
+		return p, later, nil
 	}
-	return d.packShared(p, writes)
+	return d.packShared(p, writes, later)
+}
+
+// rowsOf returns the rows that store the encoded record of a job, and the keys of rows that it no longer needs.
+func (b *backlog) rowsOf(job string, value []byte) (rows []fold.Put, stale []string) {
+	key := StatePrefix + job
+	rows = chunkRows(key, value, b.maxRow)
+	for i := len(rows); i <= b.further[job]; i++ {
+		stale = append(stale, chunkKey(key, i))
+	}
+	return rows, stale
+}
+
+// maxRecord is the size in bytes of an encoded record above which it is written without checkpoints. The other fields of a
+// job's record, whose tasks core and flow limit, always take less.
+const maxRecord = 384 << 10
+
+// encodeRecord encodes the record of a job. A record that would not fit into a commit is encoded without checkpoints.
+func (d *Driver) encodeRecord(w core.Write) ([]byte, error) {
+	value, err := codec.Encode(w.Record)
+	if err != nil || len(value) <= maxRecord {
+		delete(d.backlog.shortened, w.Job)
+		return value, err
+	}
+	if !d.backlog.shortened[w.Job] {
+		d.backlog.shortened[w.Job] = true
+		d.log.Warn("Leaving the checkpoints out of the record of a job because it is too long.", "job", w.Job, "bytes", len(value), "limit", maxRecord)
+	}
+	rec := w.Record
+	rec.Parts = slices.Clone(rec.Parts)
+	for i := range rec.Parts {
+		rec.Parts[i].Saved = nil
+	}
+	return codec.Encode(rec)
 }
 
 func rankOfState(s flow.State) int {
@@ -79,23 +147,33 @@
 	return 1
 }
 
-// packShared puts as many of the writes as fit into a shared row.
-func (d *Driver) packShared(p recordRows, writes []core.Write) (recordRows, []core.Write, error) {
+// packShared puts as many of the writes as fit into a shared row, and returns the others after those in later. A record that
+// takes several rows is not put into it.
+func (d *Driver) packShared(p recordRows, writes, later []core.Write) (recordRows, []core.Write, error) {
 	var records []BacklogRecord
 	size := 0
 	for len(writes) > 0 {
-		value, err := codec.Encode(writes[0].Record)
+		w := writes[0]
+		value, err := codec.Encode(w.Record)
 		if err != nil {
 			return p, nil, err
 		}
-		if len(records) > 0 && size+len(value) > maxBacklogRow {
+		if len(value) > d.backlog.maxShared() {
+			later, writes = append(later, w), writes[1:]
+			continue
+		}
+		if size+len(value) > d.backlog.maxShared() {
 			break
 		}
 		size += len(value)
-		records = append(records, BacklogRecord{Job: writes[0].Job, Record: writes[0].Record})
-		p.shared = append(p.shared, writes[0])
+		records = append(records, BacklogRecord{Job: w.Job, Record: w.Record})
+		p.shared = append(p.shared, w)
 		writes = writes[1:]
 	}
+	later = append(later, writes...)
+	if len(records) == 0 {
+		return p, later, nil
+	}
 	value, err := codec.Encode(records)
 	if err != nil {
 		return p, nil, err
@@ -104,13 +182,17 @@
 	p.sharedKey = fmt.Sprintf("%s%012d-%06d", BacklogTable, d.term.Epoch(), d.backlog.number)
 	p.size += len(value)
 	p.rows = append(p.rows, fold.Put{Key: p.sharedKey, Value: value})
-	return p, writes, nil
+	return p, later, nil
 }
 
 // recordCommit updates the backlog after a commit.
 func (b *backlog) recordCommit(p recordRows) {
 	for _, w := range p.ownRow {
 		delete(b.records, w.Job)
+		delete(b.further, w.Job)
+		if count := p.rowCounts[w.Job]; count > 1 {
+			b.further[w.Job] = count - 1
+		}
 	}
 	if p.sharedKey == "" {
 		return
--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -31,8 +31,9 @@
 const (
 	// maxRows limits the rows in a commit; the platform accepts 100.
 	maxRows = 80
-	// maxBytes limits the size of a commit; the platform accepts 1 MB.
-	maxBytes = 500 << 10
+	// maxBytes limits the values in a commit. The platform accepts 1 MB with the encoding, which lengthens them by a third. The
+	// last record and a shared row may exceed the limit by up to two rows.
+	maxBytes = 560 << 10
 	// sweepInterval is how often expired states of ended jobs are searched for.
 	sweepInterval = 2 * time.Second
 	// maxSweepRows limits how many rows of ended jobs a commit deletes in addition to its writes.
@@ -193,11 +194,16 @@
 			txn.Puts = append(txn.Puts, b.hostRows...)
 			txn.Deletes = append(slices.Clone(b.deletes), b.staleHostRows...)
 		}
-		packed, rest, err := d.pack(writes, maxRows-len(txn.Deletes)-len(b.requests)-len(txn.Puts))
+		space := maxBytes - sizeOfRequests(b.requests)
+		for _, put := range txn.Puts {
+			space -= len(put.Value)
+		}
+		packed, rest, err := d.pack(writes, maxRows-len(txn.Deletes)-len(b.requests)-len(txn.Puts), space)
 		if err != nil {
 			return err
 		}
 		txn.Puts = append(txn.Puts, packed.rows...)
+		txn.Deletes = append(slices.Clone(txn.Deletes), packed.stale...)
 		if err := d.commitTxn(ctx, txn, b.requests, b.waiting); err != nil {
 			return err
 		}
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -1,6 +1,7 @@
 package drive
 
 import (
+	"cmp"
 	"context"
 	"runtime/debug"
 	"sync"
@@ -36,6 +37,8 @@
 	Invite func(ctx context.Context, epoch int64)
 	// RelayCapacity is how many hosts this entry can supervise beside making decisions.
 	RelayCapacity int
+	// MaxRow is the longest value of a row in bytes; 0 means DefaultMaxRow.
+	MaxRow int
 	// Domain is the failure domain of this entry.
 	Domain string
 	// RelayEntries returns the other entries that can supervise hosts, the strongest first.
@@ -126,6 +129,7 @@
 
 // New returns a driver for the term. Run starts it.
 func New(parts Parts, term *lead.Term, rules fold.Rules) *Driver {
+	maxRow := cmp.Or(parts.MaxRow, DefaultMaxRow)
 	d := &Driver{
 		parts:        parts,
 		log:          parts.Logger.Named("drive").With("epoch", term.Epoch()),
@@ -137,8 +141,8 @@
 
 		unreadable: make(map[string]bool),
 		inbox:      make(map[string]bool),
-		backlog:    backlog{records: make(map[string]flow.Record)},
-		usedRows:   usedRows{rows: make(map[string]string)},
+		backlog:    backlog{records: make(map[string]flow.Record), further: make(map[string]int), shortened: make(map[string]bool), maxRow: maxRow},
+		usedRows:   usedRows{rows: make(map[string]string), perRow: max(1, maxRow/bytesPerHost)},
 		loaded:     make(chan struct{}),
 		decideWake: make(chan struct{}, 1),
 		commitWake: make(chan struct{}, 1),
--- a/fold/drive/intake.go
+++ b/fold/drive/intake.go
@@ -9,7 +9,6 @@
 	"github.com/joomcode/errorx"
 
 	"plantainfold.example/fold"
-	"plantainfold.example/fold/codec"
 	"plantainfold.example/fold/core"
 	"plantainfold.example/fold/flow"
 )
@@ -18,6 +17,8 @@
 	// maxRequests limits the requests in a commit. Each needs a row, and the platform accepts 100 rows in a commit; the
 	// remaining rows are left for the progress of jobs.
 	maxRequests = 48
+	// maxRequestBytes limits the values of the requests in a commit. With a record of maxRecord bytes they fit into maxBytes.
+	maxRequestBytes = 160 << 10
 	// maxWaiting limits the requests that wait for a commit. Further ones are refused at once.
 	maxWaiting = 400
 	// maxRequestWait is how long a request may wait for a commit before it is refused. It is short enough to leave
@@ -66,7 +67,7 @@
 	if _, _, known := d.State(job.ID); known {
 		return true, nil
 	}
-	value, err := codec.Encode(job)
+	value, err := EncodeJob(job, d.backlog.maxRow)
 	if err != nil {
 		return false, err
 	}
@@ -112,6 +113,15 @@
 	}
 }
 
+// sizeOfRequests returns the length of the values of requests in bytes.
+func sizeOfRequests(requests []*request) int {
+	size := 0
+	for _, r := range requests {
+		size += len(r.value)
+	}
+	return size
+}
+
 // withdraw removes a request from the queue. It returns false if the request has already been taken for a commit.
 func (d *Driver) withdraw(r *request) bool {
 	d.intake.mu.Lock()
@@ -128,7 +138,13 @@
 func (d *Driver) takeRequests(limit int) []*request {
 	d.intake.mu.Lock()
 	defer d.intake.mu.Unlock()
-	n := max(0, min(len(d.intake.waiting), maxRequests, limit))
+	n, size := 0, 0
+	for n < min(len(d.intake.waiting), maxRequests, limit) {
+		if size += len(d.intake.waiting[n].value); n > 0 && size > maxRequestBytes {
+			break
+		}
+		n++
+	}
 	taken := slices.Clone(d.intake.waiting[:n])
 	d.intake.waiting = slices.Delete(d.intake.waiting, 0, n)
 	return taken
--- a/fold/drive/load.go
+++ b/fold/drive/load.go
@@ -46,18 +46,7 @@
 	if err != nil {
 		return 0, err
 	}
-	records := make(map[string]flow.Record, len(states))
-	for _, row := range states {
-		id := strings.TrimPrefix(row.Key, StatePrefix)
-		rec, err := codec.Decode[flow.Record](row.Value)
-		if err != nil {
-			// Without its record the job would start from the beginning and repeat tasks that are done.
-			d.log.Error("Skipped a job because its record cannot be decoded.", "job", id, "error", err)
-			d.unreadable[id] = true
-			continue
-		}
-		records[id] = rec
-	}
+	records := d.decodeRecords(states)
 	d.restoreBacklog(packed, records)
 	d.restoreEnded(records, began)
 	hosts, err := d.loadUsedHosts(ctx)
--- a/fold/drive/load_test.go
+++ b/fold/drive/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"sync"
 	"testing"
@@ -26,7 +27,7 @@
 func (clock) After(d time.Duration) <-chan time.Time { return time.After(d) }
 
 // slowTable is a table that applies transactions one after the other, each after a delay, and rejects calls while too many
-// wait.
+// wait. Like the platform, it never accepts a transaction with a value that is too long or with too many entries.
 type slowTable struct {
 	*plat.Table
 	commitTime time.Duration
@@ -66,8 +67,17 @@
 	for _, put := range t.Puts {
 		p.maxValue = max(p.maxValue, len(put.Value))
 	}
+	tooLarge := len(t.Checks)+len(t.Puts)+len(t.Deletes) > platformEntries
+	size := 0
+	for _, put := range t.Puts {
+		tooLarge = tooLarge || len(put.Value) > platformRow
+		size += base64.StdEncoding.EncodedLen(len(put.Value))
+	}
 	p.mu.Unlock()
 	<-p.serial
+	if tooLarge || size > platformCommit {
+		return 0, fold.Refuse(fold.Invalid, "write less at a time", "a value or the transaction is too large")
+	}
 	if ctx.Err() != nil {
 		return 0, fold.Unknown.Wrap(ctx.Err(), "no answer")
 	}
@@ -88,6 +98,9 @@
 	wake    map[string]chan struct{}
 	// started holds when each task first started. ended holds when it was done.
 	started, ended map[string]time.Time
+	// starts counts the started runs. checkpoint is the checkpoint that each run reports.
+	starts     int
+	checkpoint string
 	// loseEvery is the interval at which Hold calls get no answer, as a number of calls. holds counts the Hold calls.
 	loseEvery, holds int
 	// lost is true for a host whose last Hold call got no answer.
@@ -168,7 +181,8 @@
 	if _, ok := p.started[q.Task]; !ok {
 		p.started[q.Task] = time.Now()
 	}
-	p.runs[h.ID][q.Task] = fold.HostRun{Task: q.Task, Run: q.Run}
+	p.starts++
+	p.runs[h.ID][q.Task] = fold.HostRun{Task: q.Task, Run: q.Run, Checkpoint: p.checkpoint}
 	name, _ := flow.ParseTaskName(q.Task)
 	time.AfterFunc(p.taskTime+time.Duration(name.Index)*p.taskTime/8, func() {
 		p.mu.Lock()
--- a/fold/drive/size_test.go
+++ b/fold/drive/size_test.go
@@ -1,10 +1,13 @@
 package drive_test
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/drive"
 	"plantainfold.example/fold/flow"
@@ -15,6 +18,8 @@
 	platformRow = 64 << 10
 	// platformEntries is the largest number of entries that the platform accepts in a transaction.
 	platformEntries = 100
+	// platformCommit is the largest transaction that the platform accepts, in bytes of encoded values.
+	platformCommit = 1_000_000
 )
 
 // Guards against a row or transaction that the platform rejects for its size, so that no owner could ever commit it. Jobs
@@ -60,6 +65,114 @@
 	}
 }
 
+// scheduledJob returns a job with overlapping occurrences whose first one is due in a second.
+func scheduledJob(n, tasks, occurrences int) flow.Job {
+	j := testJob(n, tasks)
+	j.Times, j.Start, j.Every = occurrences, time.Now().UnixMilli()+1000, 2000
+	j.Steps[0].Checkpoints = true
+	return j
+}
+
+// Guards against a job whose record is longer than a row, so that no owner can commit and all jobs stand still: its
+// occurrences overlap, and its tasks have checkpoints. Also guards against a next owner that restores only a part of the
+// record and starts tasks again.
+func TestRecordLongerThanARow(t *testing.T) {
+	cases := []struct {
+		name               string
+		tasks, occurrences int
+		checkpoint         string
+		newOwner           bool
+		// rows is the smallest number of rows that the record takes while occurrences overlap.
+		rows int
+	}{
+		{"three occurrences", 1500, 3, "00000bb87a21d94b", false, 2},
+		{"three occurrences and a new owner", 1500, 3, "00000bb87a21d94b", true, 2},
+		{"as many occurrences as may run", flow.MaxTasks, 5, "00000bb87a21d94b", true, 3},
+		{"checkpoints that do not fit into a commit", flow.MaxTasks, 5, strings.Repeat("c", 120), true, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table, hosts := newSlowTable(3*time.Millisecond), newFakeHosts(100, 100*time.Millisecond)
+				hosts.checkpoint = c.checkpoint
+				d := startDriver(t, table, table, hosts)
+				time.Sleep(time.Second)
+				wide := scheduledJob(0, c.tasks, c.occurrences)
+				if _, err := d.Submit(t.Context(), wide, fold.Check{}); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(10 * time.Second)
+				rows, err := table.Scan(t.Context(), drive.StatePrefix+wide.ID, "", 0)
+				if err != nil || len(rows) < c.rows {
+					t.Fatalf("the record takes %d rows, error %v; want at least %d", len(rows), err, c.rows)
+				}
+				if c.newOwner {
+					d = startDriver(t, table, table, hosts)
+				}
+				if _, err := d.Submit(t.Context(), testJob(1, 3), fold.Check{}); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(5 * time.Second)
+				if state, _, _ := d.State(testJob(1, 3).ID); state != flow.Completed {
+					t.Errorf("the other job has state %q, want completed", state)
+				}
+				time.Sleep(5 * time.Minute)
+				if rec, err := drive.ReadRecord(t.Context(), table, wide.ID); err == nil && rec.State != flow.Completed {
+					t.Errorf("the scheduled job has state %q, want completed", rec.State)
+				}
+				if rows, _ := table.Scan(t.Context(), drive.StatePrefix+wide.ID, "", 0); len(rows) > 1 {
+					t.Errorf("%d rows of the record are left, want at most one", len(rows))
+				}
+				hosts.mu.Lock()
+				defer hosts.mu.Unlock()
+				if want := c.tasks*c.occurrences + 3; hosts.starts != want {
+					t.Errorf("%d starts of %d tasks", hosts.starts, want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a job that is accepted although its row is too long for the table, so that no owner could commit it.
+func TestJobLongerThanARow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newSlowTable(3 * time.Millisecond)
+		d := startDriver(t, table, table, newFakeHosts(2, 100*time.Millisecond))
+		time.Sleep(time.Second)
+		long := testJob(1, 1)
+		long.Steps[0].Image = strings.Repeat("i", platformRow)
+		if _, err := d.Submit(t.Context(), long, fold.Check{}); !errorx.IsOfType(err, fold.TooLarge) {
+			t.Errorf("error %v, want too large", err)
+		}
+		if _, err := d.Submit(t.Context(), testJob(2, 1), fold.Check{}); err != nil {
+			t.Errorf("the next job: %v", err)
+		}
+	})
+}
+
+// Guards against a commit that the table refuses because many long jobs arrive at the same time.
+func TestManyLongJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newSlowTable(20 * time.Millisecond)
+		d := startDriver(t, table, table, newFakeHosts(40, 100*time.Millisecond))
+		time.Sleep(time.Second)
+		for n := range 60 {
+			go func() {
+				long := testJob(n, 1)
+				long.Steps[0].Image = strings.Repeat("i", platformRow*3/4)
+				// Under this load a refusal is in order, but the commit must not fail.
+				if _, err := d.Submit(t.Context(), long, fold.Check{}); err != nil && !errorx.IsOfType(err, fold.Overload) {
+					t.Error(err)
+				}
+			}()
+		}
+		time.Sleep(5 * time.Second)
+		if _, err := d.Submit(t.Context(), testJob(100, 1), fold.Check{}); err != nil {
+			t.Errorf("a job after the long ones: %v", err)
+		}
+	})
+}
+
 // Guards against one undecodable row that keeps every owner from taking the pool over, and against a job that runs again
 // from its beginning because its record cannot be decoded.
 func TestUnreadableRows(t *testing.T) {
--- a/fold/drive/used.go
+++ b/fold/drive/used.go
@@ -13,8 +13,8 @@
 // UsedTable holds the hosts that the owner uses, several hundred per row.
 const UsedTable = "used/"
 
-// hostsPerRow is the average number of hosts in a row. A host takes about 70 bytes of the 64 KiB that the platform accepts.
-const hostsPerRow = 256
+// bytesPerHost is the space in a row for each host, in bytes. A host takes about 70; the hash distributes them unevenly.
+const bytesPerHost = 256
 
 // usedRow is a row of UsedTable.
 type usedRow struct {
@@ -37,12 +37,14 @@
 	rows map[string]string
 	// rowCount is the number of rows; it doubles when the hosts need more rows.
 	rowCount int
+	// perRow is the average number of hosts in a row.
+	perRow int
 }
 
 // changes returns the rows to write and the keys of rows to delete so that the table holds the given hosts.
 func (u *usedRows) changes(epoch int64, hosts []core.RecordedHost) (puts []fold.Put, stale []string, err error) {
 	u.rowCount = max(u.rowCount, 1)
-	for u.rowCount*hostsPerRow < len(hosts) {
+	for u.rowCount*u.perRow < len(hosts) {
 		u.rowCount *= 2
 	}
 	rows := make([]usedRow, u.rowCount)
--- a/fold/flow/job.go
+++ b/fold/flow/job.go
@@ -12,8 +12,11 @@
 const (
 	// MaxSteps is the maximum number of steps.
 	MaxSteps = 64
-	// MaxTasks is the maximum number of tasks per occurrence. It keeps the record of a job within one row.
+	// MaxTasks is the maximum number of tasks per occurrence.
 	MaxTasks = 2000
+	// MaxParts is the maximum number of steps of all occurrences together. With MaxTasks it limits the record of a job, which is
+	// written in a single commit.
+	MaxParts = 16000
 	// MaxSpec is the maximum size of the specification in bytes.
 	MaxSpec = 4000
 	// MaxTimes is the maximum number of occurrences of a scheduled job.
@@ -130,6 +133,9 @@
 	if j.Times < 0 || j.Times > MaxTimes || (j.Times > 1 && j.Every <= 0) {
 		return fold.Refuse(fold.Invalid, remedy, "a schedule needs 1 to %d occurrences and a positive interval", MaxTimes)
 	}
+	if parts := j.Occurrences() * len(j.Steps); parts > MaxParts {
+		return fold.Refuse(fold.TooLarge, remedy, "a job has at most %d steps in all its occurrences, this one has %d", MaxParts, parts)
+	}
 	total := 0
 	for i, s := range j.Steps {
 		total += s.Count
--- a/fold/front/front.go
+++ b/fold/front/front.go
@@ -70,12 +70,14 @@
 	waiting func(queue string) (int, bool)
 	// owner returns the owner of the pool, or nil when none can be reached.
 	owner func() Owner
+	// maxRow is the longest value of a row of the table in bytes.
+	maxRow int
 }
 
 // New returns a Front. The function waiting returns how many jobs of a queue have not begun, and false if that is not known.
-// The function owner returns the owner of the pool, or nil when none can be reached.
-func New(table fold.Table, rules *Rules, rulesSource fold.RulesSource, clock fold.Clock, log hclog.Logger, waiting func(string) (int, bool), owner func() Owner) *Front {
-	return &Front{table: table, rules: rules, rulesSource: rulesSource, clock: clock, log: log.Named("front"), waiting: waiting, owner: owner}
+// The function owner returns the owner of the pool, or nil when none can be reached. Rows of the table hold at most maxRow bytes.
+func New(table fold.Table, rules *Rules, rulesSource fold.RulesSource, clock fold.Clock, log hclog.Logger, waiting func(string) (int, bool), owner func() Owner, maxRow int) *Front {
+	return &Front{table: table, rules: rules, rulesSource: rulesSource, clock: clock, log: log.Named("front"), waiting: waiting, owner: owner, maxRow: maxRow}
 }
 
 // access is the result of checking a request against the configuration.
@@ -166,7 +168,7 @@
 			}
 			continue
 		}
-		if !unsure && f.clock.Now().Sub(began) > refuseAfter || !f.pause(ctx) {
+		if errorx.IsOfType(err, fold.TooLarge) || !unsure && f.clock.Now().Sub(began) > refuseAfter || !f.pause(ctx) {
 			break
 		}
 	}
@@ -202,8 +204,8 @@
 }
 
 // accept makes the job durable unless it is known; known reports whether an earlier submission with the job's id was accepted.
-// The owner of the pool records jobs in batches. If it cannot be reached or fails with an error other than Conflict and
-// Overload, this entry writes the job itself while ctx lasts.
+// The owner of the pool records jobs in batches. If it cannot be reached or fails with an error other than Conflict, Overload
+// and TooLarge, this entry writes the job itself while ctx lasts.
 func (f *Front) accept(ctx context.Context, a access, job flow.Job) (known bool, err error) {
 	job.Team, job.Queue, job.Accepted = a.team, a.queue, time.Now().UnixMilli()
 	check := f.rulesSource.Check(a.version)
@@ -213,7 +215,7 @@
 	}
 	known, err = owner.Submit(ctx, job, check)
 	// An Overload error is returned, because additional writes by every entry would make an overloaded table even slower.
-	if err == nil || errorx.IsOfType(err, fold.Conflict) || errorx.IsOfType(err, fold.Overload) || ctx.Err() != nil {
+	if err == nil || errorx.IsOfType(err, fold.Conflict) || errorx.IsOfType(err, fold.Overload) || errorx.IsOfType(err, fold.TooLarge) || ctx.Err() != nil {
 		return known, err
 	}
 	unsure := !fold.DidNotRun(err)
@@ -237,7 +239,7 @@
 	if !errorx.IsOfType(err, fold.NotFound) {
 		return false, fold.Unavailable.Wrap(err, "the table did not answer a read; the job was not written")
 	}
-	value, err := codec.Encode(job)
+	value, err := drive.EncodeJob(job, f.maxRow)
 	if err != nil {
 		return false, err
 	}
@@ -286,18 +288,14 @@
 			return state, f.checkTeam(a, team)
 		}
 	}
-	row, err := f.table.Get(ctx, drive.StatePrefix+a.jobID)
+	rec, err := drive.ReadRecord(ctx, f.table, a.jobID)
 	if err == nil {
-		rec, err := codec.Decode[flow.Record](row.Value)
-		if err != nil {
-			return "", err
-		}
 		return rec.State, f.checkTeam(a, rec.Team)
 	}
 	if !errorx.IsOfType(err, fold.NotFound) {
 		return "", err
 	}
-	row, err = f.table.Get(ctx, drive.JobPrefix+a.jobID)
+	row, err := f.table.Get(ctx, drive.JobPrefix+a.jobID)
 	if errorx.IsOfType(err, fold.NotFound) {
 		row, err = f.table.Get(ctx, drive.InboxPrefix+a.jobID)
 	}
--- a/fold/front/front_test.go
+++ b/fold/front/front_test.go
@@ -43,6 +43,9 @@
 	return s.Table.Commit(ctx, t)
 }
 
+// maxRow is the longest value of a row in bytes.
+const maxRow = 64 << 10
+
 // rules is a rules source whose configuration never changes.
 type rules struct{}
 
@@ -87,7 +90,7 @@
 				if err := followed.Refresh(t.Context()); err != nil {
 					t.Fatal(err)
 				}
-				f := front.New(table, followed, rules{}, clock{}, hclog.NewNullLogger(), func(string) (int, bool) { return 0, false }, func() front.Owner { return c.owner })
+				f := front.New(table, followed, rules{}, clock{}, hclog.NewNullLogger(), func(string) (int, bool) { return 0, false }, func() front.Owner { return c.owner }, maxRow)
 				caller := front.Caller{Key: "k", Host: "h", Path: "/p/0123456789abcdef", Budget: 3 * time.Second}
 				err := f.Submit(t.Context(), caller, flow.Job{Steps: []flow.Step{{Count: 1}}})
 				if (err == nil) != c.accepted || (table.commits.Load() > 0) != c.accepted {
--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -101,7 +101,7 @@
 	n := &Node{invited: make(chan struct{}, 1), settings: s, parts: parts, clock: clock, log: log, incarnation: uuid.NewString(), telemetry: telemetry, meter: m}
 	n.rules = front.NewRules(parts.Rules, clock, log, n.setDriverRules)
 	n.rules.SetFallback(n.fetchSnapshot)
-	n.front = front.New(parts.Table, n.rules, parts.Rules, clock, log, n.waiting, n.owner)
+	n.front = front.New(parts.Table, n.rules, parts.Rules, clock, log, n.waiting, n.owner, s.MaxRow())
 	n.peers = &peers{
 		name: s.Name, table: parts.Table, adviser: parts.Adviser, clock: clock, log: log.Named("peers"), lastContact: make(map[string]fold.Instant),
 		self: registration{Address: s.Peers, Incarnation: n.incarnation, Strength: s.Strength(), Domain: s.Domain, RelayCapacity: s.RelayCapacity()},
--- a/fold/node/settings.go
+++ b/fold/node/settings.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"cmp"
 	"time"
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/config"
 	"plantainfold.example/fold/core"
+	"plantainfold.example/fold/drive"
 )
 
 // Settings are the boot settings of an entry. Times are in milliseconds.
@@ -46,6 +48,8 @@
 	Link float64 `json:"link"`
 	// Memory is the memory limit of the process in MiB.
 	Memory float64 `json:"memory"`
+	// Row is the longest value of a row of the store in bytes. 0 means drive.DefaultMaxRow.
+	Row int `json:"row"`
 }
 
 const (
@@ -88,9 +92,20 @@
 	if s.Stop < 0 || s.Restore < 0 || s.Save < 0 || s.Early < 0 || s.Grace <= 0 {
 		return fold.Refuse(fold.Invalid, "use a positive time", "\"stop\", \"restore\", \"save\" or \"early\" is negative, or \"grace\" is not positive")
 	}
+	if s.Row < 0 || s.Row > 0 && s.Row < minRow {
+		return fold.Refuse(fold.Invalid, "set the longest value of a row in bytes, or leave it out", "the setting \"row\" is not 0 and below %d", minRow)
+	}
 	return nil
 }
 
+// minRow is the smallest limit of a row, in bytes, with which a record of maximum size takes few enough rows for a commit.
+const minRow = 16 << 10
+
+// MaxRow returns the longest value of a row of the store in bytes.
+func (s Settings) MaxRow() int {
+	return cmp.Or(s.Row, drive.DefaultMaxRow)
+}
+
 // fullStrengthLink is the link speed in Mbit/s below which the strength of an entry is reduced. An owner of a few hundred
 // hosts uses only a small part of such a link.
 const fullStrengthLink = 100
