Apply advice with the service and policy of its call

The share that a call asks for was added to the service of the queue at the call and subtracted from its service at the answer, so it stayed on the old service and all further calls seemed superfluous.

Ruled out: denied hosts and the call backoff, because the second queue had no call at all.

A call now keeps its service, share and validity. The same function read the validity from the present policy of the queue: after the policy had been taken away, each failed call ended the owner's process.

--- a/fold/core/advice.go
+++ b/fold/core/advice.go
@@ -23,8 +23,6 @@
 	lastWaiting, unsuccessful int
 	// lastCall is the time of the last call.
 	lastCall fold.Instant
-	// callShare is the share of the service's capacity that the call in flight asks for.
-	callShare float64
 	// nextCall is the earliest time of the next call.
 	nextCall fold.Instant
 	// nextPreemption is the earliest time at which runs may next be stopped to make room for this step.
@@ -117,6 +115,11 @@
 	// Duration is how long the adviser needs to answer.
 	Duration time.Duration
 	part     *part
+	// service is the service of the queue when the call was made. share is the share of its capacity that the call asks for.
+	service string
+	share   float64
+	// validity is how long tickets are valid if the answer does not tell.
+	validity time.Duration
 }
 
 // NextAdviceCall returns the most urgent call that is due. It skips slow calls unless slow is true.
@@ -179,9 +182,13 @@
 	} else {
 		p.advice.unsuccessful++
 	}
-	p.advice.callPending, p.advice.callShare, p.advice.lastCall, p.advice.lastWaiting = true, share, c.now, p.waitingTasks
-	c.requestedShare[p.job.queue.Service] += share
-	return AdviceCall{Step: p.stepName(), Hosts: hosts, Duration: policy.CallTime + time.Duration(len(hosts))*policy.TimePerHost, part: p}, true
+	p.advice.callPending, p.advice.lastCall, p.advice.lastWaiting = true, c.now, p.waitingTasks
+	call := AdviceCall{
+		Step: p.stepName(), Hosts: hosts, Duration: policy.CallTime + time.Duration(len(hosts))*policy.TimePerHost,
+		part: p, service: p.job.queue.Service, share: share, validity: policy.Validity,
+	}
+	c.requestedShare[call.service] += call.share
+	return call, true
 }
 
 // callBackoff returns the minimum time between the last call for a part and the next one.
@@ -387,16 +394,13 @@
 	return a.Duration > maxQuickCall
 }
 
-// ApplyAdvice applies the answer to a call. The tickets were issued no earlier than issued.
+// ApplyAdvice applies the answer to a call. The tickets were issued no earlier than issued. The queue may have got another
+// service or policy since the call was made.
 func (c *Cell) ApplyAdvice(call AdviceCall, advice fold.Advice, issued fold.Instant, err error) {
 	p := call.part
-	validity := advice.Validity
-	if validity == 0 {
-		validity = p.job.queue.Advice.Validity
-	}
-	expires := issued.Add(validity)
+	expires := issued.Add(cmp.Or(advice.Validity, call.validity))
 	p.advice.callPending = false
-	c.requestedShare[p.job.queue.Service] -= p.advice.callShare
+	c.requestedShare[call.service] -= call.share
 	if err != nil {
 		p.advice.nextCall = c.now.Add(failedCallDelay)
 		return
