Sum up the shares of the calls in flight

A step that needs more than about one and a half times the free capacity could stay without advice although no call was in flight. The requested share was a running sum in floating point: three calls for a tenth each, started and answered, leave 2.8e-17, and callsSuffice takes each positive share for a call.

The sum is now taken over the calls in flight, of which each entry makes one.

TestNoShareWithoutCalls fails before the change ("no call for a step that needs more than the whole capacity") and passes after it.

--- a/fold/core/advice.go
+++ b/fold/core/advice.go
@@ -187,10 +187,20 @@
 		Step: p.stepName(), Hosts: hosts, Duration: policy.CallTime + time.Duration(len(hosts))*policy.TimePerHost,
 		part: p, service: p.job.queue.Service, share: share, validity: policy.Validity,
 	}
-	c.requestedShare[call.service] += call.share
+	c.callsInFlight = append(c.callsInFlight, call)
+	c.sumRequestedShares()
 	return call, true
 }
 
+// sumRequestedShares sums up the shares that the calls in flight ask for. Sums that are updated with each call and answer
+// would keep rounding errors, so that a service without a call could seem to have one.
+func (c *Cell) sumRequestedShares() {
+	clear(c.requestedShare)
+	for _, call := range c.callsInFlight {
+		c.requestedShare[call.service] += call.share
+	}
+}
+
 // callBackoff returns the minimum time between the last call for a part and the next one.
 func (c *Cell) callBackoff(p *part) time.Duration {
 	if p.waitingTasks < p.advice.lastWaiting || p.advice.unsuccessful == 0 {
@@ -400,7 +410,8 @@
 	p := call.part
 	expires := issued.Add(cmp.Or(advice.Validity, call.validity))
 	p.advice.callPending = false
-	c.requestedShare[call.service] -= call.share
+	c.callsInFlight = slices.DeleteFunc(c.callsInFlight, func(other AdviceCall) bool { return other.part == p })
+	c.sumRequestedShares()
 	if err != nil {
 		p.advice.nextCall = c.now.Add(failedCallDelay)
 		return
--- a/fold/core/advice_test.go
+++ b/fold/core/advice_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/core"
 	"plantainfold.example/fold/flow"
 )
 
@@ -62,3 +63,38 @@
 		})
 	}
 }
+
+// Guards against a large step that gets no advice although no call is in flight: adding and subtracting the shares of
+// calls must not leave a rounding error behind.
+func TestNoShareWithoutCalls(t *testing.T) {
+	rules := advisedRules()
+	b := newFixture(t, rules, host("a", 4000), host("b", 6000))
+	// In floating point, three tenths minus three times a tenth is above zero.
+	for n := range 3 {
+		b.cell.AddJob(jobOf(n, rules.Queues[0], step(1)), 1)
+	}
+	b.cell.Decide()
+	var calls []core.AdviceCall
+	for {
+		call, ok := b.cell.NextAdviceCall(true)
+		if !ok {
+			break
+		}
+		calls = append(calls, call)
+	}
+	if len(calls) < 3 {
+		t.Fatalf("%d calls in flight, want 3", len(calls))
+	}
+	for _, call := range calls {
+		b.cell.ApplyAdvice(call, fold.Advice{}, b.now, nil)
+	}
+	for n := range calls {
+		b.cell.Cancel(jobOf(n, rules.Queues[0], step(1)).ID)
+	}
+	b.cell.AddJob(jobOf(9, rules.Queues[1], step(1000)), 1)
+	b.advance(time.Second)
+	b.cell.Decide()
+	if _, ok := b.cell.NextAdviceCall(true); !ok {
+		t.Error("no call for a step that needs more than the whole capacity")
+	}
+}
--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -71,6 +71,8 @@
 	open map[string][]*host
 	// openCapacity is the total capacity of the open hosts, by service.
 	openCapacity map[string]openCapacity
+	// callsInFlight lists the calls to the adviser without an answer, at most one for each part.
+	callsInFlight []AdviceCall
 	// requestedShare is the capacity that calls to the adviser in flight ask for, by service, as a share of the whole.
 	requestedShare map[string]float64
 	// candidateBuffer is reused for the result of candidates.
