Report a cancellation without an answer as unknown

A caller that cancelled a job got 503, "unavailable", although an attempt to record the request had no answer and may have been recorded.

Front.Cancel now remembers such an attempt and answers 504, as Submit does; the caller cancels again.

TestCancelWithoutAnswer: two of three cases fail before the change ("unavailable" with the NotRun trait) and pass after it.

--- a/fold/front/front.go
+++ b/fold/front/front.go
@@ -321,7 +321,7 @@
 }
 
 // Cancel makes the request to cancel a job durable, or returns a Gone error if there is no such job. Cancelling a job that
-// has ended changes nothing.
+// has ended changes nothing. An error with the NotRun trait means that this request neither is nor will be recorded.
 func (f *Front) Cancel(ctx context.Context, c Caller) error {
 	ctx, cancel := context.WithTimeout(ctx, c.Budget-answerReserve)
 	defer cancel()
@@ -329,27 +329,38 @@
 	if err != nil {
 		return err
 	}
+	unsure := false
 	_, err = retry(ctx, f, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, f.cancel(ctx, a)
+		state, err := f.state(ctx, a)
+		if err != nil || state.Final() {
+			return struct{}{}, err
+		}
+		err = f.sendCancel(ctx, a)
+		unsure = unsure || err != nil && !fold.DidNotRun(err)
+		return struct{}{}, err
 	})
+	if unsure && errorx.IsOfType(err, fold.Unavailable) {
+		err = fold.Unknown.Wrap(err, "the request to cancel the job may have been recorded; read the job's state or cancel it again")
+	}
 	f.log.Info("Handled a request to cancel a job.", "job", a.jobID, "queue", a.queue.Name, "team", a.team, "error", err)
 	return err
 }
 
-// cancel sends the cancellation request of a job that has not ended to the owner. It writes the request to the table if the
-// owner returns an error, or if there is no owner afterwards.
-func (f *Front) cancel(ctx context.Context, a access) error {
-	state, err := f.state(ctx, a)
-	if err != nil || state.Final() {
-		return err
-	}
+// sendCancel sends the cancellation request of a job to the owner. It writes the request to the table if the owner returns an
+// error, or if there is no owner afterwards.
+func (f *Front) sendCancel(ctx context.Context, a access) error {
 	check := f.rulesSource.Check(a.version)
+	var ownerErr error
 	if owner := f.owner(); owner != nil {
-		err = owner.Cancel(ctx, a.jobID, check)
+		ownerErr = owner.Cancel(ctx, a.jobID, check)
 	}
 	// The owner is looked up again, because it may have gone meanwhile.
-	if laterOwner := f.owner(); laterOwner == nil || err != nil {
-		err = f.writeCancel(ctx, a.jobID, check)
+	if laterOwner := f.owner(); laterOwner != nil && ownerErr == nil {
+		return nil
+	}
+	err := f.writeCancel(ctx, a.jobID, check)
+	if err != nil && ownerErr != nil && !fold.DidNotRun(ownerErr) {
+		return fold.Unknown.Wrap(err, "the owner of the pool did not confirm the request to cancel the job")
 	}
 	return err
 }
--- a/fold/front/front_test.go
+++ b/fold/front/front_test.go
@@ -11,6 +11,8 @@
 	"github.com/joomcode/errorx"
 
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/codec"
+	"plantainfold.example/fold/drive"
 	"plantainfold.example/fold/flow"
 	"plantainfold.example/fold/front"
 	"plantainfold.example/fold/plat"
@@ -104,3 +106,48 @@
 		})
 	}
 }
+
+// cancelTable is a table with one running job whose commits fail with err.
+type cancelTable struct {
+	*plat.Table
+	err error
+}
+
+func (c *cancelTable) Commit(context.Context, fold.Txn) (int64, error) { return 0, c.err }
+
+// Guards against a caller that is told that its request to cancel a job was not recorded, although an attempt had no answer.
+func TestCancelWithoutAnswer(t *testing.T) {
+	lost, refused := fold.Unknown.New("no answer"), fold.Unavailable.New("unavailable")
+	cases := []struct {
+		name         string
+		owner, table error
+		notRun       bool
+	}{
+		{"both refuse", refused, refused, true},
+		{"the owner does not answer", lost, refused, false},
+		{"the table does not answer", refused, lost, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rows := plat.NewTable()
+				value, err := codec.Encode(flow.Record{State: flow.Running, Team: "t"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := rows.Commit(t.Context(), fold.Txn{Puts: []fold.Put{{Key: drive.StatePrefix + "0123456789abcdef", Value: value}}}); err != nil {
+					t.Fatal(err)
+				}
+				followed := front.NewRules(rules{}, clock{}, hclog.NewNullLogger(), func(fold.Rules) {})
+				if err := followed.Refresh(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				f := front.New(&cancelTable{Table: rows, err: c.table}, followed, rules{}, clock{}, hclog.NewNullLogger(), func(string) (int, bool) { return 0, false }, func() front.Owner { return owner{err: c.owner} }, maxRow)
+				err = f.Cancel(t.Context(), front.Caller{Key: "k", Host: "h", Path: "/p/0123456789abcdef", Budget: 3 * time.Second})
+				if err == nil || fold.DidNotRun(err) != c.notRun {
+					t.Errorf("error %v, want one with the NotRun trait: %v", err, c.notRun)
+				}
+			})
+		})
+	}
+}
