Report a lost reply as unknown after another process wrote

A transaction that was applied could be reported as a conflict, which claims that it was not: its reply was lost, and another process with the same writer name replaced the row that shows the last transaction, for example when a paused process of an entry wakes after its successor has started. The repeated transaction then failed its own checks.

Once the row has another version than the lost transaction checked, and does not hold its mark, the outcome is unknown.

TestLostReplyAndAnotherIncarnation fails before the change ("conflict: row changed") and passes after it; 1 run each.

--- a/fold/store/group_test.go
+++ b/fold/store/group_test.go
@@ -239,3 +239,40 @@
 		}
 	})
 }
+
+// otherWriterTable is a table that loses the reply to one commit. Another process with the same writer name commits before
+// the reply would have arrived.
+type otherWriterTable struct {
+	*plat.Table
+	other *store.Settled
+	lose  bool
+}
+
+func (o *otherWriterTable) Commit(ctx context.Context, t fold.Txn) (int64, error) {
+	version, err := o.Table.Commit(ctx, t)
+	if err != nil || !o.lose {
+		return version, err
+	}
+	o.lose = false
+	if _, err := o.other.Commit(ctx, fold.Txn{Puts: []fold.Put{{Key: "other"}}}); err != nil {
+		return 0, err
+	}
+	return 0, fold.Unknown.New("the reply was lost")
+}
+
+// Guards against a caller that is told that its transaction was not applied, although it was: its reply was lost, and another
+// process with the same writer name replaced the mark that would have shown it.
+func TestLostReplyAndAnotherIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := plat.NewTable()
+		table := &otherWriterTable{Table: rows, other: store.NewSettled(rows, "writer", "1"), lose: true}
+		settled := store.NewSettled(table, "writer", "0")
+		_, err := settled.Commit(t.Context(), fold.Txn{Checks: []fold.Check{{Key: "row"}}, Puts: []fold.Put{{Key: "row"}}})
+		if err == nil || fold.DidNotRun(err) {
+			t.Errorf("error %v, want one that leaves open whether the transaction was applied", err)
+		}
+		if _, err := rows.Get(t.Context(), "row"); err != nil {
+			t.Errorf("the transaction was not applied: %v", err)
+		}
+	})
+}
--- a/fold/store/settled.go
+++ b/fold/store/settled.go
@@ -53,10 +53,12 @@
 	mark mark
 	// replyLost says that the transaction was sent without a reply, so it may have taken effect or may still do so.
 	replyLost bool
+	// checkedVersion is the version of the writer's row that such a transaction checked.
+	checkedVersion int64
 }
 
-// Commit applies t. It returns an Unknown error only if the table service stays unreachable after a lost reply.
-// An Unavailable error means that t had no effect.
+// Commit applies t. It returns an Unknown error only if the table service stays unreachable after a lost reply, or if another
+// process with the same writer name has replaced the mark meanwhile. An Unavailable error means that t had no effect.
 func (s *Settled) Commit(ctx context.Context, t fold.Txn) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,6 +96,8 @@
 			return 0, true, err
 		case err != nil:
 			return 0, false, a.finalError(err)
+		case s.overwritten(a):
+			return 0, false, a.overwrittenError()
 		}
 	}
 	txn, err := s.marked(a)
@@ -106,7 +110,9 @@
 		s.version = version
 		return version, false, nil
 	case errorx.IsOfType(err, fold.Unknown):
-		a.replyLost = true
+		if !a.replyLost {
+			a.replyLost, a.checkedVersion = true, s.version
+		}
 	case !errorx.IsOfType(err, fold.Conflict):
 		return 0, a.replyLost, err
 	}
@@ -127,6 +133,8 @@
 		return 0, true, cause
 	case applied:
 		return s.version, false, nil
+	case s.overwritten(a):
+		return 0, false, a.overwrittenError()
 	case conflict && s.version == before:
 		return 0, false, cause
 	default:
@@ -150,6 +158,16 @@
 	return row.Value == a.mark, nil
 }
 
+// overwritten reports whether another process with the same writer name has replaced the mark since a transaction of the
+// attempt was sent without a reply. The row then no longer shows whether it was applied.
+func (s *Settled) overwritten(a *attempt) bool {
+	return a.replyLost && s.version != a.checkedVersion
+}
+
+func (a *attempt) overwrittenError() error {
+	return fold.Refuse(fold.Unknown, "read the rows of the transaction", "commit transaction: reply lost, and another process has replaced the mark of the writer")
+}
+
 // marked returns the transaction extended by the check and the write of the writer's row.
 func (s *Settled) marked(a *attempt) (fold.Txn, error) {
 	put, err := EncodePut(s.key, a.mark)
