Hit the owner and restart hosts at once in the soak

The soak did not show the TWICE that users saw on a deployment with 9 entries and 48 workers. It had three entries and twelve hosts, hit the owner by chance only, and its hosts were down for at least 200 ms.

It now takes the number of hosts, kills or pauses the owner right after one of its commits, restarts half of the crashed hosts within 100 ms, and executes Hold calls late too. Late orders now reach a host that has started again, as on the platform. A run in which no job was accepted counts as failed: a settings error had made 33 runs pass without a process.

--- a/cmd/pfsoak/internal/app/entry.go
+++ b/cmd/pfsoak/internal/app/entry.go
@@ -35,21 +35,17 @@
 	// stopSent is when SIGTERM was sent to the latest process; it is zero if that has not happened.
 	stopSent time.Time
 	paused   bool
+	// reserved holds the addresses of the entry until its first process starts.
+	reserved []net.Listener
 }
 
-// reserveAddresses returns listeners at free addresses on loopback. The caller closes them only when everything else
-// listens, so that no proxy gets an address of the entry. Such a proxy would be its own target and connect to itself
-// endlessly.
-func reserveAddresses(ctx context.Context, n int) ([]net.Listener, error) {
-	var reserved []net.Listener
-	for range n {
-		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
-		if err != nil {
-			return reserved, err
-		}
-		reserved = append(reserved, l)
-	}
-	return reserved, nil
+// loopback is a loopback address of this process alone. Test runs that are played at the same time, and connections from
+// 127.0.0.1, then take no ports from each other.
+var loopback = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8%250, os.Getpid()%256)
+
+// listen listens on a free port of the loopback address of this process.
+func listen(ctx context.Context) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(ctx, "tcp", net.JoinHostPort(loopback, "0"))
 }
 
 func newEntry(ctx context.Context, program, dir, name, store, adviser string) (*entry, error) {
@@ -61,19 +57,13 @@
 	if e.adviserProxy, err = newProxy(ctx, adviser); err != nil {
 		return nil, err
 	}
-	reserved, err := reserveAddresses(ctx, 3)
-	defer func() {
-		for _, l := range reserved {
-			// If the address stays in use, the start of the entry fails.
-			_ = l.Close()
+	var addresses []string
+	for range 3 {
+		l, err := listen(ctx)
+		if err != nil {
+			return nil, err
 		}
-	}()
-	if err != nil {
-		return nil, err
-	}
-	addresses := make([]string, len(reserved))
-	for i, l := range reserved {
-		addresses[i] = l.Addr().String()
+		e.reserved, addresses = append(e.reserved, l), append(addresses, l.Addr().String())
 	}
 	e.settings = node.Settings{
 		Name: name, Domain: "soak", Callers: addresses[0], Ready: addresses[1], Peers: addresses[2],
@@ -103,6 +93,11 @@
 	if err != nil {
 		return err
 	}
+	for _, l := range e.reserved {
+		// If an address stays in use, the process cannot listen and exits.
+		_ = l.Close()
+	}
+	e.reserved = nil
 	process := exec.CommandContext(context.Background(), e.program, "serve", "--settings", path)
 	process.Stdout, process.Stderr = log, log
 	if err := process.Start(); err != nil {
@@ -181,6 +176,11 @@
 	if !waitForExit(exited, graceTime) {
 		return fmt.Errorf("entry %s did not exit after SIGKILL", e.settings.Name)
 	}
+	for _, l := range e.reserved {
+		if err := l.Close(); err != nil {
+			return err
+		}
+	}
 	for _, p := range []*proxy{e.callerProxy, e.adviserProxy, e.storeProxy} {
 		if err := p.Close(); err != nil {
 			return err
--- a/cmd/pfsoak/internal/app/environment.go
+++ b/cmd/pfsoak/internal/app/environment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -16,6 +17,7 @@
 	"plantainfold.example/fold/codec"
 	"plantainfold.example/fold/drive"
 	"plantainfold.example/fold/flow"
+	"plantainfold.example/fold/lead"
 	"plantainfold.example/fold/model"
 	"plantainfold.example/fold/plat"
 	"plantainfold.example/platform/stand"
@@ -47,14 +49,14 @@
 	rules          fold.Rules
 }
 
-// newWorkload returns the workload of a test run: the job classes of a planning service on a small pool.
-func newWorkload(seed uint64) model.Day {
+// newWorkload returns the workload of a test run: the job classes of a planning service on a pool of the given size.
+func newWorkload(seed uint64, hosts int) model.Day {
 	workload := model.PlanningDay(seed)
-	workload.Hosts, workload.Racks = hostCount, hostCount/4
+	workload.Hosts, workload.Racks = hosts, max(1, hosts/4)
 	for i := range workload.Classes {
 		c := &workload.Classes[i]
 		// The rates of PlanningDay are meant for 48 hosts.
-		c.Rate *= float64(hostCount) / 48 * loadFactor
+		c.Rate *= float64(hosts) / 48 * loadFactor
 		c.RunTime = min(c.RunTime, maxRunTime)
 		c.Queue.Host, c.Queue.Prefix, c.Queue.Service = queueHost, "/"+c.Name+"/", "pool"
 	}
@@ -65,15 +67,14 @@
 }
 
 const (
-	hostCount = 12
 	// loadFactor scales the arrival rate of jobs to what a shared machine can process.
 	loadFactor = 1.2
 	// maxRunTime limits the mean run time of tasks, so that a test run stays short.
 	maxRunTime = 3 * time.Second
 )
 
-func newEnvironment(ctx context.Context, seed uint64, log hclog.Logger) (*environment, error) {
-	e := &environment{log: log, random: rand.New(rand.NewPCG(seed, 7)), workload: newWorkload(seed), table: plat.NewTable(), storeFaults: plat.NewFaults(fold.BootClock{})}
+func newEnvironment(ctx context.Context, seed uint64, hosts int, log hclog.Logger) (*environment, error) {
+	e := &environment{log: log, random: rand.New(rand.NewPCG(seed, 7)), workload: newWorkload(seed, hosts), table: plat.NewTable(), storeFaults: plat.NewFaults(fold.BootClock{})}
 	e.live = model.NewLive(e.workload, hclog.NewNullLogger(), e.newestRecord)
 	e.storeAddress = e.startServer(stand.Store(plat.NewFaultyTable(e.table, e.storeFaults), plat.NewFaultyChangeFeed(e.table, e.storeFaults)))
 	e.adviserAddress = e.startServer(stand.Adviser(e.live))
@@ -91,6 +92,23 @@
 	return e, e.updateRegistrations(ctx)
 }
 
+// ownerAfterCommit waits for the next commit of the owner of the pool, at most for commitWait, and returns the name of the
+// owner. The name is empty if there is no owner.
+func (e *environment) ownerAfterCommit(ctx context.Context) string {
+	_, version, err := lead.Read(ctx, e.table)
+	if err == nil {
+		_, _, err = e.table.Changes(ctx, lead.OwnerKey, version, commitWait)
+	}
+	owner, _, readErr := lead.Read(ctx, e.table)
+	if err := errors.Join(err, readErr); err != nil {
+		e.log.Error("Could not follow the owner's row.", "error", err)
+	}
+	return owner.Entry
+}
+
+// commitWait limits the wait for a commit of the owner, which commits several times in a second.
+const commitWait = 2 * time.Second
+
 // startServer starts a server on loopback and returns its address.
 func (e *environment) startServer(h http.Handler) string {
 	server := httptest.NewServer(h)
--- a/cmd/pfsoak/internal/app/fault.go
+++ b/cmd/pfsoak/internal/app/fault.go
@@ -25,17 +25,24 @@
 	restartDelay = 500 * time.Millisecond
 	// graceSlack is added to the grace time because a shared machine may schedule processes late.
 	graceSlack = time.Second
+	// quickRestart is the longest time until a host starts again that is restarted at once.
+	quickRestart = 100 * time.Millisecond
 	// faultDurationSpread is the difference between the longest and the shortest duration of a fault.
 	faultDurationSpread = 5 * time.Second
 )
 
+// faultDuration draws the duration of a fault.
+func faultDuration(random *rand.Rand) time.Duration {
+	return 200*time.Millisecond + time.Duration(random.Int64N(int64(faultDurationSpread)))
+}
+
 // drawFaults returns the random faults of a test run. Faults may overlap, and a kind may occur more than once.
 func (t *testRun) drawFaults(random *rand.Rand, length time.Duration) []fault {
 	var faults []fault
 	for range 4 + random.IntN(8) {
 		f := fault{
 			start:    warmUpTime + time.Duration(random.Int64N(int64(length-warmUpTime))),
-			duration: 200*time.Millisecond + time.Duration(random.Int64N(int64(faultDurationSpread))),
+			duration: faultDuration(random),
 		}
 		kinds := []func(*fault, *rand.Rand){t.processFault, t.networkFault, t.storeFault, t.hostFault, t.restartFault}
 		kinds[random.IntN(len(kinds))](&f, random)
@@ -44,21 +51,47 @@
 	return faults
 }
 
-// processFault pauses or kills an entry, or all of them.
+// processFault pauses or kills an entry, the owner of the pool, or all entries. The owner is hit right after one of its
+// commits, whose answer may then be lost.
 func (t *testRun) processFault(f *fault, random *rand.Rand) {
-	affected := []*entry{t.entries[random.IntN(len(t.entries))]}
-	if random.IntN(4) == 0 {
-		affected = t.entries
+	affected, name := []*entry{t.entries[random.IntN(len(t.entries))]}, "one"
+	switch random.IntN(8) {
+	case 0, 1:
+		affected, name = t.entries, "all"
+	case 2, 3, 4:
+		affected, name = nil, "owner"
+	default:
 	}
-	if random.IntN(3) == 0 {
-		f.name = fmt.Sprintf("pause %d", len(affected))
-		f.inject = func(context.Context) { signalAll(affected, syscall.SIGSTOP) }
-		f.revert = func() { signalAll(affected, syscall.SIGCONT) }
-		return
+	pause := random.IntN(3) == 0
+	f.name, f.duration = "kill "+name, restartDelay
+	signal := syscall.SIGKILL
+	if pause {
+		f.name, f.duration, signal = "pause "+name, faultDuration(random), syscall.SIGSTOP
+	}
+	f.inject = func(ctx context.Context) {
+		if affected == nil {
+			affected = t.entriesNamed(t.env.ownerAfterCommit(ctx))
+		}
+		signalAll(affected, signal)
+	}
+	f.revert = func() {
+		if pause {
+			signalAll(affected, syscall.SIGCONT)
+			return
+		}
+		t.startEntries(affected)
+	}
+}
+
+// entriesNamed returns the entries with the name.
+func (t *testRun) entriesNamed(name string) []*entry {
+	var found []*entry
+	for _, e := range t.entries {
+		if e.settings.Name == name {
+			found = append(found, e)
+		}
 	}
-	f.name, f.duration = fmt.Sprintf("kill %d", len(affected)), restartDelay
-	f.inject = func(context.Context) { signalAll(affected, syscall.SIGKILL) }
-	f.revert = func() { t.startEntries(affected) }
+	return found
 }
 
 func signalAll(entries []*entry, signal syscall.Signal) {
@@ -137,8 +170,12 @@
 func (t *testRun) hostFault(f *fault, random *rand.Rand) {
 	kinds := []model.FaultKind{model.HostCrash, model.HostDisconnected, model.HostSlow, model.HostFails, model.HostHangs, model.HostLeaves, model.OrdersLate}
 	injected := model.Fault{Kind: kinds[random.IntN(len(kinds))], Duration: f.duration, Share: 0.1 + 0.2*random.Float64(), Factor: 0.1}
-	if injected.Kind == model.HostSlow {
+	switch {
+	case injected.Kind == model.HostSlow:
 		injected.Factor = 6
+	case injected.Kind == model.HostCrash && random.IntN(2) == 0:
+		// The host starts again before anybody has noticed that it crashed.
+		injected.Duration = time.Duration(random.Int64N(int64(quickRestart)))
 	}
 	f.name, f.revert = fmt.Sprintf("hosts %+v", injected), func() {}
 	f.inject = func(context.Context) { t.env.live.InjectFault(injected) }
--- a/cmd/pfsoak/internal/app/proxy.go
+++ b/cmd/pfsoak/internal/app/proxy.go
@@ -41,7 +41,7 @@
 
 // newProxy returns a proxy that listens on a free port on loopback.
 func newProxy(ctx context.Context, target string) (*proxy, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	l, err := listen(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/pfsoak/internal/app/soak.go
+++ b/cmd/pfsoak/internal/app/soak.go
@@ -29,6 +29,7 @@
 	Seed    uint64        `long:"seed" default:"1" description:"seed of the first test run"`
 	Length  time.Duration `long:"length" default:"20s" description:"time during which jobs arrive in a test run"`
 	Entries int           `long:"entries" default:"3" description:"number of entries"`
+	Hosts   int           `long:"hosts" default:"12" description:"number of hosts; the rate of jobs grows with it"`
 	Program string        `long:"program" description:"path of the entry daemon; if it is not set, the daemon is built from the checkout"`
 	Logs    string        `long:"logs" description:"folder in which the logs of the entries are kept; if it is not set, they are removed after a test run without a violation"`
 }
@@ -60,7 +61,7 @@
 // runSeed performs the test run of a seed and returns its result.
 func runSeed(ctx context.Context, o options, seed uint64, dir string, log hclog.Logger) (out outcome, err error) {
 	t := &testRun{log: log}
-	if t.env, err = newEnvironment(ctx, seed, log); err != nil {
+	if t.env, err = newEnvironment(ctx, seed, o.Hosts, log); err != nil {
 		return out, err
 	}
 	defer func() { _ = t.env.Close() }()
@@ -93,6 +94,9 @@
 	senders.Wait()
 	out.unplaced = t.finish(ctx, stop)
 	c := t.callers
+	if len(c.accepted) == 0 {
+		t.env.live.AddViolation("LOST", "none of %d jobs was accepted", c.jobs)
+	}
 	counts, violations := t.env.live.Result()
 	out.jobs, out.accepted, out.ended, out.refusals, out.unanswered, out.starts = c.jobs, len(c.accepted), len(c.ended), c.refusals, c.unanswered, counts.Starts
 	out.violations = violations
--- a/cmd/pfsoak/internal/app/soak_test.go
+++ b/cmd/pfsoak/internal/app/soak_test.go
@@ -22,8 +22,13 @@
 }{
 	{1012, "a proxy was given the address of the entry behind it and connected to itself (too many open files)"},
 	{26, "the test run counted the grace time of a process of an entry against the next process of that entry"},
+	{5000, "with 9 entries and 48 hosts, beside other test runs: an entry had the port of an entry of another test run"},
+	{5501, "with 9 entries and 48 hosts: a task ran twice after its host had started again within 12 ms"},
 }
 
+// firstLargeSeed is the first seed of test runs with 9 entries and 48 hosts.
+const firstLargeSeed = 5000
+
 // Guards against violations of guarantees to callers or hosts while entries are killed, paused, stopped and disconnected,
 // and while the store and hosts fail. The test run is short here; pfsoak does longer ones.
 func TestShortSoak(t *testing.T) {
@@ -42,7 +47,10 @@
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			o := options{Length: 8 * time.Second, Entries: 3, Program: program}
+			o := options{Length: 8 * time.Second, Entries: 3, Hosts: 12, Program: program}
+			if seed >= firstLargeSeed {
+				o.Length, o.Entries, o.Hosts = 30*time.Second, 9, 48
+			}
 			out, err := runSeed(t.Context(), o, seed, t.TempDir(), hclog.NewNullLogger())
 			if err != nil {
 				t.Fatal(err)
--- a/fold/model/live.go
+++ b/fold/model/live.go
@@ -116,16 +116,8 @@
 		switch {
 		case host.cut || !host.up:
 		case w.chance(w.lateShare):
-			delay := 2*time.Second + time.Duration(w.random.Int64N(int64(10*time.Second)))
-			incarnation := host.incarnation
-			w.after(delay, func() {
-				if host.incarnation == incarnation && host.up {
-					w.lateOrder = true
-					// The sender has stopped waiting for the answer.
-					_ = do(host)
-					w.lateOrder = false
-				}
-			})
+			// The sender has stopped waiting for the answer.
+			w.executeLate(host, func() { _ = do(host) })
 		default:
 			err, answered = do(host), true
 		}
@@ -137,6 +129,18 @@
 	return err
 }
 
+// executeLate executes a call to a host 2 to 12 s late, whether or not the host has started again meanwhile.
+func (w *World) executeLate(h *host, call func()) {
+	delay := 2*time.Second + time.Duration(w.random.Int64N(int64(10*time.Second)))
+	w.after(delay, func() {
+		if h.up {
+			w.lateOrder = true
+			call()
+			w.lateOrder = false
+		}
+	})
+}
+
 // Start starts a run.
 func (l *Live) Start(ctx context.Context, h fold.Host, r fold.StartRequest) error {
 	return l.order(ctx, h, func(h *host) error {
@@ -169,6 +173,17 @@
 		if host.cut || !host.up {
 			return
 		}
+		if w.chance(w.lateShare) {
+			incarnation := host.incarnation
+			w.executeLate(host, func() {
+				// In another incarnation the call would acknowledge ends with the numbers of this one.
+				if host.incarnation == incarnation {
+					l.refreshRecords(host, r.Acked)
+					host.hold(r, func(fold.HoldReply, error) {})
+				}
+			})
+			return
+		}
 		l.refreshRecords(host, r.Acked)
 		host.hold(r, func(reply fold.HoldReply, err error) {
 			if !host.cut {
