Keep confirmed runs that the earlier incarnation never listed

Tasks ran twice on real processes: a host that was restarted under its id at once confirmed starts that the owner had meant for the earlier incarnation. When the owner learned of the restart, it declared these runs lost and started the tasks again, while they ran ("Run lost: host started again", and one second later "Stopped a run without a record" for the same runs).

A confirmed run that no report has listed now waits for the first complete report of the new incarnation. A new owner does the same for recorded runs of an earlier incarnation.

TestStartConfirmedByNextIncarnation (3 of 4 cases) and TestRecordedRunOnNextIncarnation fail before the change.

--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -171,6 +171,12 @@
 			c.stopRun(r)
 			continue
 		}
+		if r.phase == phaseRunning && r.reportedAt == 0 {
+			// The start was confirmed, but no report has listed the run: the new incarnation may have confirmed it. Its first
+			// complete report shows whether the run is there.
+			r.incarnation = incarnation
+			continue
+		}
 		c.loseRun(r, "host started again")
 	}
 }
@@ -365,6 +371,9 @@
 	case r.inherited && firstComplete:
 		// The host now enforces the fence of this owner and refuses a late order of an earlier one.
 		c.loseRun(r, "host does not know it")
+	case firstComplete && r.phase == phaseRunning && r.reportedAt == 0 && r.tries == 1 && r.startedAt < sent:
+		// An earlier incarnation confirmed the only order, so none is on its way.
+		c.loseRun(r, "host started again")
 	case r.stopAckedAt != 0 && r.stopAckedAt < sent:
 		// The run may also have begun: all that is known is that the host does not list it after its stop.
 		c.loseRun(r, "stopped before it began")
--- a/fold/core/host_test.go
+++ b/fold/core/host_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -88,3 +89,76 @@
 		t.Errorf("starts %+v, want run 2", starts)
 	}
 }
+
+// Guards against two runs of a task: a host starts again under its id before anybody has noticed, and the new incarnation
+// confirms a start that was meant for the earlier one.
+func TestStartConfirmedByNextIncarnation(t *testing.T) {
+	restarted := host("a", 1000)
+	restarted.Incarnation = 2
+	cases := []struct {
+		name string
+		// runs is what the new incarnation reports first.
+		runs []fold.HostRun
+		// starts is the number of starts after this report.
+		starts int
+	}{
+		{"confirmed by the new incarnation", []fold.HostRun{{Task: id + ".0.0.0", Run: 1, Percent: 10}}, 0},
+		{"confirmed by the earlier incarnation", nil, 1},
+	}
+	for _, c := range cases {
+		for _, fromRoster := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, roster first: %v", c.name, fromRoster), func(t *testing.T) {
+				b := newFixture(t, fold.Rules{}, host("a", 1000), host("b", 1000))
+				b.cell.AddJob(job(queue(0), step(1)), 1)
+				starts := b.decide().Starts
+				if len(starts) != 1 || starts[0].Host.ID != "a" {
+					t.Fatalf("starts %+v, want one on host a", starts)
+				}
+				b.advance(50 * time.Millisecond)
+				if fromRoster {
+					b.cell.SetHosts([]fold.Host{restarted, b.hosts[1]})
+					if starts := b.decide().Starts; len(starts) != 0 {
+						t.Fatalf("starts %+v before the new incarnation has reported", starts)
+					}
+				}
+				b.report(restarted, c.runs, nil)
+				if orders := b.decide(); len(orders.Starts) != c.starts || len(orders.Stops) != 0 {
+					t.Errorf("%d starts and %d stops, want %d and none", len(orders.Starts), len(orders.Stops), c.starts)
+				}
+			})
+		}
+	}
+}
+
+// Guards against two runs of a task after a takeover: the record says that the task runs on an incarnation of a host that has
+// ended, but the next incarnation may have executed the order.
+func TestRecordedRunOnNextIncarnation(t *testing.T) {
+	restarted := host("a", 1000)
+	restarted.Incarnation = 2
+	b := newOwner(t, restarted, host("b", 1000))
+	b.report(b.hosts[1], nil, nil)
+	b.cell.RestoreJob(job(queue(0), step(1)), flow.Record{
+		State: flow.Running, Hosts: []flow.LiveHost{{ID: "a", Incarnation: 1}},
+		Parts: []flow.Part{{Runs: []uint32{1}, Done: []byte{0}, Live: []flow.LiveRun{{Index: 0, Run: 1}}}},
+	})
+	b.advance(50 * time.Millisecond)
+	b.report(restarted, []fold.HostRun{{Task: id + ".0.0.0", Run: 1, Percent: 10}}, nil)
+	if starts := b.decide().Starts; len(starts) != 0 {
+		t.Errorf("starts %+v although the task runs", starts)
+	}
+}
+
+// Guards against a task that waits for a stop although its host listed the run before it started again: the run has ended.
+func TestListedRunEndsWithIncarnation(t *testing.T) {
+	b := newFixture(t, fold.Rules{}, host("a", 1000), host("b", 1000))
+	b.cell.AddJob(job(queue(0), step(1)), 1)
+	b.decide()
+	b.advance(50 * time.Millisecond)
+	b.report(b.hosts[0], []fold.HostRun{{Task: id + ".0.0.0", Run: 1, Percent: 10}}, nil)
+	restarted := host("a", 1000)
+	restarted.Incarnation = 2
+	b.report(restarted, nil, nil)
+	if starts := b.decide().Starts; len(starts) != 1 || starts[0].Req.Run != 2 {
+		t.Errorf("starts %+v, want run 2 at once", starts)
+	}
+}
--- a/fold/core/record.go
+++ b/fold/core/record.go
@@ -149,7 +149,7 @@
 }
 
 // restore applies the progress that an earlier owner recorded. Runs that were live in the record are kept until a report
-// shows their outcome or the leases on their host have expired, unless the host is known to have restarted.
+// shows their outcome or the leases on their host have expired.
 func (c *Cell) restore(j *job, rec flow.Record) {
 	j.state, j.recordedState, j.endedAt, j.recordSeq = rec.State, rec.State, rec.Ended, rec.Seq
 	j.started = j.state != flow.Queued
@@ -209,11 +209,8 @@
 	if liveHost.Incarnation > h.info.Incarnation {
 		c.handleRestart(h, liveHost.Incarnation)
 	}
-	if liveHost.Incarnation < h.info.Incarnation {
-		// The host has restarted since, so the run has ended.
-		return
-	}
-	r := newRun(t, l.Run, h, liveHost.Incarnation, c.now)
+	// If the host has restarted since the record, the start may still have reached the new incarnation.
+	r := newRun(t, l.Run, h, h.info.Incarnation, c.now)
 	r.phase, r.inherited, r.stopping = phaseOrdered, true, l.Stopped || jobEnded || t.done
 	if r.stopping {
 		c.pendingStops = append(c.pendingStops, r)
