Tell each entry that the row may list of unrecorded runs

A next owner could start tasks that already ran: it was listed in the owner's row, but had not been told that the owner starts runs without records. The owner told the entries of its last successful commit, while the stalled commit, which may have been applied, lists an entry that has just joined or restarted.

The announcement now goes to the entries of the last successful commit and of each attempt since, and until it is revoked commits list only entries that were told.

--- a/fold/drive/announcement.go
+++ b/fold/drive/announcement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -14,14 +15,18 @@
 	inviteAfter = 500 * time.Millisecond
 )
 
-// announcement holds what the other entries know about runs without records.
+// announcement holds what the other entries know about runs without records. An entry that the owner's row lists takes over
+// without looking for such runs, unless it was told of them; an entry that the row does not list always looks for them.
 type announcement struct {
 	mu sync.Mutex
-	// entries are the entries that the owner's row names.
-	entries []string
+	// listed are the entries that the owner's row may list: those of the last successful commit and those of the attempts
+	// since then, which may have been applied.
+	listed []string
+	// told are the entries to which the last announcement was sent.
+	told []string
 	// number counts the announcements.
 	number int64
-	// on is true if all entries have recorded the last announcement. sending is true while one is being sent.
+	// on is true if all entries in told have recorded the last announcement. sending is true while one is being sent.
 	on, sending bool
 	// clearDue is true if the announcement has to be revoked.
 	clearDue bool
@@ -42,7 +47,8 @@
 	}
 	n.sending, n.clearDue = true, true
 	n.number++
-	number, entries := n.number, n.entries
+	n.told = n.listed
+	number, entries := n.number, n.told
 	d.spawn(func() {
 		call, cancel := context.WithTimeout(ctx, announceTimeout)
 		recorded := d.parts.Announce(call, entries, d.term.Epoch(), number, true)
@@ -60,23 +66,46 @@
 	return false
 }
 
-// afterCommit handles a successful commit whose owner row named the given entries. The announcement is revoked once a later
+// beginCommit returns the entries that the next attempt to commit may list, out of the given ones. Until an announcement is
+// revoked, only entries that were told of it are listed.
+func (n *announcement) beginCommit(entries []string) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.clearDue {
+		entries = slices.DeleteFunc(slices.Clone(entries), func(e string) bool { return !slices.Contains(n.told, e) })
+	}
+	listed := slices.Clone(n.listed)
+	for _, e := range entries {
+		if !slices.Contains(listed, e) {
+			listed = append(listed, e)
+		}
+	}
+	n.listed = listed
+	return entries
+}
+
+// afterCommit handles a successful commit whose owner row lists the given entries. The announcement is revoked once a later
 // commit has recorded everything that was started without a record.
 func (d *Driver) afterCommit(ctx context.Context, entries []string) {
 	n := &d.announcement
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.entries = entries
+	n.listed = entries
 	if n.on {
 		n.on = false
 		notify(d.commitWake)
 		return
 	}
-	if !n.clearDue || n.sending {
-		return
+	if n.clearDue && !n.sending {
+		d.revoke(ctx)
 	}
+}
+
+// revoke revokes the announcement. The caller holds the lock of the announcement.
+func (d *Driver) revoke(ctx context.Context) {
+	n := &d.announcement
 	n.clearDue = false
-	number := n.number
+	number, entries := n.number, n.told
 	d.spawn(func() {
 		call, cancel := context.WithTimeout(ctx, announceTimeout)
 		defer cancel()
--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -229,7 +229,7 @@
 		txn := records
 		addRequests(&txn, requests)
 		sent := d.parts.Clock.Now()
-		entries, fitCount := d.parts.Entries()
+		entries, fitCount := d.entriesToList()
 		err := d.term.Commit(ctx, txn, lead.PoolState{Waiting: waiting, Entries: entries, FitCount: fitCount})
 		took := d.parts.Clock.Now().Sub(sent)
 		d.parts.Meter.Commit(took, len(txn.Puts)+len(txn.Deletes))
@@ -276,6 +276,19 @@
 	}
 }
 
+// entriesToList returns the entries that the next commit lists, the strongest first, and how many of them are fit to own the
+// pool.
+func (d *Driver) entriesToList() (entries []string, fitCount int) {
+	all, fit := d.parts.Entries()
+	entries = d.announcement.beginCommit(all)
+	for _, e := range all[:fit] {
+		if slices.Contains(entries, e) {
+			fitCount++
+		}
+	}
+	return entries, fitCount
+}
+
 // maxRejected is how long the table may reject this owner's commits before another entry, which can still write to the
 // table, should take over.
 const maxRejected = 350 * time.Millisecond
--- a/fold/drive/load_test.go
+++ b/fold/drive/load_test.go
@@ -210,8 +210,8 @@
 func (noMeter) Ask(time.Duration, error)   {}
 func (noMeter) Decide(time.Duration)       {}
 
-// startDriver runs a driver that owns the pool until the test ends.
-func startDriver(t *testing.T, table fold.Table, log fold.ChangeFeed, hosts *fakeHosts) *drive.Driver {
+// startDriver runs a driver that owns the pool until the test ends. The options change its parts.
+func startDriver(t *testing.T, table fold.Table, log fold.ChangeFeed, hosts *fakeHosts, options ...func(*drive.Parts)) *drive.Driver {
 	t.Helper()
 	owner, version, err := lead.Read(t.Context(), table)
 	if err != nil {
@@ -221,7 +221,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := drive.New(drive.Parts{
+	parts := drive.Parts{
 		Table: table, Log: log, Runner: hosts, Roster: hosts, Clock: clock{}, Logger: hclog.NewNullLogger(), Meter: noMeter{},
 		AdviceCallers: func() []drive.AdviceCaller { return nil },
 		RelayEntries:  func() []drive.RelayEntry { return nil },
@@ -231,7 +231,11 @@
 		Announce:      func(context.Context, []string, int64, int64, bool) bool { return true },
 		Invite:        func(context.Context, int64) {},
 		Times:         core.Times{Lease: 6 * time.Second, Stop: 900 * time.Millisecond, RenewWithoutTable: 4 * time.Second},
-	}, term, fold.Rules{Queues: []fold.Queue{testQueue}})
+	}
+	for _, option := range options {
+		option(&parts)
+	}
+	d := drive.New(parts, term, fold.Rules{Queues: []fold.Queue{testQueue}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- d.Run(ctx) }()
