Begin leases before the permission is checked

A relay checked the owner's permission and then computed the lease from the present time. A process that is suspended in between, for example by SIGSTOP or a busy machine, granted a lease from the time at which it woke, although the owner assumes that leases end a lease after the permission. Tasks that it starts elsewhere would then run twice.

The lease now begins at a time that is read before the check.

--- a/fold/relay/calls.go
+++ b/fold/relay/calls.go
@@ -21,11 +21,12 @@
 		case <-ctx.Done():
 			return fold.Refuse(fold.Unavailable, "wait for the host", "the host %s has not answered this relay yet", s.Host)
 		}
+		now := r.parts.Clock.Now()
 		if !r.parts.Permitted() {
 			// The process may have been suspended. A later owner assumes that no new leases were granted meanwhile.
 			return fold.Refuse(fold.Unavailable, "wait for the table", "the owner's permission to start runs was not renewed in time")
 		}
-		host, until, err := r.leaseForStart(c)
+		host, until, err := r.leaseForStart(c, now)
 		if err != nil {
 			return err
 		}
@@ -35,14 +36,15 @@
 	r.recordResult(s.Number, err)
 }
 
-// leaseForStart returns the lease for a start. A silent host gets none, because the owner relies on its leases ending.
-func (r *Relay) leaseForStart(c *contact) (fold.Host, int64, error) {
+// leaseForStart returns the lease for a start that was permitted at the given time or later. A silent host gets none, because
+// the owner relies on its leases ending.
+func (r *Relay) leaseForStart(c *contact, now fold.Instant) (fold.Host, int64, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if c.silent {
 		return fold.Host{}, 0, fold.Refuse(fold.Unavailable, "use another host", "the host %s does not answer", c.info.ID)
 	}
-	return c.info.Host(), c.lease.Renew(r.parts.Clock.Now(), r.parts.Lease), nil
+	return c.info.Host(), c.lease.Renew(now, r.parts.Lease), nil
 }
 
 func (r *Relay) stopRun(s Stop) {
--- a/fold/relay/relay_test.go
+++ b/fold/relay/relay_test.go
@@ -97,6 +97,59 @@
 	return relay.Orders{Starts: []relay.Start{{Number: number, Host: "a", Task: "j.0.0.0", Run: 1, Job: "j", Spec: "text"}}}
 }
 
+// Guards against a lease that a process grants after it was suspended: the permission was checked before, and the lease began
+// after. The owner assumes that such a lease has ended.
+func TestNoLeaseAfterSuspension(t *testing.T) {
+	for _, order := range []string{"hold", "start"} {
+		t.Run(order, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newFakeHost()
+				suspend, suspendedAt := false, int64(0)
+				p := parts(h)
+				p.Permitted = func() bool {
+					h.mu.Lock()
+					pause := suspend
+					suspend = false
+					h.mu.Unlock()
+					if pause {
+						suspendedAt = time.Since(h.began).Milliseconds()
+						time.Sleep(10 * time.Second)
+					}
+					return true
+				}
+				r := relay.New(p)
+				defer func() { _ = r.Close() }()
+				supervised := contact
+				if order == "start" {
+					// No Hold call checks the permission meanwhile.
+					supervised.MaxWait = time.Minute
+				}
+				r.Apply(relay.Orders{Contacts: []relay.Contact{supervised}})
+				time.Sleep(time.Second)
+				h.update(func(h *fakeHost) { suspend, h.holds = true, nil })
+				if order == "start" {
+					r.Apply(startOrder(1))
+				}
+				time.Sleep(10*time.Second + 150*time.Millisecond)
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				end := int64(0)
+				switch {
+				case order == "hold" && len(h.holds) > 0:
+					end = h.holds[0].LeaseEnd
+				case order == "start" && len(h.starts) == 1:
+					end = h.starts[0].LeaseEnd
+				default:
+					t.Fatalf("%d Hold calls and %d starts, want one after the suspension", len(h.holds), len(h.starts))
+				}
+				if limit := suspendedAt + 1 + leaseTime.Milliseconds(); end > limit {
+					t.Errorf("the lease ends at %d ms, want at most %d", end, limit)
+				}
+			})
+		})
+	}
+}
+
 // Guards against renewing the leases of a host that does not answer, which would never expire, and against renewals without
 // permission.
 func TestNoRenewalWhileSilent(t *testing.T) {
