--- a/cmd/pfsoak/internal/app/environment.go
+++ b/cmd/pfsoak/internal/app/environment.go
@@ -89,9 +89,24 @@
 	if err := e.writeConfig(ctx); err != nil {
 		return nil, err
 	}
+	if err := e.writeOddRegistrations(ctx); err != nil {
+		return nil, err
+	}
 	return e, e.updateRegistrations(ctx)
 }
 
+// writeOddRegistrations writes rows of another writer among those of the hosts. The entries must ignore them.
+func (e *environment) writeOddRegistrations(ctx context.Context) error {
+	const row = `{"service":"pool","address":"127.0.0.1:%s","zone":"soak","state":"ready","capacity":{"cpu":%s},"labels":["a","r"],"born":5}`
+	values := []string{strings.Repeat("[", 1<<15), fmt.Sprintf(row, "70000", "1000"), fmt.Sprintf(row, "1", "9223372036854775807"), fmt.Sprintf(row, "1", "1e400")}
+	var txn fold.Txn
+	for i, value := range values {
+		txn.Puts = append(txn.Puts, fold.Put{Key: stand.RegistrationKey(fmt.Sprintf("odd-%d", i)), Value: []byte(value)})
+	}
+	_, err := e.table.Commit(ctx, txn)
+	return err
+}
+
 // ownerAfterCommit waits for the next commit of the owner of the pool, at most for commitWait, and returns the name of the
 // owner. The name is empty if there is no owner.
 func (e *environment) ownerAfterCommit(ctx context.Context) string {
