Check each count of a job before adding it

The sum of the counts overflowed to -2, which is below the limit, and makeslice panicked.

Ruled out: the decoder, because the counts are valid numbers.

Each count is now checked by itself, and owners check jobs from other entries and from the table too, so that one row cannot end one owner after the other. Sizes, estimates and schedules that overflow are refused for the same reason.

--- a/fold/drive/intake.go
+++ b/fold/drive/intake.go
@@ -67,6 +67,10 @@
 	if _, _, known := d.State(job.ID); known {
 		return true, nil
 	}
+	// Another entry may run a build that checks less.
+	if err := job.Check(); err != nil {
+		return false, err
+	}
 	value, err := EncodeJob(job, d.backlog.maxRow)
 	if err != nil {
 		return false, err
--- a/fold/drive/load.go
+++ b/fold/drive/load.go
@@ -140,8 +140,11 @@
 		return flow.Job{}, false
 	}
 	job, err := codec.Decode[flow.Job](row.Value)
+	if err == nil {
+		err = job.Check()
+	}
 	if err != nil {
-		d.log.Error("Ignored a job that cannot be decoded.", "key", row.Key, "error", err)
+		d.log.Error("Ignored a job that cannot be decoded or run.", "key", row.Key, "error", err)
 		return flow.Job{}, false
 	}
 	return job, true
--- a/fold/drive/size_test.go
+++ b/fold/drive/size_test.go
@@ -1,6 +1,7 @@
 package drive_test
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -173,12 +174,14 @@
 	})
 }
 
-// Guards against one undecodable row that keeps every owner from taking the pool over, and against a job that runs again
-// from its beginning because its record cannot be decoded.
+// Guards against one undecodable row, or one job that nobody could run, that keeps every owner from taking the pool over, and
+// against a job that runs again from its beginning because its record cannot be decoded.
 func TestUnreadableRows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table, hosts := newSlowTable(0), newFakeHosts(4, time.Second)
 		garbage := []byte{1, 0xff, 0x00}
+		endless := testJob(4, math.MaxInt64)
+		endless.Steps = append(endless.Steps, endless.Steps[0])
 		puts := []fold.Put{
 			{Key: drive.UsedTable + "0000", Value: garbage},
 			{Key: drive.BacklogTable + "000000000001-000001", Value: garbage},
@@ -186,11 +189,19 @@
 			encoded(t, drive.JobPrefix+testJob(1, 1).ID, testJob(1, 1)),
 			{Key: drive.StatePrefix + testJob(1, 1).ID, Value: garbage},
 			encoded(t, drive.JobPrefix+testJob(2, 1).ID, testJob(2, 1)),
+			encoded(t, drive.JobPrefix+endless.ID, endless),
+			encoded(t, drive.InboxPrefix+endless.ID, endless),
 		}
 		if _, err := table.Table.Commit(t.Context(), fold.Txn{Puts: puts}); err != nil {
 			t.Fatal(err)
 		}
 		d := startDriver(t, table, table, hosts)
+		if _, err := d.Submit(t.Context(), endless, fold.Check{}); !fold.DidNotRun(err) {
+			t.Errorf("job that cannot be run: error %v, want a refusal", err)
+		}
+		if _, err := table.Table.Commit(t.Context(), fold.Txn{Puts: []fold.Put{encoded(t, drive.InboxPrefix+"ffffffffffffffff", endless)}}); err != nil {
+			t.Fatal(err)
+		}
 		time.Sleep(10 * time.Second)
 		if state, _, _ := d.State(testJob(2, 1).ID); state != flow.Completed {
 			t.Errorf("the job beside the undecodable rows has state %q, want completed", state)
--- a/fold/flow/flow_test.go
+++ b/fold/flow/flow_test.go
@@ -1,6 +1,8 @@
 package flow_test
 
 import (
+	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -24,6 +26,12 @@
 		{"step depends on a later one", flow.Job{Steps: []flow.Step{{Count: 1, After: []int{1}}, one}}, false},
 		{"negative size", flow.Job{Steps: []flow.Step{{Count: 1, Size: fold.Resources{CPU: -1}}}}, false},
 		{"too many tasks", flow.Job{Steps: []flow.Step{{Count: flow.MaxTasks + 1}}}, false},
+		{"sum of the counts overflows", flow.Job{Steps: []flow.Step{{Count: math.MaxInt64}, {Count: math.MaxInt64}}}, false},
+		{"size that overflows sums", flow.Job{Steps: []flow.Step{{Count: 2, Size: fold.Resources{Memory: math.MaxInt64}}}}, false},
+		{"estimate that overflows durations", flow.Job{Steps: []flow.Step{{Count: 1, Estimate: math.MaxInt64}}}, false},
+		{"due time overflows", flow.Job{Times: 2, Start: math.MaxInt64, Every: 1000, Steps: []flow.Step{one}}, false},
+		{"interval overflows", flow.Job{Times: 3, Every: math.MaxInt64, Steps: []flow.Step{one}}, false},
+		{"too many steps in all occurrences", flow.Job{Times: flow.MaxTimes, Every: 1, Steps: slices.Repeat([]flow.Step{one}, flow.MaxSteps)}, false},
 		{"specification too long", flow.Job{Spec: strings.Repeat("x", flow.MaxSpec+1), Steps: []flow.Step{one}}, false},
 		{"schedule without interval", flow.Job{Times: 2, Steps: []flow.Step{one}}, false},
 		{"schedule", flow.Job{Times: 2, Every: 1000, Steps: []flow.Step{one}}, true},
--- a/fold/flow/job.go
+++ b/fold/flow/job.go
@@ -21,6 +21,12 @@
 	MaxSpec = 4000
 	// MaxTimes is the maximum number of occurrences of a scheduled job.
 	MaxTimes = 1000
+	// MaxTime is the latest start and the longest interval of a schedule: the end of the year 9999 in Unix milliseconds.
+	MaxTime = 253402300799999
+	// MaxEstimate is the longest estimated run time of a task in milliseconds: a year.
+	MaxEstimate = 366 * 24 * 3600 * 1000
+	// MaxAmount is the largest amount of a resource that a task may declare. Sums over the tasks of a team do not overflow.
+	MaxAmount = 1 << 40
 )
 
 // Step is a set of equal tasks that start once all steps in After are done.
@@ -122,26 +128,38 @@
 
 const remedy = "correct the job and submit it again"
 
-// Validate returns an error for a job that could not be stored or run.
+// Validate returns an error for a job that must not be accepted.
 func (j *Job) Validate() error {
-	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
-		return fold.Refuse(fold.Invalid, remedy, "a job has 1 to %d steps, this one has %d", MaxSteps, len(j.Steps))
-	}
 	if len(j.Spec) > MaxSpec {
 		return fold.Refuse(fold.TooLarge, remedy, "the specification has %d bytes, more than %d", len(j.Spec), MaxSpec)
 	}
-	if j.Times < 0 || j.Times > MaxTimes || (j.Times > 1 && j.Every <= 0) {
-		return fold.Refuse(fold.Invalid, remedy, "a schedule needs 1 to %d occurrences and a positive interval", MaxTimes)
+	if err := j.Check(); err != nil {
+		return err
 	}
 	if parts := j.Occurrences() * len(j.Steps); parts > MaxParts {
 		return fold.Refuse(fold.TooLarge, remedy, "a job has at most %d steps in all its occurrences, this one has %d", MaxParts, parts)
 	}
+	return nil
+}
+
+// Check returns an error for a job that could not be run, whether or not it was accepted.
+func (j *Job) Check() error {
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return fold.Refuse(fold.Invalid, remedy, "a job has 1 to %d steps, this one has %d", MaxSteps, len(j.Steps))
+	}
+	if j.Times < 0 || j.Times > MaxTimes || (j.Times > 1 && j.Every <= 0) {
+		return fold.Refuse(fold.Invalid, remedy, "a schedule needs 1 to %d occurrences and a positive interval", MaxTimes)
+	}
+	if j.Start < 0 || j.Start > MaxTime || j.Every < 0 || j.Every > MaxTime {
+		return fold.Refuse(fold.Invalid, remedy, "the start or the interval of the schedule is negative or above %d ms", MaxTime)
+	}
 	total := 0
 	for i, s := range j.Steps {
-		total += s.Count
+		// Each count is checked before it is added, so that the sum cannot overflow.
 		if err := s.check(i); err != nil {
 			return err
 		}
+		total += s.Count
 	}
 	if total > MaxTasks {
 		return fold.Refuse(fold.TooLarge, remedy, "a job has at most %d tasks, this one has %d", MaxTasks, total)
@@ -154,6 +172,12 @@
 	if s.Count < 1 || s.Size.Negative() || s.Estimate < 0 || s.PerHost < 0 || s.MaxUnavailable < 0 || s.Target < 0 {
 		return fold.Refuse(fold.Invalid, remedy, "step %d has a count below 1 or a negative field", index)
 	}
+	if s.Count > MaxTasks {
+		return fold.Refuse(fold.TooLarge, remedy, "a job has at most %d tasks, step %d alone has %d", MaxTasks, index, s.Count)
+	}
+	if max(s.Size.CPU, s.Size.Memory, s.Size.Accel) > MaxAmount || s.Estimate > MaxEstimate {
+		return fold.Refuse(fold.Invalid, remedy, "step %d asks for more than %d of a resource, or its estimate is above %d ms", index, MaxAmount, MaxEstimate)
+	}
 	for _, predecessor := range s.After {
 		if predecessor < 0 || predecessor >= index {
 			return fold.Refuse(fold.Invalid, remedy, "step %d waits for step %d, which is not an earlier one", index, predecessor)
