Refuse orders for a closed relay

An owner that stops closes its relay while a commit is under way, and the answer to the commit then started goroutines in the relay.

Ruled out: the groups of the driver and of sessions, whose goroutines are all started by counted ones.

A closed relay now refuses orders under its lock.

TestOrdersForAClosedRelay reports a data race before the change and passes twice with 200 rounds after it; TestSlowTakeover passed 20 of 20 times with -race.

--- a/fold/node/standin_test.go
+++ b/fold/node/standin_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -259,15 +260,27 @@
 	stops []func()
 }
 
-// unusedAddress returns a loopback address whose port was free a moment ago.
+// usedAddresses holds the addresses that unusedAddress has returned.
+var usedAddresses sync.Map
+
+// unusedAddress returns an address with a free port. Its loopback address belongs to this process alone, so that neither other
+// processes nor connections take the port before the entry listens.
 func unusedAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	loopback := fmt.Sprintf("127.%d.%d.2:0", 1+os.Getpid()>>8%250, os.Getpid()%256)
+	for {
+		l, err := net.Listen("tcp", loopback)
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := l.Addr().String()
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if _, used := usedAddresses.LoadOrStore(address, true); !used {
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 var initialRules = fold.Rules{
--- a/fold/relay/relay.go
+++ b/fold/relay/relay.go
@@ -40,7 +40,9 @@
 	stop  context.CancelFunc
 	group sync.WaitGroup
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// closed is set by Close. A closed relay starts no goroutines.
+	closed   bool
 	contacts map[string]*contact
 	results  []Result
 	// reports holds the newest report of each host, which repeats the run ends that are not acknowledged.
@@ -62,11 +64,15 @@
 
 // Close stops all goroutines and waits for them. Orders in progress then have no outcome.
 func (r *Relay) Close() error {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
 	r.stop()
 	r.group.Wait()
 	return nil
 }
 
+// spawn calls fn in a goroutine that Close waits for. The caller holds the lock, and the relay is not closed.
 func (r *Relay) spawn(fn func()) {
 	r.group.Add(1)
 	go func() {
@@ -75,9 +81,21 @@
 	}()
 }
 
-// Apply applies orders and does not wait for their outcome.
+// Apply applies orders and does not wait for their outcome. A closed relay refuses them: the owner may still get the answer to
+// a commit after it has closed its relay.
 func (r *Relay) Apply(o Orders) {
+	if !r.apply(o) {
+		r.Refuse(o, fold.Refuse(fold.Unavailable, "send the order again", "the relay is closed"))
+	}
+}
+
+// apply applies orders unless the relay is closed, and reports whether it did.
+func (r *Relay) apply(o Orders) bool {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return false
+	}
 	for _, id := range o.Releases {
 		if c, ok := r.contacts[id]; ok {
 			c.cancel()
@@ -99,7 +117,6 @@
 			c.info.MaxWait = w.MaxWait
 		}
 	}
-	r.mu.Unlock()
 	for _, s := range o.Starts {
 		r.spawn(func() { r.startRun(s) })
 	}
@@ -109,6 +126,7 @@
 	for _, p := range o.Paces {
 		r.spawn(func() { r.paceRun(p) })
 	}
+	return true
 }
 
 // Refuse reports an error as the outcome of orders that must not be carried out any more, and sends none of them.
--- a/fold/relay/relay_test.go
+++ b/fold/relay/relay_test.go
@@ -97,6 +97,35 @@
 	return relay.Orders{Starts: []relay.Start{{Number: number, Host: "a", Task: "j.0.0.0", Run: 1, Job: "j", Spec: "text"}}}
 }
 
+// Guards against an owner whose process ends because the answer to a commit passes orders to a relay that is being closed:
+// "sync: WaitGroup is reused before previous Wait has returned".
+func TestOrdersForAClosedRelay(t *testing.T) {
+	for range 200 {
+		h := newFakeHost()
+		r := relay.New(parts(h))
+		r.Apply(relay.Orders{Contacts: []relay.Contact{contact}})
+		var group sync.WaitGroup
+		for n := range uint64(4) {
+			group.Go(func() {
+				for range 50 {
+					r.Apply(startOrder(n + 1))
+				}
+			})
+		}
+		if err := r.Close(); err != nil {
+			t.Fatal(err)
+		}
+		group.Wait()
+		started := len(h.starts)
+		r.Apply(startOrder(9))
+		events := r.Events(t.Context(), 0)
+		last := events.Results[len(events.Results)-1]
+		if last.Number != 9 || !fold.DidNotRun(last.Failed.Err()) || len(h.starts) != started {
+			t.Fatalf("result %+v of an order for a closed relay, want a refusal", last)
+		}
+	}
+}
+
 // Guards against a lease that a process grants after it was suspended: the permission was checked before, and the lease began
 // after. The owner assumes that such a lease has ended.
 func TestNoLeaseAfterSuspension(t *testing.T) {
