Acknowledge ends only right after an answer

A relay could delete ends that nobody had seen: it acknowledged ends by the numbers of the incarnation that had last answered, although the host may have started again while the relay waited up to 300 ms for their record, or since another relay supervised it. The tasks would then run again.

A relay now acknowledges within 50 ms of an answer. Otherwise it first makes a call without acknowledgement, which shows the incarnation. The check of the soak had a gap of its own: it read a job's own row before the shared rows and missed a record that moved in between. It now reads the shared rows first.

--- a/cmd/pfsoak/internal/app/environment.go
+++ b/cmd/pfsoak/internal/app/environment.go
@@ -179,12 +179,10 @@
 	}
 }
 
-// newestRecord reads the newest durable record of a job. The record may share a row with records of other jobs.
+// newestRecord reads the newest durable record of a job. The record may share a row with records of other jobs. Records move
+// from shared rows to rows of their own, so the shared rows are read first.
 func (e *environment) newestRecord(id string) flow.Record {
-	newest, err := drive.ReadRecord(context.Background(), e.table, id)
-	if err != nil && !errorx.IsOfType(err, fold.NotFound) {
-		e.log.Error("Could not read the record of a job.", "job", id, "error", err)
-	}
+	newest := flow.Record{}
 	rows, err := e.table.Scan(context.Background(), drive.BacklogTable, "", 0)
 	if err != nil {
 		e.log.Error("Could not read the rows of shared records.", "error", err)
@@ -200,6 +198,13 @@
 			}
 		}
 	}
+	own, err := drive.ReadRecord(context.Background(), e.table, id)
+	if err != nil && !errorx.IsOfType(err, fold.NotFound) {
+		e.log.Error("Could not read the record of a job.", "job", id, "error", err)
+	}
+	if own.Seq >= newest.Seq {
+		newest = own
+	}
 	return newest
 }
 
--- a/fold/relay/contact.go
+++ b/fold/relay/contact.go
@@ -19,6 +19,9 @@
 	maxUnanswered = 1
 	// holdRetryDelay is the delay between Hold calls to a silent host.
 	holdRetryDelay = 250 * time.Millisecond
+	// maxBlindAck is how long after an answer ends are acknowledged. If the host has started again since, the acknowledgement
+	// would delete the ends of runs that began there: they are numbered anew.
+	maxBlindAck = 50 * time.Millisecond
 	// maxAckWait limits the wait for the acknowledgement of run ends between two Hold calls.
 	maxAckWait = 300 * time.Millisecond
 )
@@ -32,6 +35,10 @@
 	// that is recorded.
 	incarnation, lastEnd, acked int64
 	silent                      bool
+	// answeredAt is when the host last answered, or 0. ackSent is the highest number of an end that was acknowledged to this
+	// incarnation.
+	answeredAt fold.Instant
+	ackSent    int64
 	// answered is closed with the first answer. ackChanged is closed and replaced with each acknowledgement.
 	answered, ackChanged chan struct{}
 }
@@ -113,9 +120,10 @@
 	if unanswered == 0 && c.lease.ClockKnown() {
 		req.Wait = c.info.MaxWait
 	}
-	if unanswered == 0 {
-		// After an unanswered call the host may answer in another incarnation, which numbers its run ends anew.
-		req.Acked = c.acked
+	// After an unanswered call, or some time after an answer, the host may answer in another incarnation. A call without an
+	// acknowledgement then returns at once, if ends wait for one, and shows the incarnation.
+	if unanswered == 0 && c.answeredAt != 0 && now.Sub(c.answeredAt) <= maxBlindAck {
+		req.Acked, c.ackSent = c.acked, c.acked
 	}
 	return c.info.Host(), req
 }
@@ -128,13 +136,13 @@
 		return
 	}
 	if reply.Incarnation != c.incarnation {
-		c.incarnation, c.lastEnd, c.acked, c.lease = reply.Incarnation, 0, 0, lease.Tracker{}
+		c.incarnation, c.lastEnd, c.acked, c.ackSent, c.lease = reply.Incarnation, 0, 0, 0, lease.Tracker{}
 	}
 	now := r.parts.Clock.Now()
 	if !c.lease.ClockKnown() {
 		defer c.releaseStarts()
 	}
-	c.silent = false
+	c.silent, c.answeredAt = false, now
 	c.lease.RecordClock(max(1, reply.Clock), now)
 	for _, e := range reply.Ends {
 		c.lastEnd = max(c.lastEnd, e.Number)
@@ -166,11 +174,14 @@
 	r.notify()
 }
 
-// awaitAcks waits until the reported run ends are acknowledged, because the host would repeat them at once. It waits for a
-// limited time, so that leases are still renewed.
+// awaitAcks waits until the reported run ends are recorded, because the host would repeat them at once. It does not wait if
+// some are recorded that the last call did not acknowledge. It waits for a limited time, so that leases are still renewed.
 func (r *Relay) awaitAcks(ctx context.Context, c *contact) {
 	limit := r.parts.Clock.After(maxAckWait)
-	for {
+	r.mu.Lock()
+	unsent := c.acked > c.ackSent
+	r.mu.Unlock()
+	for !unsent {
 		r.mu.Lock()
 		settled, ackChanged := c.acked >= c.lastEnd, c.ackChanged
 		r.mu.Unlock()
