Read the configuration again after its changes are gone

It now reads the row and waits before the next call, which would fail at once.

TestRulesAfterLostHistory fails before the change ("revision 1 is in force 2 s after the change, want 2") and passes after it, with at most 6 reads in 3 s.

--- a/fold/front/front_test.go
+++ b/fold/front/front_test.go
@@ -151,3 +151,47 @@
 		})
 	}
 }
+
+// outdatedRules is a rules source whose feed no longer reaches back to the last read.
+type outdatedRules struct {
+	rules
+	revision, reads atomic.Int64
+}
+
+func (o *outdatedRules) Read(context.Context) (fold.Rules, int64, error) {
+	o.reads.Add(1)
+	revision := o.revision.Load()
+	return fold.Rules{Revision: revision}, revision, nil
+}
+
+func (*outdatedRules) Next(context.Context, int64, time.Duration) (fold.Rules, int64, bool, error) {
+	return fold.Rules{}, 0, false, fold.Refuse(fold.Outdated, "read the table again", "the history is gone")
+}
+
+// Guards against a configuration, for example a lowered limit or a withdrawn key, that never comes into force because the feed
+// no longer reaches back to the last read, and against calls without a pause.
+func TestRulesAfterLostHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &outdatedRules{}
+		source.revision.Store(1)
+		var applied atomic.Int64
+		followed := front.NewRules(source, clock{}, hclog.NewNullLogger(), func(r fold.Rules) { applied.Store(r.Revision) })
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			followed.Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		source.revision.Store(2)
+		time.Sleep(2 * time.Second)
+		if applied.Load() != 2 {
+			t.Errorf("revision %d is in force 2 s after the change, want 2", applied.Load())
+		}
+		if reads := source.reads.Load(); reads > 6 {
+			t.Errorf("the configuration was read %d times in 3 s", reads)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/fold/front/rules.go
+++ b/fold/front/rules.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/book"
@@ -114,6 +115,9 @@
 	call, cancel := context.WithTimeout(ctx, pollWait+pollMargin)
 	defer cancel()
 	rules, next, changed, err := r.source.Next(call, version, pollWait)
+	if errorx.IsOfType(err, fold.Outdated) {
+		return r.pollRow(ctx)
+	}
 	if err != nil {
 		return err
 	}
@@ -121,6 +125,20 @@
 	return nil
 }
 
+// pollRow reads the whole row instead of its changes, because the table no longer has those since the row was written. It then
+// waits, because the next call for changes would fail at once.
+func (r *Rules) pollRow(ctx context.Context) error {
+	r.log.Debug("Read the whole configuration because its changes are no longer available.")
+	if err := r.Refresh(ctx); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-r.clock.After(pollWait):
+	}
+	return nil
+}
+
 // Refresh reads the newest configuration from the source.
 func (r *Rules) Refresh(ctx context.Context) error {
 	sent := r.clock.Now()
