Report the last owner's counts until the jobs are loaded

TestWaitingBeforeLoad fails before the change ("0 jobs wait, known true; want the 3 of the last owner") and passes after it.

--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -340,15 +340,16 @@
 	n.mu.Unlock()
 }
 
-// waiting returns how many jobs of a queue have not begun. It asks this entry's driver or, if there is none, uses the owner's
-// row as last read. It returns false if no row is known or the last read was more than maxCountsAge ago.
+// waiting returns how many jobs of a queue have not begun. It asks this entry's driver or, if there is none or it has not loaded
+// all jobs, uses the owner's row as last read. It returns false if no row is known or the last read was more than maxCountsAge
+// ago.
 func (n *Node) waiting(queue string) (int, bool) {
-	n.mu.Lock()
-	driver, s := n.driver, n.ownerRow
-	n.mu.Unlock()
-	if driver != nil {
+	if driver, err := n.loadedDriver(); err == nil {
 		return driver.Waiting()[queue], true
 	}
+	n.mu.Lock()
+	s := n.ownerRow
+	n.mu.Unlock()
 	if s.version == 0 || n.clock.Now().Sub(s.readAt) > maxCountsAge {
 		return 0, false
 	}
--- a/fold/node/snapshot.go
+++ b/fold/node/snapshot.go
@@ -41,6 +41,8 @@
 	n.mu.Unlock()
 	if d := n.currentDriver(); d != nil {
 		out.Owner.Entry, out.Owner.Address, out.Owner.Epoch = n.settings.Name, n.settings.Peers, d.Epoch()
+	}
+	if d, err := n.loadedDriver(); err == nil {
 		out.Owner.Waiting, out.OwnerAge = d.Waiting(), 0
 	}
 	return out
--- a/fold/node/takeover_test.go
+++ b/fold/node/takeover_test.go
@@ -12,6 +12,8 @@
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/codec"
+	"plantainfold.example/fold/drive"
+	"plantainfold.example/fold/front"
 	"plantainfold.example/fold/lead"
 	"plantainfold.example/fold/peer"
 	"plantainfold.example/fold/plat"
@@ -106,3 +108,26 @@
 		t.Errorf("owned epoch %d during a takeover, want 7", got)
 	}
 }
+
+// Guards against a new owner that tells callers that no job waits, because it has not loaded the jobs yet.
+func TestWaitingBeforeLoad(t *testing.T) {
+	table := plat.NewTable()
+	term, err := lead.TakeOver(t.Context(), table, fold.BootClock{}, lead.Owner{}, 0, lead.Owner{Entry: "a", Incarnation: "a-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := fold.BootClock{}
+	n := &Node{clock: clock, rules: front.NewRules(nil, clock, hclog.NewNullLogger(), nil)}
+	n.ownerRow = ownerRowState{owner: lead.Owner{Entry: "b", Waiting: map[string]int{"q": 3}}, version: 1, readAt: clock.Now()}
+	n.setDriver(drive.New(drive.Parts{Table: table, Clock: clock, Logger: hclog.NewNullLogger()}, term, fold.Rules{}))
+	if waiting, ok := n.waiting("q"); !ok || waiting != 3 {
+		t.Errorf("%d jobs wait, known %v; want the 3 of the last owner", waiting, ok)
+	}
+	if s := n.snapshotFor(0); s.Owner.Waiting["q"] != 3 || s.Owner.Entry != n.settings.Name {
+		t.Errorf("snapshot of the owner %+v, want the 3 waiting jobs of the last owner", s.Owner)
+	}
+	n.ownerRow.readAt = clock.Now().Add(-2 * maxCountsAge)
+	if _, ok := n.waiting("q"); ok {
+		t.Error("counts that are too old are reported")
+	}
+}
