Wait for the capacity of a restarted host

A host gets no starts until the roster has described its incarnation.

TestCapacityOfNextIncarnation fails before the change with 3 starts instead of none; it passes after it.

--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -14,8 +14,9 @@
 // incarnation, and runs holds the runs that may exist there.
 type host struct {
 	info fold.Host
-	// listed reports whether the last roster contained the host.
-	listed bool
+	// listed reports whether the last roster contained the host. described reports whether it described this incarnation, which
+	// may have another capacity than the one before.
+	listed, described bool
 	// unlistedSince is when the host's current absence from the roster began.
 	unlistedSince fold.Instant
 	// enforcesFence reports whether this incarnation has answered a request that carries this owner's fence. From then on,
@@ -119,7 +120,7 @@
 			h.health.leavesAt = c.now.Add(info.Remaining)
 		}
 		h.info = info
-		h.listed = true
+		h.listed, h.described = true, true
 	}
 	c.hostsByID = slices.DeleteFunc(c.hostsByID, func(h *host) bool {
 		if inRoster[h.info.ID] {
@@ -149,7 +150,7 @@
 	h.info.Incarnation = incarnation
 	c.hostsChanged = true
 	h.enforcesFence, h.ownLeaseEnd, h.foreignLeaseEnd = false, 0, c.now.Add(lease.OnSlowestClock(c.times.Lease))
-	h.compared, h.moreEnds = false, false
+	h.compared, h.moreEnds, h.described = false, false, false
 	h.lastEnd, h.nextAck, h.lastAck = 0, 0, 0
 	h.health = health{}
 	for _, u := range h.unconfirmedStarts {
@@ -188,7 +189,7 @@
 
 // acceptsWork reports whether the host takes new runs.
 func (h *host) acceptsWork(now fold.Instant) bool {
-	return h.listed && h.enforcesFence && !h.info.Draining && h.silentSince == 0 && len(h.forbiddenStarts) == 0 && !h.health.quarantined(now) &&
+	return h.listed && h.described && h.enforcesFence && !h.info.Draining && h.silentSince == 0 && len(h.forbiddenStarts) == 0 && !h.health.quarantined(now) &&
 		(h.lastUnknownRun == 0 || now.Sub(h.lastUnknownRun) > unknownRunPause)
 }
 
--- a/fold/core/host_test.go
+++ b/fold/core/host_test.go
@@ -162,3 +162,20 @@
 		t.Errorf("starts %+v, want run 2 at once", starts)
 	}
 }
+
+// Guards against starts beyond the capacity of a host that has started again as a smaller one: its report shows the new
+// incarnation before the roster describes it.
+func TestCapacityOfNextIncarnation(t *testing.T) {
+	b := newFixture(t, fold.Rules{}, host("a", 4000))
+	smaller := host("a", 1000)
+	smaller.Incarnation = 2
+	b.report(smaller, nil, nil)
+	b.cell.AddJob(job(queue(0), step(3)), 1)
+	if starts := b.decide().Starts; len(starts) != 0 {
+		t.Errorf("%d starts before the capacity is known, want none", len(starts))
+	}
+	b.cell.SetHosts([]fold.Host{smaller})
+	if starts := b.decide().Starts; len(starts) != 1 {
+		t.Errorf("%d starts, want the one that fits", len(starts))
+	}
+}
