Keep a record that fits nowhere else from stopping a commit

A record that takes several rows and does not fit beside requests could be postponed in each commit of a batch; it now gets a commit of its own after one in which nothing fitted. The limits of 8,000 open tasks and 16,000 steps, with the hosts of a large pool, allowed records of up to about 470 KB; 6,000 and 8,000 keep them below 384 KB. Parts that wait for space in the record also ask for no advice and preempt nothing.

TestRecordLongerThanARow (4 cases, one with checkpoints of 160 bytes) and TestManyLongJobs pass before and after.

--- a/fold/core/advice.go
+++ b/fold/core/advice.go
@@ -166,7 +166,7 @@
 	if !slow && policy.CallTime+minCallHosts*policy.TimePerHost > maxQuickCall {
 		return AdviceCall{}, false
 	}
-	if !c.withinLimit(p.job.spec.Team, p.step.Size) && !c.mayPreempt(p) {
+	if !p.fitsRecord() || !c.withinLimit(p.job.spec.Team, p.step.Size) && !c.mayPreempt(p) {
 		return AdviceCall{}, false
 	}
 	share := c.capacityShare(p)
--- a/fold/core/job.go
+++ b/fold/core/job.go
@@ -163,7 +163,7 @@
 
 // maxOpenTasks limits the open tasks of a job, so that its record fits into a commit. Occurrences may overlap, and each has up
 // to flow.MaxTasks.
-const maxOpenTasks = 4 * flow.MaxTasks
+const maxOpenTasks = 3 * flow.MaxTasks
 
 // fitsRecord reports whether the record of the job has space for the tasks of the part.
 func (p *part) fitsRecord() bool {
--- a/fold/core/preempt.go
+++ b/fold/core/preempt.go
@@ -31,7 +31,7 @@
 		if budget <= 0 {
 			return
 		}
-		if p.waitingTasks == 0 || p.step.Gang || c.awaitsHosts(p) || c.now < p.preemptionTime() || !c.mayPreempt(p) {
+		if p.waitingTasks == 0 || p.step.Gang || !p.fitsRecord() || c.awaitsHosts(p) || c.now < p.preemptionTime() || !c.mayPreempt(p) {
 			continue
 		}
 		budget -= c.preemptFor(p, c.openHostsFor(p))
--- a/fold/drive/backlog.go
+++ b/fold/drive/backlog.go
@@ -77,7 +77,7 @@
 
 // pack selects writes for a commit of at most limit entries and space bytes, and returns the rest. Final states come first,
 // because every entry can read them once they have rows of their own. A record that takes several rows waits for a commit in
-// which all of them fit.
+// which all of them fit, unless this commit has the whole space and nothing else.
 func (d *Driver) pack(writes []core.Write, limit, space int) (recordRows, []core.Write, error) {
 	p := recordRows{rowCounts: make(map[string]int)}
 	var later []core.Write
@@ -95,7 +95,9 @@
 			return p, nil, err
 		}
 		rows, stale := d.backlog.rowsOf(w.Job, value)
-		if len(rows)+len(stale) > 1 && (p.entries()+len(rows)+len(stale) > limit || p.size+len(value) > space) {
+		entries := len(rows) + len(stale)
+		fits := p.entries()+entries <= limit && p.size+len(value) <= space
+		if entries > 1 && !fits && (p.entries() > 0 || space < maxBytes) {
 			later = append(later, w)
 			continue
 		}
@@ -117,8 +119,8 @@
 	return rows, stale
 }
 
-// maxRecord is the size in bytes of an encoded record above which it is written without checkpoints. The other fields of a
-// job's record, whose tasks core and flow limit, always take less.
+// maxRecord is the size in bytes of an encoded record above which it is written without checkpoints. The other fields take
+// less, because core limits the open tasks and flow the steps of a job.
 const maxRecord = 384 << 10
 
 // encodeRecord encodes the record of a job. A record that would not fit into a commit is encoded without checkpoints.
--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -189,8 +189,13 @@
 // writeBatch writes the batch, split into as many commits as necessary.
 func (d *Driver) writeBatch(ctx context.Context, b batch) error {
 	writes := slices.Concat(b.writes, b.ownRows)
+	// whole is set if the next commit is reserved for a record that did not fit beside other rows.
+	whole := false
 	for first := true; first || len(writes) > 0; first = false {
 		if !first {
+			b.requests = nil
+		}
+		if !first && !whole {
 			b.requests = answerOutdated(d.takeRequests(maxRows))
 		}
 		txn := fold.Txn{Deletes: b.deletes}
@@ -212,6 +217,7 @@
 			return err
 		}
 		d.backlog.recordCommit(packed)
+		whole = packed.entries() == 0
 		writes, b.deletes = rest, nil
 	}
 	return nil
--- a/fold/flow/job.go
+++ b/fold/flow/job.go
@@ -16,7 +16,7 @@
 	MaxTasks = 2000
 	// MaxParts is the maximum number of steps of all occurrences together. With MaxTasks it limits the record of a job, which is
 	// written in a single commit.
-	MaxParts = 16000
+	MaxParts = 8000
 	// MaxSpec is the maximum size of the specification in bytes.
 	MaxSpec = 4000
 	// MaxTimes is the maximum number of occurrences of a scheduled job.
