Build the occurrences of a schedule when they are due

Ruled out: the records, in which a finished occurrence takes a few bytes.

An occurrence is now built when it is due, as long as fewer than 6,000 tasks of its job are built and not done, and the tasks of a finished step are released.

--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -48,7 +48,9 @@
 	hostsByID []*host
 	// active lists the unfinished parts whose predecessors are done and that are due.
 	active []*part
-	// scheduled lists the parts of occurrences that are not due yet.
+	// scheduledJobs lists the jobs with occurrences that were not activated yet.
+	scheduledJobs []*job
+	// scheduled lists the parts of built occurrences that are not due, because the time of day went back.
 	scheduled []*part
 
 	// dirty lists the jobs whose record has changed since the last snapshot.
--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -76,6 +76,7 @@
 	}
 	c.countWaitingTasks(r.task)
 	c.markDirty(p.job)
+	p.release()
 }
 
 // loseRun detaches a run that ended without a reported result.
@@ -161,13 +162,17 @@
 	}
 }
 
-// findTask returns the task with the name, or nil.
+// findTask returns the task with the name, or nil if there is none or all tasks of its step are done.
 func (c *Cell) findTask(n flow.TaskName) *task {
 	j, ok := c.jobs[n.Job]
-	if !ok || n.Occurrence >= len(j.parts) || n.Step >= len(j.spec.Steps) || n.Index >= len(j.parts[0][n.Step].tasks) {
+	if !ok || n.Occurrence >= len(j.parts) || n.Step >= len(j.spec.Steps) {
 		return nil
 	}
-	return &j.parts[n.Occurrence][n.Step].tasks[n.Index]
+	p := j.occurrence(n.Occurrence)[n.Step]
+	if n.Index >= len(p.tasks) {
+		return nil
+	}
+	return &p.tasks[n.Index]
 }
 
 // recordDone completes the task of a run that was done. For a gang, one run completes all of its tasks.
@@ -179,8 +184,10 @@
 		c.completeTask(t)
 		return
 	}
-	for i := range t.part.tasks {
-		c.completeTask(&t.part.tasks[i])
+	// The last task releases the list.
+	tasks := t.part.tasks
+	for i := range tasks {
+		c.completeTask(&tasks[i])
 	}
 }
 
--- a/fold/core/job.go
+++ b/fold/core/job.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"plantainfold.example/fold"
@@ -15,16 +16,19 @@
 	// recordedState is the state in the last durable record.
 	recordedState flow.State
 	endedAt       int64
-	// parts holds the steps of all occurrences, by occurrence and step.
+	// parts holds the steps of all occurrences, by occurrence and step. An occurrence is nil until it is built.
 	parts [][]*part
+	// nextOccurrence is the first occurrence that was not activated because it was not due.
+	nextOccurrence int
 	// partsLeft counts the unfinished parts. liveRuns counts the runs that may be on a host.
 	partsLeft, liveRuns int
 	// started reports whether a run of the job was ever planned.
 	started bool
 	// countedWaiting reports whether the job is included in Cell.waiting.
 	countedWaiting bool
-	// openTasks counts the tasks of the begun parts that are not done. Each of them takes space in the record.
-	openTasks int
+	// openTasks counts the tasks of the begun parts that are not done. Each of them takes space in the record. builtTasks counts
+	// the tasks of all built parts that are not done.
+	openTasks, builtTasks int
 	// recordSeq is the sequence number of the last record.
 	recordSeq int64
 	// tableVersion is the version of the table at which the job was accepted. It is 0 for a job that this owner has loaded.
@@ -202,7 +206,8 @@
 		j.queue = q
 	}
 	c.jobs[spec.ID] = j
-	j.buildParts()
+	j.parts = make([][]*part, j.spec.Occurrences())
+	j.partsLeft = len(j.parts) * len(j.spec.Steps)
 	c.setDeadlines(j)
 	if rec.State != "" {
 		c.restore(j, rec)
@@ -211,34 +216,57 @@
 		c.updateState(j)
 		return
 	}
-	for _, steps := range j.parts {
-		for _, p := range steps {
+	if !c.activateOccurrences(j) {
+		c.scheduledJobs = append(c.scheduledJobs, j)
+	}
+	c.updateState(j)
+}
+
+// activateOccurrences activates the occurrences of a job that have become due, in order, and reports whether none is left. A job
+// with maxOpenTasks built tasks waits until some of them are done.
+func (c *Cell) activateOccurrences(j *job) bool {
+	for ; j.nextOccurrence < len(j.parts); j.nextOccurrence++ {
+		occ := j.nextOccurrence
+		full := j.parts[occ] == nil && j.builtTasks > 0 && j.builtTasks+j.spec.Tasks() > maxOpenTasks
+		if j.state.Final() || j.spec.Due(occ) > c.wall || full {
+			break
+		}
+		for _, p := range j.occurrence(occ) {
 			c.activate(p)
 		}
 	}
-	c.updateState(j)
+	return j.nextOccurrence == len(j.parts)
 }
 
-// buildParts creates the parts of all occurrences.
-func (j *job) buildParts() {
-	j.parts = make([][]*part, j.spec.Occurrences())
-	for occ := range j.parts {
-		steps := make([]*part, len(j.spec.Steps))
-		for i := range steps {
-			step := &j.spec.Steps[i]
-			p := &part{job: j, step: step, occurrence: occ, index: i, waitingTasks: step.Count, blockers: len(step.After)}
-			p.tasks = make([]task, step.Count)
-			for k := range p.tasks {
-				p.tasks[k] = task{part: p, index: k}
-			}
-			for _, a := range step.After {
-				steps[a].successors = append(steps[a].successors, p)
-			}
-			steps[i] = p
+// occurrence returns the parts of an occurrence, and builds them first if necessary. Occurrences are built when they are due,
+// because all tasks of a schedule together may take more memory than a process has.
+func (j *job) occurrence(occ int) []*part {
+	if j.parts[occ] != nil {
+		return j.parts[occ]
+	}
+	steps := make([]*part, len(j.spec.Steps))
+	for i := range steps {
+		step := &j.spec.Steps[i]
+		p := &part{job: j, step: step, occurrence: occ, index: i, waitingTasks: step.Count, blockers: len(step.After)}
+		p.tasks = make([]task, step.Count)
+		for k := range p.tasks {
+			p.tasks[k] = task{part: p, index: k}
+		}
+		for _, a := range step.After {
+			steps[a].successors = append(steps[a].successors, p)
 		}
-		j.parts[occ] = steps
+		steps[i] = p
+		j.builtTasks += step.Count
+	}
+	j.parts[occ] = steps
+	return steps
+}
+
+// release frees the tasks of a part that are all done and have no runs. A part without tasks counts as done.
+func (p *part) release() {
+	if p.doneTasks == len(p.tasks) && p.liveRunCount() == 0 {
+		p.tasks, p.doneTasks = nil, 0
 	}
-	j.partsLeft = len(j.parts) * len(j.spec.Steps)
 }
 
 // worthlessFactor is the multiple of its objective after which a job is worthless.
@@ -275,8 +303,10 @@
 	c.active = append(c.active, p)
 }
 
-// activateDue moves parts that have become due from the scheduled to the active ones.
+// activateDue activates the occurrences that have become due, and moves parts that have become due from the scheduled to the
+// active ones.
 func (c *Cell) activateDue() {
+	c.scheduledJobs = slices.DeleteFunc(c.scheduledJobs, func(j *job) bool { return j.state.Final() || c.activateOccurrences(j) })
 	kept := c.scheduled[:0]
 	for _, p := range c.scheduled {
 		switch {
@@ -365,11 +395,13 @@
 		p.job.openTasks -= len(p.tasks)
 	}
 	p.begun = true
+	p.job.builtTasks -= len(p.tasks)
 	p.job.partsLeft--
 	for _, n := range p.successors {
 		n.blockers--
 		c.activate(n)
 	}
+	p.release()
 	c.updateState(p.job)
 }
 
--- a/fold/core/record.go
+++ b/fold/core/record.go
@@ -158,7 +158,7 @@
 			c.log.Warn("Ignored a recorded step that the job does not have.", "job", j.spec.ID, "step", pr.Step)
 			continue
 		}
-		p := j.parts[pr.Occurrence][pr.Step]
+		p := j.occurrence(pr.Occurrence)[pr.Step]
 		for i := range p.tasks {
 			c.restoreTask(&p.tasks[i], pr)
 		}
@@ -178,10 +178,12 @@
 			p.gangFailures = max(p.gangFailures, p.tasks[i].failures)
 		}
 		if p.doneTasks == len(p.tasks) {
+			j.builtTasks -= len(p.tasks)
 			j.partsLeft--
 			for _, n := range p.successors {
 				n.blockers--
 			}
+			p.release()
 		}
 	}
 }
--- a/fold/flow/job.go
+++ b/fold/flow/job.go
@@ -93,6 +93,15 @@
 	return max(1, j.Times)
 }
 
+// Tasks returns the number of tasks of an occurrence.
+func (j *Job) Tasks() int {
+	total := 0
+	for _, s := range j.Steps {
+		total += s.Count
+	}
+	return total
+}
+
 // Due returns when an occurrence may start, in milliseconds since the Unix epoch. It returns 0 for a job without a
 // schedule.
 func (j *Job) Due(occurrence int) int64 {
