Log the inputs of lost runs, of takeovers and of the renewal of leases

No decision changes.

"Run lost." now has the bounds of the leases that it relied on, how long the host was silent, whether it had answered this owner and whether it was listed. An owner logs when it stops renewing leases, and each start without a record. An entry logs why a takeover is due and how old its takeover was when its term began.

--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -82,11 +82,29 @@
 // loseRun detaches a run that ended without a reported result.
 func (c *Cell) loseRun(r *run, why string) {
 	c.stats.Lost++
-	c.log.Info("Run lost.", "task", r.key().task, "run", r.number, "host", r.host.info.ID, "why", why)
+	h := r.host
+	c.log.Info("Run lost.", "task", r.key().task, "run", r.number, "host", h.info.ID, "why", why, "inherited", r.inherited, "answered", h.enforcesFence,
+		"listed", h.listed, "silence", c.since(h.silentSince), "foreignLease", c.leaseLeft(h.foreignLeaseEnd), "ownLease", c.leaseLeft(h.ownLeaseEnd))
 	c.detach(r)
 	c.stopGang(r)
 }
 
+// since returns the time since an instant for a log line, or "" if the instant is not set.
+func (c *Cell) since(at fold.Instant) string {
+	if at == 0 {
+		return ""
+	}
+	return c.now.Sub(at).String()
+}
+
+// leaseLeft returns the time until the end of a lease for a log line, or "" if there is none. It is negative after the end.
+func (c *Cell) leaseLeft(end fold.Instant) string {
+	if end == 0 {
+		return ""
+	}
+	return end.Sub(c.now).String()
+}
+
 // stopGang stops the other members of the run's gang.
 func (c *Cell) stopGang(r *run) {
 	p := r.task.part
--- a/fold/core/takeover.go
+++ b/fold/core/takeover.go
@@ -157,6 +157,7 @@
 		for _, r := range plans {
 			if r.phase == phasePlanned && !r.detached && !r.stopping && c.recordedIncarnations[r.host.info.ID] == r.incarnation && r.task.part.job.tableVersion <= c.lastCommit {
 				r.phase = phaseOrdered
+				c.log.Info("Started a run without a record.", "task", r.id, "run", r.number, "host", r.host.info.ID)
 				c.orderStart(r)
 			}
 		}
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -98,6 +98,8 @@
 	cell *core.Cell
 	// lastCommit is when the last successful commit was sent. Leases are renewed for a limited time after it.
 	lastCommit fold.Instant
+	// renewalPaused reports whether leases were not renewed at the last check because lastCommit was too long ago.
+	renewalPaused bool
 	// staleRows are the keys of rows of ended jobs that have to be deleted.
 	staleRows []string
 	// backlog is used only by the commit loop and the loading before it.
@@ -184,6 +186,13 @@
 	return d.term.Epoch()
 }
 
+// SinceCommit returns the time since the last successful commit was sent, or since New if there was none.
+func (d *Driver) SinceCommit() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.parts.Clock.Now().Sub(d.lastCommit)
+}
+
 // Loaded returns a channel that is closed once the driver has loaded all jobs.
 func (d *Driver) Loaded() <-chan struct{} {
 	return d.loaded
--- a/fold/drive/supervision.go
+++ b/fold/drive/supervision.go
@@ -75,6 +75,7 @@
 // runSupervision keeps each host assigned to a supervisor until ctx ends.
 func (d *Driver) runSupervision(ctx context.Context) {
 	for ctx.Err() == nil {
+		d.logPermission()
 		d.checkSessions()
 		d.openSessions(ctx)
 		d.assignHosts()
@@ -84,6 +85,21 @@
 	}
 }
 
+// logPermission logs when this owner stops renewing leases and when it renews them again.
+func (d *Driver) logPermission() {
+	d.mu.Lock()
+	renewing, sinceCommit := d.mayRenewLocked(), d.parts.Clock.Now().Sub(d.lastCommit)
+	changed := renewing == d.renewalPaused
+	d.renewalPaused = !renewing
+	d.mu.Unlock()
+	switch {
+	case changed && renewing:
+		d.log.Info("Renewing leases again.")
+	case changed:
+		d.log.Warn("Stopped renewing leases because no commit has succeeded.", "sinceCommit", sinceCommit.String())
+	}
+}
+
 // checkSessions ends the sessions whose relays have stopped calling. Time during which this process was stalled does
 // not count as silence of a relay.
 func (d *Driver) checkSessions() {
--- a/fold/lead/lead.go
+++ b/fold/lead/lead.go
@@ -90,8 +90,9 @@
 type Term struct {
 	table fold.Table
 	clock fold.Clock
-	// epoch never changes and may be read during a commit.
+	// epoch and began never change and may be read during a commit. began is when TakeOver was called.
 	epoch   int64
+	began   fold.Instant
 	owner   Owner
 	version int64
 	// usualCommit is the moving average of the durations of commit attempts.
@@ -110,7 +111,7 @@
 // error except Unknown the takeover has no effect.
 func TakeOver(ctx context.Context, table fold.Table, clock fold.Clock, previous Owner, version int64, next Owner) (*Term, error) {
 	next.Epoch, next.CommitCount, next.Waiting, next.Entries, next.FitCount = previous.Epoch+1, 0, previous.Waiting, nil, 0
-	t := &Term{table: table, clock: clock, epoch: next.Epoch, owner: next, version: version}
+	t := &Term{table: table, clock: clock, epoch: next.Epoch, began: clock.Now(), owner: next, version: version}
 	if err := t.commitUntilKnown(ctx, fold.Txn{}, t.owner); err != nil {
 		return nil, err
 	}
@@ -122,6 +123,11 @@
 	return t.epoch
 }
 
+// Began returns an instant before the commit that began the term was sent.
+func (t *Term) Began() fold.Instant {
+	return t.began
+}
+
 // Version returns the table version of the last commit. It must not be called during a commit.
 func (t *Term) Version() int64 {
 	return t.version
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -122,7 +122,8 @@
 			if s.owner.Epoch != epoch {
 				state, unansweredPings = ownerNotSuspected, 0
 			}
-			if goodReads > 0 && n.takeoverDue(s, state, unansweredPings) {
+			if due, why := n.takeoverDue(s, state, unansweredPings); goodReads > 0 && due {
+				n.log.Info("A takeover of the pool is due.", "owner", s.owner.Entry, "epoch", s.owner.Epoch, "why", why, "unchanged", n.clock.Now().Sub(s.changedAt).String(), "unanswered", unansweredPings)
 				return s.owner, s.version, nil
 			}
 		}
@@ -145,10 +146,19 @@
 	}
 }
 
-// takeoverDue reports whether an entry other than the owner may take over. The last probe found the owner in the given state.
-func (n *Node) takeoverDue(s ownerRowState, state ownerState, unansweredPings int) bool {
-	unchanged := n.clock.Now().Sub(s.changedAt)
-	return s.owner.Entry == "" || state == ownerGone || n.isInvited(s.owner.Epoch) || unchanged > lead.TakeoverDelayFor(s.readTime, unansweredPings >= minUnansweredPings)
+// takeoverDue reports whether an entry other than the owner may take over, and why. The last probe found the owner in the
+// given state.
+func (n *Node) takeoverDue(s ownerRowState, state ownerState, unansweredPings int) (due bool, why string) {
+	switch {
+	case s.owner.Entry == "":
+		return true, "no entry owns the pool"
+	case state == ownerGone:
+		return true, "the owner is gone"
+	case n.isInvited(s.owner.Epoch):
+		return true, "the owner has invited this entry"
+	default:
+		return n.clock.Now().Sub(s.changedAt) > lead.TakeoverDelayFor(s.readTime, unansweredPings >= minUnansweredPings), "the owner does not commit"
+	}
 }
 
 // readOwnerRow reads the owner's row into s and returns the number of consecutive successful reads, 0 after a failed one.
@@ -303,7 +313,7 @@
 // serveTerm runs a driver for the pool until the driver stops. Unless another entry has taken over, it then hands the pool
 // over. The argument awaitUnrecorded is true if the previous owner may have started unrecorded runs.
 func (n *Node) serveTerm(ctx context.Context, term *lead.Term, awaitUnrecorded bool) {
-	n.log.Info("This entry owns the pool.", "epoch", term.Epoch(), "await", awaitUnrecorded)
+	n.log.Info("This entry owns the pool.", "epoch", term.Epoch(), "await", awaitUnrecorded, "sinceTakeover", n.clock.Now().Sub(term.Began()).String())
 	index, _, _ := n.rules.Current()
 	driver := drive.New(drive.Parts{
 		Table: n.parts.Table, Log: n.parts.Log, Runner: n.parts.Runner, Roster: n.parts.Roster,
@@ -319,7 +329,7 @@
 	n.setDriver(nil)
 	if err != nil {
 		// After an error other than Fenced and HostFenced, this entry may own the pool until Release.
-		n.log.Warn("This entry no longer owns the pool.", "epoch", term.Epoch(), "error", err)
+		n.log.Warn("This entry no longer owns the pool.", "epoch", term.Epoch(), "sinceCommit", driver.SinceCommit().String(), "error", err)
 	}
 	if errorx.IsOfType(err, fold.Fenced) || errorx.IsOfType(err, fold.HostFenced) {
 		return
