--- a/fold/core/lease_test.go
+++ b/fold/core/lease_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -35,7 +36,7 @@
 			other := host("b", 1000)
 			b.cell.SetAwaited(c.awaited)
 			b.cell.RestoreJob(job(queue(0), step(1)), c.record)
-			b.hosts = append(c.listed, other)
+			b.hosts = append(slices.Clone(c.listed), other)
 			b.cell.SetHosts(b.hosts)
 			var startedAfter time.Duration
 			const interval = 20 * time.Millisecond
