Wait for the leases that the previous owner renews without the table

Cause: an owner that cannot commit renews leases for 4 s after its last commit, and a lease lasts 6 s. The next owner computed this bound when it first heard of a host, but replaced it by one lease from then on as soon as it learned the host's incarnation, which it did at the same moment, from the record of a run, the list of used hosts or the roster. It treated the first incarnation that it learned as a restart. A task on a host that the next owner did not reach and the previous one did was started again up to 4 s before its lease had ended. The bound was cut at a real restart too, although a host that starts again forgets the fence of the new owner.

Now the bound follows from the start of the term alone. It is shortened only by the first answer of a host, which from then on refuses earlier owners, and a restart takes that back.

Ruled out for these cases: runs without records; the runs of the test are recorded, except in its last case, where the host is awaited.

--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -31,8 +31,8 @@
 	times Times
 	log   hclog.Logger
 
-	// now is the current time of the steady clock.
-	now fold.Instant
+	// now is the current time of the steady clock. startedAt is the first one, which is after the takeover of this owner.
+	now, startedAt fold.Instant
 	// wall is the time of day in milliseconds since the Unix epoch.
 	wall int64
 
@@ -166,6 +166,9 @@
 func (c *Cell) SetTime(now fold.Instant, wall int64) {
 	c.now = max(c.now, now)
 	c.wall = wall
+	if c.startedAt == 0 {
+		c.startedAt = c.now
+	}
 }
 
 // Now returns the latest time passed to SetTime.
--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -86,7 +86,7 @@
 func (c *Cell) host(id string) *host {
 	h, ok := c.hosts[id]
 	if !ok {
-		h = &host{info: fold.Host{ID: id}, sentMaxWait: idleWait, runs: make(map[runKey]*run), foreignLeaseEnd: c.now.Add(c.foreignLease()), unlistedSince: c.now}
+		h = &host{info: fold.Host{ID: id}, sentMaxWait: idleWait, runs: make(map[runKey]*run), foreignLeaseEnd: c.foreignLeaseEnd(), unlistedSince: c.now}
 		c.hosts[id] = h
 		at, _ := slices.BinarySearchFunc(c.hostsByID, id, func(o *host, id string) int { return cmp.Compare(o.info.ID, id) })
 		c.hostsByID = slices.Insert(c.hostsByID, at, h)
@@ -94,10 +94,10 @@
 	return h
 }
 
-// foreignLease returns how long leases of an earlier owner may last, counted from the start of this owner. The earlier owner
-// continues to renew leases for a limited time while it cannot reach the table.
-func (c *Cell) foreignLease() time.Duration {
-	return c.times.RenewWithoutTable + lease.OnSlowestClock(c.times.Lease)
+// foreignLeaseEnd returns the time by which all leases of earlier owners have expired on a host that does not enforce the
+// fence of this owner. An earlier owner may renew leases for RenewWithoutTable after this one has taken over.
+func (c *Cell) foreignLeaseEnd() fold.Instant {
+	return c.startedAt.Add(c.times.RenewWithoutTable + lease.OnSlowestClock(c.times.Lease))
 }
 
 // SetHosts applies a complete list of the hosts in the roster.
@@ -149,7 +149,10 @@
 	firstIncarnation := h.info.Incarnation == 0
 	h.info.Incarnation = incarnation
 	c.hostsChanged = true
-	h.enforcesFence, h.ownLeaseEnd, h.foreignLeaseEnd = false, 0, c.now.Add(lease.OnSlowestClock(c.times.Lease))
+	h.enforcesFence, h.ownLeaseEnd = false, 0
+	// The host has forgotten the fence. Before it gets it again, it accepts calls of earlier owners: those that are still on
+	// their way, and new ones as long as an earlier owner may renew leases.
+	h.foreignLeaseEnd = max(c.foreignLeaseEnd(), c.now.Add(lease.OnSlowestClock(c.times.Lease)))
 	h.compared, h.moreEnds, h.described = false, false, false
 	h.lastEnd, h.nextAck, h.lastAck = 0, 0, 0
 	h.health = health{}
--- a/fold/core/lease_test.go
+++ b/fold/core/lease_test.go
@@ -10,15 +10,36 @@
 	"plantainfold.example/fold/lease"
 )
 
+// keepTime is how long an owner renews leases after its last commit.
+const keepTime = 4 * time.Second
+
+// recordOfRun returns the record of a job whose only task has run 1 on the host.
+func recordOfRun(h fold.Host) flow.Record {
+	return flow.Record{
+		State: flow.Running, Seq: 1, Hosts: []flow.LiveHost{{ID: h.ID, Incarnation: h.Incarnation}},
+		Parts: []flow.Part{{Done: []byte{0}, Runs: []uint32{1}, Live: []flow.LiveRun{{Run: 1}}}},
+	}
+}
+
+// untilStart returns the time until the cell starts a task on the host, which keeps answering. It returns 0 if the cell starts
+// none while leases may last.
+func (b *fixture) untilStart(h fold.Host) time.Duration {
+	const interval = 20 * time.Millisecond
+	for waited := time.Duration(0); waited < 2*(keepTime+leaseTime); waited += interval {
+		b.report(h, nil, nil)
+		if len(b.decide().Starts) > 0 {
+			return waited
+		}
+		b.advance(interval)
+	}
+	return 0
+}
+
 // Guards against a new owner that starts a task again while its run may still hold a lease of the previous owner, which
 // renews leases for Times.RenewWithoutTable after its last commit.
 func TestLeasesThatPreviousOwnerRenewsWithoutTable(t *testing.T) {
-	const keepTime = 4 * time.Second
 	silent := host("a", 1000)
-	record := flow.Record{
-		State: flow.Running, Seq: 1, Hosts: []flow.LiveHost{{ID: silent.ID, Incarnation: silent.Incarnation}},
-		Parts: []flow.Part{{Done: []byte{0}, Runs: []uint32{1}, Live: []flow.LiveRun{{Run: 1}}}},
-	}
+	record := recordOfRun(silent)
 	cases := []struct {
 		name string
 		// awaited and listed are what the new owner knows of the host on which the run may be.
@@ -38,15 +59,7 @@
 			b.cell.RestoreJob(job(queue(0), step(1)), c.record)
 			b.hosts = append(slices.Clone(c.listed), other)
 			b.cell.SetHosts(b.hosts)
-			var startedAfter time.Duration
-			const interval = 20 * time.Millisecond
-			for waited := time.Duration(0); waited < 2*(keepTime+leaseTime) && startedAfter == 0; waited += interval {
-				b.report(other, nil, nil)
-				if len(b.decide().Starts) > 0 {
-					startedAfter = waited
-				}
-				b.advance(interval)
-			}
+			startedAfter := b.untilStart(other)
 			if bound := keepTime + lease.OnSlowestClock(leaseTime); startedAfter < bound {
 				t.Errorf("the task starts again after %s; the previous owner's leases may last %s", startedAfter, bound)
 			}
@@ -56,3 +69,22 @@
 		})
 	}
 }
+
+// Guards against a new owner that forgets, when a host starts again right after the takeover, that the previous owner may
+// renew leases there: the host no longer enforces the fence of the new owner.
+func TestLeasesOnHostThatRestartsAfterTakeover(t *testing.T) {
+	b := newFixture(t, fold.Rules{})
+	restarted, other := host("a", 1000), host("b", 1000)
+	b.cell.RestoreJob(job(queue(0), step(1)), recordOfRun(restarted))
+	b.hosts = []fold.Host{restarted, other}
+	b.cell.SetHosts(b.hosts)
+	b.report(restarted, []fold.HostRun{{Task: id + ".0.0.0", Run: 1}}, nil)
+	const restartedAfter = 500 * time.Millisecond
+	b.advance(restartedAfter)
+	b.hosts[0].Incarnation++
+	b.cell.SetHosts(b.hosts)
+	startedAfter := restartedAfter + b.untilStart(other)
+	if bound := keepTime + lease.OnSlowestClock(leaseTime); startedAfter < bound {
+		t.Errorf("the task starts again after %s; the previous owner's leases may last %s", startedAfter, bound)
+	}
+}
