Count the permission to renew leases from the sending of the takeover

An owner counted its permission to renew leases, which lasts 4 s without a commit, from the moment at which its term began to run. If the process was paused during the takeover, or the answer to it was late, another entry may have taken over meanwhile, and the owner renewed leases for longer than that entry expects.

The permission now counts from before the takeover was sent, as it does for each later commit.

--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -96,7 +96,8 @@
 
 	mu   sync.Mutex
 	cell *core.Cell
-	// lastCommit is when the last successful commit was sent. Leases are renewed for a limited time after it.
+	// lastCommit is when the last successful commit was sent, at first the takeover. Leases are renewed for a limited time
+	// after it.
 	lastCommit fold.Instant
 	// renewalPaused reports whether leases were not renewed at the last check because lastCommit was too long ago.
 	renewalPaused bool
@@ -137,7 +138,7 @@
 		log:          parts.Logger.Named("drive").With("epoch", term.Epoch()),
 		term:         term,
 		cell:         core.New(parts.Times, parts.Logger.Named("core")),
-		lastCommit:   parts.Clock.Now(),
+		lastCommit:   term.Began(),
 		ended:        make(map[string]endedJob),
 		earlyCancels: make(map[string]bool),
 
@@ -186,7 +187,7 @@
 	return d.term.Epoch()
 }
 
-// SinceCommit returns the time since the last successful commit was sent, or since New if there was none.
+// SinceCommit returns the time since the last successful commit, or else the takeover, was sent.
 func (d *Driver) SinceCommit() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
