Await a host that has started again since it was recorded

An earlier owner may have sent a start without a record to an incarnation of a host that had already ended. The next incarnation, which has the same id, runs it. The new owner stopped awaiting such a host as soon as the roster or a record named the new incarnation; the task was started elsewhere, and the first run was stopped as unknown: two runs at the same time, under two owners.

Such a host is now awaited until its new incarnation has sent a complete report or its leases have ended. The incarnation of an awaited host is no longer kept.

TestAwaitedHostIsGivenUp bounds the wait.

--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -87,8 +87,8 @@
 	// recordedIncarnations holds the hosts named by the last record of hosts. Only these may get a run before it is
 	// recorded, because a later owner queries them before it starts anything.
 	recordedIncarnations map[string]int64
-	// awaited holds the incarnations of hosts on which an earlier owner may have started runs without a record.
-	awaited map[string]int64
+	// awaited holds the ids of hosts on which an earlier owner may have started runs without a record.
+	awaited map[string]bool
 	// awaitedUse is an upper bound of the resources that such runs use. It counts against the limit of each team.
 	awaitedUse fold.Resources
 	// hostsChanged reports whether hosts were added, were removed, answered or became silent since the last comparison with
--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -226,7 +226,7 @@
 }
 
 func (c *Cell) needsContact(h *host) bool {
-	return h.info.Address != "" && (h.listed || len(h.runs) > 0 || c.awaited[h.info.ID] != 0)
+	return h.info.Address != "" && (h.listed || len(h.runs) > 0 || c.awaited[h.info.ID])
 }
 
 // Contact returns the contact of the host with the id if the host must be asked for reports.
--- a/fold/core/takeover.go
+++ b/fold/core/takeover.go
@@ -14,21 +14,18 @@
 }
 
 // SetAwaited sets the hosts that an earlier owner recorded as its own. It may have started runs there without a record. Jobs
-// of that owner therefore start nothing until each host has sent a complete report or restarted, or its leases have ended.
+// of that owner therefore start nothing until each host has sent a complete report or its leases have ended.
 func (c *Cell) SetAwaited(hosts []fold.Host) {
-	c.awaited = make(map[string]int64)
+	c.awaited = make(map[string]bool)
 	for _, info := range hosts {
 		h := c.host(info.ID)
-		if h.info.Incarnation > info.Incarnation {
-			continue
-		}
+		c.awaited[info.ID] = true
 		if info.Incarnation > h.info.Incarnation {
 			c.handleRestart(h, info.Incarnation)
 		}
 		if h.info.Address == "" {
-			h.info = info
+			h.info.Address = info.Address
 		}
-		c.awaited[info.ID] = info.Incarnation
 	}
 }
 
@@ -42,12 +39,13 @@
 	return ids
 }
 
-// updateAwaited removes awaited hosts that have sent a complete report or restarted, or whose leases have ended.
+// updateAwaited removes awaited hosts that have sent a complete report or whose leases have ended. A host that has started
+// again is still awaited, because its new incarnation may have executed a start that was sent to the earlier one.
 func (c *Cell) updateAwaited() {
-	for id, incarnation := range c.awaited {
+	for id := range c.awaited {
 		h, ok := c.hosts[id]
 		switch {
-		case !ok || h.compared || h.info.Incarnation > incarnation:
+		case !ok || h.compared:
 			delete(c.awaited, id)
 			c.hostsChanged = true
 		case h.leasesExpired(c.now):
@@ -101,9 +99,8 @@
 	}
 	used := 0
 	for _, h := range c.hostsByID {
-		_, awaited := c.awaited[h.info.ID]
 		switch {
-		case awaited:
+		case c.awaited[h.info.ID]:
 			hosts = append(hosts, RecordedHost{Host: h.info, Awaited: true})
 		case h.enforcesFence && h.silentSince == 0 && !h.info.Draining:
 			used++
