Record the hosts of a batch after its records

If a batch of records needs several commits, the rows of used hosts were written with the first one. A host that had begun to drain, was silent or had just sent its first complete report was then no longer recorded, or no longer as awaited, while the run that was started or adopted there without a record still had none. An owner that takes over between the commits does not look for such a run and starts its task again: two runs at the same time, under two owners.

The rows of used hosts are now in the last commit of a batch, or in a further one if they do not fit. New hosts get runs without records only after the batch, as before.

--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -186,38 +186,45 @@
 	ordersPending bool
 }
 
-// writeBatch writes the batch, split into as many commits as necessary.
+// writeBatch writes the batch, split into as many commits as necessary. The rows of used hosts are written last: until the
+// runs are recorded that were started or adopted without a record, a later owner must look for them on the hosts of the
+// previous rows.
 func (d *Driver) writeBatch(ctx context.Context, b batch) error {
 	writes := slices.Concat(b.writes, b.ownRows)
+	hostsPending := len(b.hostRows)+len(b.staleHostRows) > 0
 	// whole is set if the next commit is reserved for a record that did not fit beside other rows.
 	whole := false
-	for first := true; first || len(writes) > 0; first = false {
+	for first := true; first || len(writes) > 0 || hostsPending; first = false {
 		if !first {
 			b.requests = nil
 		}
 		if !first && !whole {
-			b.requests = answerOutdated(d.takeRequests(maxRows))
+			b.requests = answerOutdated(d.takeRequests(maxRows - len(b.hostRows) - len(b.staleHostRows)))
 		}
 		txn := fold.Txn{Deletes: b.deletes}
-		if first {
-			txn.Puts = append(txn.Puts, b.hostRows...)
-			txn.Deletes = append(slices.Clone(b.deletes), b.staleHostRows...)
-		}
-		space := maxBytes - sizeOfRequests(b.requests)
-		for _, put := range txn.Puts {
-			space -= len(put.Value)
+		limit, space := maxRows-len(txn.Deletes)-len(b.requests), maxBytes-sizeOfRequests(b.requests)
+		if hostsPending && !whole {
+			limit -= len(b.hostRows) + len(b.staleHostRows)
+			for _, put := range b.hostRows {
+				space -= len(put.Value)
+			}
 		}
-		packed, rest, err := d.pack(writes, maxRows-len(txn.Deletes)-len(b.requests)-len(txn.Puts), space)
+		packed, rest, err := d.pack(writes, limit, space)
 		if err != nil {
 			return err
 		}
 		txn.Puts = append(txn.Puts, packed.rows...)
 		txn.Deletes = append(slices.Clone(txn.Deletes), packed.stale...)
+		if hostsPending && !whole && len(rest) == 0 {
+			txn.Puts = append(txn.Puts, b.hostRows...)
+			txn.Deletes = append(txn.Deletes, b.staleHostRows...)
+			hostsPending = false
+		}
 		if err := d.commitTxn(ctx, txn, b.requests, b.waiting); err != nil {
 			return err
 		}
 		d.backlog.recordCommit(packed)
-		whole = packed.entries() == 0
+		whole = packed.entries() == 0 && len(rest) > 0
 		writes, b.deletes = rest, nil
 	}
 	return nil
