Stop a run again after its host has started again

A run whose start has no answer is given up and stopped. If the host confirmed the stop and then started again, the owner kept the run, because the start may still reach the new incarnation, but also the time of the confirmation, and the first report of the new incarnation ended the run. The new incarnation has forgotten the stop: a late start runs there beside the next run of the task.

A restart now discards the confirmation and sends the stop again.

--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -170,8 +170,11 @@
 	for _, r := range h.copyRuns() {
 		if r.phase == phaseOrdered || r.tries > 1 || r.inherited {
 			// An order may still arrive at the new incarnation: the first one, a repeated one, or one of an earlier owner.
-			// A stop sent there makes it refuse the run.
-			r.incarnation = incarnation
+			// A stop sent there makes it refuse the run, even if the earlier incarnation has confirmed one.
+			r.incarnation, r.stopAckedAt = incarnation, 0
+			if r.stopping {
+				c.sendStop(r)
+			}
 			c.stopRun(r)
 			continue
 		}
