Keep the leases of an earlier supervisor when its host restarts

A restart of a host cleared the time by which the leases of this owner have ended. A relay that is cut off from the owner may still renew leases on the new incarnation until its permission ends, and a start may have been confirmed there, so the task could be started again too early. The time now stays; it exceeds what the restart itself adds by at most the permission of a relay, 1 s.

--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -149,7 +149,8 @@
 	firstIncarnation := h.info.Incarnation == 0
 	h.info.Incarnation = incarnation
 	c.hostsChanged = true
-	h.enforcesFence, h.ownLeaseEnd = false, 0
+	// ownLeaseEnd stays: a relay that the owner does not reach may renew leases on the new incarnation.
+	h.enforcesFence = false
 	// The host has forgotten the fence. Before it gets it again, it accepts calls of earlier owners: those that are still on
 	// their way, and new ones as long as an earlier owner may renew leases.
 	h.foreignLeaseEnd = max(c.foreignLeaseEnd(), c.now.Add(lease.OnSlowestClock(c.times.Lease)))
