Grant no lease on a host that the relay has released

A start or a Hold call that was under way when the owner took the host from the relay still got a lease from then on. The owner counts the leases of the relay from the release, so a run could outlast the time after which its task starts elsewhere. Both now look, under the lock of the relay, whether the host is still supervised by the same contact; a start is refused as not carried out.

--- a/fold/relay/calls.go
+++ b/fold/relay/calls.go
@@ -36,11 +36,14 @@
 	r.recordResult(s.Number, err)
 }
 
-// leaseForStart returns the lease for a start that was permitted at the given time or later. A silent host gets none, because
-// the owner relies on its leases ending.
+// leaseForStart returns the lease for a start that was permitted at the given time or later. A silent or released host gets
+// none, because the owner relies on its leases ending.
 func (r *Relay) leaseForStart(c *contact, now fold.Instant) (fold.Host, int64, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.contacts[c.info.ID] != c {
+		return fold.Host{}, 0, fold.Refuse(fold.Unavailable, "send the order again", "this relay no longer supervises the host %s", c.info.ID)
+	}
 	if c.silent {
 		return fold.Host{}, 0, fold.Refuse(fold.Unavailable, "use another host", "the host %s does not answer", c.info.ID)
 	}
--- a/fold/relay/contact.go
+++ b/fold/relay/contact.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// holdRequest returns the next Hold call to a host. A silent host may still receive requests, so its leases are not
-// renewed: they have to end before its tasks can run elsewhere. The lease begins before the permission is checked, so a
+// holdRequest returns the next Hold call to a host. The leases of a silent host, which may still receive requests, and of a
+// released one are not renewed: they have to end before its tasks can run elsewhere. The lease begins before the permission is checked, so a
 // process that is suspended in between grants none that the permission does not cover.
 func (r *Relay) holdRequest(c *contact, unanswered int) (fold.Host, fold.HoldRequest) {
 	now := r.parts.Clock.Now()
@@ -115,7 +115,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	req := fold.HoldRequest{Fence: r.parts.Epoch}
-	if permitted && !c.silent {
+	if permitted && !c.silent && r.contacts[c.info.ID] == c {
 		req.LeaseEnd = c.lease.Renew(now, r.parts.Lease)
 	}
 	if unanswered == 0 && c.lease.ClockKnown() {
