Let no lease last longer than one lease after its request

A lease request added the age of the last reading of the host's clock at full speed. On a clock that is 2% slow, the lease ended up to 2% of this age later than the longest lease after the request. The next owner, and an owner that takes a host from a relay, count from the request and do not know the reading.

The request now assumes the slowest clock, so a lease on an exact clock is shorter by 2% of the age, about 30 ms. The next owner also adds the margin for the rounding of clocks, as the requesting side does.

--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -97,7 +97,7 @@
 // foreignLeaseEnd returns the time by which all leases of earlier owners have expired on a host that does not enforce the
 // fence of this owner. An earlier owner may renew leases for RenewWithoutTable after this one has taken over.
 func (c *Cell) foreignLeaseEnd() fold.Instant {
-	return c.startedAt.Add(c.times.RenewWithoutTable + lease.OnSlowestClock(c.times.Lease))
+	return c.startedAt.Add(c.times.RenewWithoutTable + lease.MaxDuration(c.times.Lease))
 }
 
 // SetHosts applies a complete list of the hosts in the roster.
@@ -153,7 +153,7 @@
 	h.enforcesFence = false
 	// The host has forgotten the fence. Before it gets it again, it accepts calls of earlier owners: those that are still on
 	// their way, and new ones as long as an earlier owner may renew leases.
-	h.foreignLeaseEnd = max(c.foreignLeaseEnd(), c.now.Add(lease.OnSlowestClock(c.times.Lease)))
+	h.foreignLeaseEnd = max(c.foreignLeaseEnd(), c.now.Add(lease.MaxDuration(c.times.Lease)))
 	h.compared, h.moreEnds, h.described = false, false, false
 	h.lastEnd, h.nextAck, h.lastAck = 0, 0, 0
 	h.health = health{}
@@ -320,7 +320,7 @@
 	if !h.enforcesFence {
 		c.hostsChanged = true
 		// The host now enforces the fence of this owner, so earlier owners can renew no lease.
-		h.enforcesFence, h.foreignLeaseEnd = true, c.now.Add(lease.OnSlowestClock(c.times.Lease))
+		h.enforcesFence, h.foreignLeaseEnd = true, c.now.Add(lease.MaxDuration(c.times.Lease))
 	}
 	if reply.MoreEnds != h.moreEnds {
 		h.moreEnds = reply.MoreEnds
--- a/fold/lease/lease.go
+++ b/fold/lease/lease.go
@@ -45,13 +45,15 @@
 	return g.clockAt != 0
 }
 
-// Renew records and returns the end of a lease of the given length from now, on the host's clock. It returns 0 while the
-// clock is unknown.
+// Renew records and returns the end of a lease of at most the given length from now, on the host's clock. It returns 0 while
+// the clock is unknown. It assumes that the clock has advanced as slowly as allowed since its last reading, because others
+// count the lease from the request and do not know the reading.
 func (g *Tracker) Renew(now fold.Instant, length time.Duration) int64 {
 	if !g.ClockKnown() {
 		return 0
 	}
-	expires := g.clock + (now.Sub(g.clockAt) + length).Milliseconds()
+	advanced := time.Duration(float64(now.Sub(g.clockAt)) * (1 - maxDrift))
+	expires := g.clock + (advanced + length).Milliseconds()
 	g.expires = max(g.expires, expires)
 	return expires
 }
