Keep the leases of a host that is assigned to its relay again

If a relay reports nothing about a host for 5 s, the owner releases the host and assigns it again to the same relay. The new contact does not know the lease of a call without an answer, and reports a silence with no time left, so the task is started again while its run still has a lease. The owner now records the leases of the relay as it does when another relay gets the host.

--- a/fold/drive/supervision.go
+++ b/fold/drive/supervision.go
@@ -257,6 +257,8 @@
 			case c.Now().Sub(a.lastContact) > noContactTimeout && !a.silent:
 				d.log.Warn("The supervisor of a host reports nothing about it; assigning the host again.", "host", id, "entry", a.supervisor.name(), "since", c.Now().Sub(a.lastContact).String())
 				a.lastContact = c.Now()
+				// The new contact of the relay does not know the leases that the old one requested.
+				d.recordLeases(c, id, a)
 				a.supervisor.enqueue(relay.Orders{Releases: []string{id}, Contacts: []relay.Contact{contactOf(contact)}})
 			}
 		}
