Permit no renewals to a session that has ended meanwhile

The owner handles the events of a relay before it extends the relay's permission to renew leases. If the session was ended in between, the permission came after the leases of its hosts had been recorded, and their tasks could be started again too early. The owner now answers such a message with the end of the session.

--- a/fold/drive/supervisor.go
+++ b/fold/drive/supervisor.go
@@ -224,6 +224,9 @@
 	renew := min(permitDuration, d.renewFor(now))
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if s.closed {
+		return relay.Permit{Ended: true}
+	}
 	s.permittedUntil = max(s.permittedUntil, now.Add(renew))
 	permit := relay.Permit{RenewFor: renew, OwnerTime: now}
 	if s.lastBatch.Number <= lastNumber {
