Extend no permission while a relay may still hold a released host

When the owner takes a host from a relay, it counts the leases there from the permission that the relay has at that moment. Each later event message extended the permission, also while the relay had not received the release because the answer with the order was lost. The relay renewed leases on the host that the owner had given to another one.

The owner now grants no further permission until the relay has applied the batch with the release. The relay reports a batch as received once its releases are applied, not when it has arrived.

--- a/fold/drive/supervisor.go
+++ b/fold/drive/supervisor.go
@@ -196,6 +196,12 @@
 	return s.lastBatch
 }
 
+// releasesUnapplied reports whether the relay, which has applied batch lastNumber, may still supervise hosts that were taken
+// from it. The caller holds the lock of the supervision.
+func (s *session) releasesUnapplied(lastNumber uint64) bool {
+	return len(s.queue.Releases) > 0 || s.lastBatch.Number > lastNumber && len(s.lastBatch.Orders.Releases) > 0
+}
+
 // HandleEvents handles an event message of a session. A repeated message, which has the same number, is handled once.
 // The hosts of a relay that is leaving are assigned to other supervisors.
 func (d *Driver) HandleEvents(id, number, lastNumber uint64, events relay.Events, leaving bool) relay.Permit {
@@ -224,8 +230,12 @@
 	renew := min(permitDuration, d.renewFor(now))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s.closed {
+	switch {
+	case s.closed:
 		return relay.Permit{Ended: true}
+	case s.releasesUnapplied(lastNumber):
+		// The leases on the released hosts were recorded with the permission that the relay has.
+		renew = 0
 	}
 	s.permittedUntil = max(s.permittedUntil, now.Add(renew))
 	permit := relay.Permit{RenewFor: renew, OwnerTime: now}
--- a/fold/relay/session.go
+++ b/fold/relay/session.go
@@ -91,8 +91,9 @@
 	eventsSent map[uint64]fold.Instant
 	// specs holds the specifications of jobs, by job id.
 	specs map[string]string
-	// lastBatch is the number of the newest batch that has arrived.
-	lastBatch uint64
+	// lastBatch is the number of the newest batch that has arrived. appliedBatch is the number of the newest one whose releases
+	// are applied.
+	lastBatch, appliedBatch uint64
 }
 
 // Open starts a session. ownerTime is an earlier reading of the owner's clock. The session sets Permitted and OwnerTime of
@@ -146,7 +147,7 @@
 func (s *Session) followOrders() {
 	for s.ctx.Err() == nil {
 		call, cancel := context.WithTimeout(s.ctx, OrdersWait+ownerCallTimeout)
-		batch, err := s.owner.Orders(call, s.lastBatchNumber())
+		batch, err := s.owner.Orders(call, s.appliedBatchNumber())
 		cancel()
 		switch {
 		case err != nil:
@@ -159,11 +160,12 @@
 	}
 }
 
-// lastBatchNumber returns the number of the newest batch that has arrived.
-func (s *Session) lastBatchNumber() uint64 {
+// appliedBatchNumber returns the number of the newest batch whose releases are applied. The owner then no longer counts with
+// renewals at the released hosts.
+func (s *Session) appliedBatchNumber() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lastBatch
+	return s.appliedBatch
 }
 
 // apply carries out the orders of a batch unless it was applied before. Starts, stops and paces whose age is unknown or above
@@ -205,6 +207,9 @@
 		s.relay.Refuse(late, fold.Refuse(fold.Unavailable, "send the order again", "the order was not sent because it may be %s old", age))
 	}
 	s.relay.Apply(orders)
+	s.mu.Lock()
+	s.appliedBatch = max(s.appliedBatch, batch.Number)
+	s.mu.Unlock()
 }
 
 // reportEvents sends events to the owner, at the latest EventsInterval after it answered the last event message. Its answers
@@ -239,7 +244,7 @@
 			return false
 		}
 		call, cancel := context.WithTimeout(s.ctx, ownerCallTimeout)
-		permit, err := s.owner.SendEvents(call, number, s.lastBatchNumber(), events, s.leaving())
+		permit, err := s.owner.SendEvents(call, number, s.appliedBatchNumber(), events, s.leaving())
 		cancel()
 		if err != nil {
 			s.pause(ownerRetryDelay)
