Give the roster of a test its own random numbers

The race detector found that two goroutines of TestHostsStayRecordedUntilTheirRunsAre shared a random source, and that TestHostsStayAwaitedUntilAdoptedRunsAreRecorded set a function without its lock.

--- a/fold/drive/usedhosts_test.go
+++ b/fold/drive/usedhosts_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,20 +59,26 @@
 	run  int
 }
 
-// watchedTable calls applied after each successful commit, before the answer.
+// watchedTable calls applied after each successful commit, before the answer. The lock of the stallingTable guards applied.
 type watchedTable struct {
 	*stallingTable
 	applied func()
 }
 
+func (w *watchedTable) setApplied(fn func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.applied = fn
+}
+
 func (w *watchedTable) Commit(ctx context.Context, t fold.Txn) (int64, error) {
 	version, err := w.Table.Commit(ctx, t)
-	if err == nil {
-		w.applied()
-	}
 	w.mu.Lock()
-	delay := w.stall()
+	applied, delay := w.applied, w.stall()
 	w.mu.Unlock()
+	if err == nil {
+		applied()
+	}
 	select {
 	case <-ctx.Done():
 		return 0, fold.Unknown.Wrap(ctx.Err(), "no answer")
@@ -159,7 +166,7 @@
 					}
 				}
 				d := startDriver(t, table, table.Table, hosts.fakeHosts, func(p *drive.Parts) {
-					p.Runner, p.Roster = hosts, &drainingRoster{fakeHosts: hosts.fakeHosts, random: random}
+					p.Runner, p.Roster = hosts, &drainingRoster{fakeHosts: hosts.fakeHosts, random: rand.New(rand.NewPCG(seed, 7))}
 					p.MaxRow = 1 << 10
 				})
 				submitBursts(t, d, random, 4)
@@ -234,20 +241,20 @@
 		}
 		hosts.mu.Unlock()
 		check := &unrecordedCheck{t: t, table: table.Table}
-		commits := 0
-		table.applied = func() {
-			commits++
+		var commits atomic.Int32
+		table.setApplied(func() {
+			commits.Add(1)
 			used := recordedHosts(t, table.Table, 2)
 			for _, task := range slices.Sorted(maps.Keys(runs)) {
 				if check.recordedRun(task) == 0 && !used[runs[task]].Awaited {
 					t.Errorf("%s: the adopted run of %s has no record, and its host %s is not recorded as awaited", time.Now().Format("05.000"), task, runs[task])
 				}
 			}
-		}
+		})
 		second := startDriver(t, table, table.Table, hosts, func(p *drive.Parts) { p.AwaitUnrecorded, p.MaxRow = true, 1<<10 })
 		time.Sleep(3 * time.Second)
-		if _, _, ok := second.State(testJob(0, 1).ID); !ok || commits < 2 {
-			t.Errorf("the second owner knows the jobs: %v, after %d commits", ok, commits)
+		if _, _, ok := second.State(testJob(0, 1).ID); !ok || commits.Load() < 2 {
+			t.Errorf("the second owner knows the jobs: %v, after %d commits", ok, commits.Load())
 		}
 	})
 }
