Look for runs without records after a hand-over, too

An owner that ends its term while runs without records exist, on SIGTERM or because a stronger entry should own the pool, hands the pool over with an empty name in its row. The next owner then took it that there were no such runs, unless this very process had been told of them.

An entry that the row does not list now looks for them after a hand-over as after a loss of the owner, unless a listed entry proves that there are none. Listed entries take over at once, as before.

TestHandOverWithUnrecordedRuns and TestNoTaskRunsTwice run whole entries in virtual time. The runs use simulated hosts and a simulated network; no run of the cell has shown the fault.

--- a/fold/node/announce.go
+++ b/fold/node/announce.go
@@ -146,10 +146,8 @@
 		return false
 	case n.announcement.Epoch == owner.Epoch && n.announcement.On:
 		return true
-	case owner.Entry == "":
-		// The last owner has handed the pool over.
-		return false
 	default:
+		// An owner that hands the pool over may leave such runs behind, too.
 		return !slices.Contains(owner.Entries, n.incarnation)
 	}
 }
