Report the silence of the incarnation that answered last

A relay reported a silence with the incarnation that the owner had sent. If the host had started again, answered and fallen silent before the relay got the new incarnation, the owner ignored the silence as one of an earlier incarnation, and the relay reports it once only: the runs there never counted as lost.

--- a/fold/relay/contact.go
+++ b/fold/relay/contact.go
@@ -171,7 +171,8 @@
 	}
 	c.silent = true
 	r.log.Debug("A host does not answer; its leases are no longer renewed.", "host", c.info.ID, "error", err)
-	r.silences[c.info.ID] = Silence{Host: c.info.ID, Incarnation: c.info.Incarnation, LeaseLeft: c.lease.Remaining(r.parts.Clock.Now())}
+	// The incarnation that answered last may be newer than the one that the owner has sent.
+	r.silences[c.info.ID] = Silence{Host: c.info.ID, Incarnation: max(c.info.Incarnation, c.incarnation), LeaseLeft: c.lease.Remaining(r.parts.Clock.Now())}
 	r.notify()
 }
 
