Hand the pool over after a commit whose outcome is unknown

If the last commit of a term had no answer because its context ended, the release of the pool used the same commit count. When that commit had been applied, the release conflicted, and the row of the commit was taken for that of the release: the log said "Handed over the pool.", but the row still named the entry, and the next one took over only once it found the owner gone, 1 s later in a played schedule. Callers wait for that second.

A release after such a commit first reads the row and follows it, and a commit is recognised by the entry in the row, too.

No task ran twice by it.

--- a/fold/lead/lead.go
+++ b/fold/lead/lead.go
@@ -97,6 +97,8 @@
 	version int64
 	// usualCommit is the moving average of the durations of commit attempts.
 	usualCommit time.Duration
+	// outcomeUnknown is true if the outcome of the last commit is not known.
+	outcomeUnknown bool
 }
 
 // PoolState holds the fields of Owner that the owner sets with each commit.
@@ -146,6 +148,13 @@
 
 // Release gives up the ownership so that another entry can take over at once.
 func (t *Term) Release(ctx context.Context) error {
+	if t.outcomeUnknown {
+		// The last commit may have been applied; the release then follows it.
+		found, version, err := t.readOwner(ctx)
+		if err == nil && found.Incarnation == t.owner.Incarnation && found.Epoch == t.epoch {
+			t.owner, t.version = found, version
+		}
+	}
 	next := t.owner
 	next.CommitCount++
 	next.Entry = ""
@@ -189,6 +198,7 @@
 		}
 		select {
 		case <-ctx.Done():
+			t.outcomeUnknown = true
 			return fold.Unknown.Wrap(err, "the outcome of a commit in epoch %d is not known", next.Epoch)
 		case <-t.clock.After(commitRetryDelay):
 		}
@@ -218,7 +228,7 @@
 	for {
 		found, version, err := t.readOwner(ctx)
 		switch {
-		case err == nil && found.Incarnation == next.Incarnation && found.Epoch == next.Epoch && found.CommitCount == next.CommitCount:
+		case err == nil && found.Incarnation == next.Incarnation && found.Epoch == next.Epoch && found.CommitCount == next.CommitCount && found.Entry == next.Entry:
 			t.owner, t.version = next, version
 			return nil
 		case err == nil && version == t.version:
@@ -230,6 +240,7 @@
 		}
 		select {
 		case <-ctx.Done():
+			t.outcomeUnknown = true
 			return fold.Unknown.Wrap(err, "could not read the owner's row after a conflict in epoch %d", next.Epoch)
 		case <-t.clock.After(commitRetryDelay):
 		}
