Count a job as waiting until a host has confirmed a run

A job was no longer counted as waiting once a run of it was planned.

The count now ends with the answer to a start, a report that lists a run, or an end. Jobs of an earlier owner count as begun as before, because the record does not tell whether a planned run has begun.

TestJobWaitsUntilAHostConfirms fails before (0 jobs wait, want 1).

--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -219,9 +219,17 @@
 	return maps.Clone(c.waiting)
 }
 
+// confirmBegin records that a host has confirmed a run of the job.
+func (c *Cell) confirmBegin(j *job) {
+	if !j.begun {
+		j.begun = true
+		c.countWaitingJob(j)
+	}
+}
+
 // countWaitingJob updates the count of waiting jobs of the job's queue.
 func (c *Cell) countWaitingJob(j *job) {
-	waits := !j.started && !j.state.Final() && j.spec.Times == 0
+	waits := !j.begun && !j.state.Final() && j.spec.Times == 0
 	if waits == j.countedWaiting {
 		return
 	}
--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -132,6 +132,7 @@
 	if t == nil {
 		return
 	}
+	c.confirmBegin(t.part.job)
 	c.log.Debug("Run ended.", "task", e.Task, "run", e.Run, "host", h.info.ID, "how", string(e.Kind))
 	startedAt := fold.Instant(0)
 	if r != nil {
--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -403,6 +403,7 @@
 func (c *Cell) updateProgress(r *run, hr fold.HostRun) {
 	if r.phase != phaseRunning {
 		r.phase, r.startedAt = phaseRunning, c.now
+		c.confirmBegin(r.task.part.job)
 		r.progressedAt, r.firstPercent = c.now, hr.Percent
 	}
 	if hr.Percent > r.percent || r.reportedAt == 0 {
--- a/fold/core/job.go
+++ b/fold/core/job.go
@@ -22,8 +22,8 @@
 	nextOccurrence int
 	// partsLeft counts the unfinished parts. liveRuns counts the runs that may be on a host.
 	partsLeft, liveRuns int
-	// started reports whether a run of the job was ever planned.
-	started bool
+	// started reports whether a run of the job was ever planned. begun reports whether a host has confirmed one.
+	started, begun bool
 	// countedWaiting reports whether the job is included in Cell.waiting.
 	countedWaiting bool
 	// openTasks counts the tasks of the begun parts that are not done. Each of them takes space in the record. builtTasks counts
--- a/fold/core/orders.go
+++ b/fold/core/orders.go
@@ -153,6 +153,7 @@
 	}
 	if err == nil {
 		r.phase, r.startedAt, r.progressedAt = phaseRunning, c.now, c.now
+		c.confirmBegin(r.task.part.job)
 		return
 	}
 	c.stats.Refused++
--- a/fold/core/record.go
+++ b/fold/core/record.go
@@ -152,7 +152,8 @@
 // shows their outcome or the leases on their host have expired.
 func (c *Cell) restore(j *job, rec flow.Record) {
 	j.state, j.recordedState, j.endedAt, j.recordSeq = rec.State, rec.State, rec.Ended, rec.Seq
-	j.started = j.state != flow.Queued
+	// The record does not tell whether a run that was planned has begun.
+	j.started, j.begun = j.state != flow.Queued, j.state != flow.Queued
 	for _, pr := range rec.Parts {
 		if pr.Occurrence >= len(j.parts) || pr.Step >= len(j.spec.Steps) {
 			c.log.Warn("Ignored a recorded step that the job does not have.", "job", j.spec.ID, "step", pr.Step)
