--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -123,7 +123,12 @@
 				state, unansweredPings = ownerNotSuspected, 0
 			}
 			if due, why := n.takeoverDue(s, state, unansweredPings); goodReads > 0 && due {
-				n.log.Info("A takeover of the pool is due.", "owner", s.owner.Entry, "epoch", s.owner.Epoch, "why", why, "unchanged", n.clock.Now().Sub(s.changedAt).String(), "unanswered", unansweredPings)
+				// Without a configuration no takeover succeeds, and each round repeats this line.
+				level := hclog.Info
+				if index, _, _ := n.rules.Current(); index == nil {
+					level = hclog.Debug
+				}
+				n.log.Log(level, "A takeover of the pool is due.", "owner", s.owner.Entry, "epoch", s.owner.Epoch, "why", why, "unchanged", n.clock.Now().Sub(s.changedAt).String(), "unanswered", unansweredPings)
 				return s.owner, s.version, nil
 			}
 		}
