Repeat a batch of orders with the answer to an event message

Found by review.

The answer to an event message now repeats a batch that was not confirmed within 100 ms, as the answer to a call for orders does. Relays ignore repeated batches.

TestReleaseIsNotReceived now also bounds the time without a permission.

--- a/fold/drive/supervisor.go
+++ b/fold/drive/supervisor.go
@@ -239,7 +239,7 @@
 	}
 	s.permittedUntil = max(s.permittedUntil, now.Add(renew))
 	permit := relay.Permit{RenewFor: renew, OwnerTime: now}
-	if s.lastBatch.Number <= lastNumber {
+	if s.lastBatch.Number <= lastNumber || now.Sub(s.batchSent) >= resendAfter {
 		permit.Batch = s.batchAfter(lastNumber, now)
 	}
 	return permit
--- a/fold/node/relays.go
+++ b/fold/node/relays.go
@@ -41,7 +41,7 @@
 	sessionOf
 	// Number is the number of the report in the session.
 	Number uint64 `json:"number"`
-	// LastBatch is the number of the last batch of orders that the relay received.
+	// LastBatch is the number of the last batch of orders whose releases the relay has applied.
 	LastBatch uint64 `json:"got"`
 	// Events are the events at the hosts since the previous report.
 	Events relay.Events `json:"news"`
@@ -52,7 +52,7 @@
 // ordersRequest is a relay's request for the next batch of orders.
 type ordersRequest struct {
 	sessionOf
-	// LastBatch is the number of the last batch that the relay received.
+	// LastBatch is the number of the last batch whose releases the relay has applied.
 	LastBatch uint64 `json:"got"`
 }
 
--- a/fold/relay/contact.go
+++ b/fold/relay/contact.go
@@ -107,8 +107,8 @@
 }
 
 // holdRequest returns the next Hold call to a host. The leases of a silent host, which may still receive requests, and of a
-// released one are not renewed: they have to end before its tasks can run elsewhere. The lease begins before the permission is checked, so a
-// process that is suspended in between grants none that the permission does not cover.
+// released one are not renewed: they have to end before its tasks can run elsewhere. The lease begins before the permission is
+// checked, so a process that is suspended in between grants none that the permission does not cover.
 func (r *Relay) holdRequest(c *contact, unanswered int) (fold.Host, fold.HoldRequest) {
 	now := r.parts.Clock.Now()
 	permitted := r.parts.Permitted()
--- a/fold/relay/session.go
+++ b/fold/relay/session.go
@@ -58,8 +58,8 @@
 
 // Owner is a session's connection to the owner of the pool.
 type Owner interface {
-	// Orders waits, for at most OrdersWait, for the batch that follows batch lastNumber. A batch with number 0 contains no
-	// orders.
+	// Orders waits, for at most OrdersWait, for the batch that follows batch lastNumber, the last one whose releases are
+	// applied. A batch with number 0 contains no orders.
 	Orders(ctx context.Context, lastNumber uint64) (Batch, error)
 	// SendEvents sends an event message. The owner handles a message once, even if it arrives again under the same number. If
 	// leaving is true, the session ends. The answer may contain the batch that follows batch lastNumber.
@@ -160,8 +160,8 @@
 	}
 }
 
-// appliedBatchNumber returns the number of the newest batch whose releases are applied. The owner then no longer counts with
-// renewals at the released hosts.
+// appliedBatchNumber returns the number of the newest batch whose releases are applied. The owner then no longer expects
+// renewals on the released hosts.
 func (s *Session) appliedBatchNumber() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/fold/relay/sessionlease_test.go
+++ b/fold/relay/sessionlease_test.go
@@ -16,6 +16,9 @@
 	"plantainfold.example/fold/relay"
 )
 
+// permitDuration is how long the owner permits a relay to renew leases.
+const permitDuration = time.Second
+
 // sessionEntry is an entry that runs a relay for the owner.
 type sessionEntry struct {
 	id   string
@@ -31,6 +34,9 @@
 	silenced func() time.Duration
 	// ordersLost is until when answers with orders are lost.
 	ordersLost fold.Instant
+	// permittedAt is when an answer last extended the permission, and longestGap is the longest time between two of them.
+	permittedAt fold.Instant
+	longestGap  time.Duration
 }
 
 var (
@@ -92,6 +98,12 @@
 	permit := driver.HandleEvents(session, number, last, events, leaving)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if now := e.pool.clock.Now(); permit.RenewFor > 0 {
+		if e.permittedAt != 0 {
+			e.longestGap = max(e.longestGap, now.Sub(e.permittedAt))
+		}
+		e.permittedAt = now
+	}
 	if e.silenced == nil || len(events.Silences) == 0 {
 		return permit, nil
 	}
@@ -104,9 +116,10 @@
 }
 
 // Guards against two runs of a task: the owner takes a host from a relay, whose permission it continues to extend although the
-// relay has not received the order to release the host.
+// relay has not received the order to release the host. Also guards against a relay whose permission ends because the answers
+// to its calls for orders are lost.
 func TestReleaseIsNotReceived(t *testing.T) {
-	for _, lost := range []time.Duration{0, 3 * time.Second} {
+	for _, lost := range []time.Duration{0, 3 * time.Second, 12 * time.Second} {
 		t.Run(fmt.Sprintf("orders lost for %s", lost), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				p := newLeasedPool("a", "b")
@@ -145,6 +158,11 @@
 				e.mu.Unlock()
 				p.setLink(first, silent, linkMute)
 				p.expectOneRun(t)
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				if e.longestGap >= permitDuration {
+					t.Errorf("the permission was not extended for %s, and it lasts %s", e.longestGap, permitDuration)
+				}
 			})
 		})
 	}
