Forbid an unanswered start again after a second restart

A host that starts again is told to refuse the starts that were never answered. Once it had confirmed this, the owner forgot the start, although it may still be on its way when the host starts again a second time and forgets the stop. Found by review; TestStartIsForbiddenAfterEachRestart fails before (no stop is sent after the second restart, and the host gets a start at once).

--- a/fold/core/orders.go
+++ b/fold/core/orders.go
@@ -121,7 +121,13 @@
 	if r, ok := h.runs[key]; ok && r.stopAckedAt == 0 {
 		r.stopAckedAt = c.now
 	}
-	h.forbiddenStarts = slices.DeleteFunc(h.forbiddenStarts, func(u unconfirmedStart) bool { return u.key == key })
+	h.forbiddenStarts = slices.DeleteFunc(h.forbiddenStarts, func(u unconfirmedStart) bool {
+		if u.key == key {
+			// The start may still be on its way when the host starts again and forgets the stop.
+			h.unconfirmedStarts = append(h.unconfirmedStarts, u)
+		}
+		return u.key == key
+	})
 }
 
 // forbidStarts orders a host to refuse starts that were sent to an earlier incarnation.
