--- a/fold/core/awaited_test.go
+++ b/fold/core/awaited_test.go
@@ -88,3 +88,22 @@
 		t.Errorf("%d starts 15 s after the takeover, want 1", starts)
 	}
 }
+
+// Guards against an owner that waits for ever for a host that starts again and again and never answers.
+func TestAwaitedHostThatKeepsRestarting(t *testing.T) {
+	b := newOwner(t, host("a", 1000), host("b", 1000))
+	b.cell.RestoreJob(job(queue(0), step(1)), flow.Record{})
+	starts := 0
+	for i := range 300 {
+		if i%50 == 0 {
+			b.hosts[0] = nextIncarnation(b.hosts[0])
+			b.cell.SetHosts(b.hosts)
+		}
+		b.report(b.hosts[1], nil, nil)
+		starts += len(b.decide().Starts)
+		b.advance(100 * time.Millisecond)
+	}
+	if starts != 1 {
+		t.Errorf("%d starts 30 s after the takeover, want 1", starts)
+	}
+}
--- a/fold/core/takeover.go
+++ b/fold/core/takeover.go
@@ -40,7 +40,8 @@
 }
 
 // updateAwaited removes awaited hosts that have sent a complete report or whose leases have ended. A host that has started
-// again is still awaited, because its new incarnation may have executed a start that was sent to the earlier one.
+// again is still awaited, because its new incarnation may have executed a start that was sent to the earlier one, but not for
+// longer than such a start may arrive.
 func (c *Cell) updateAwaited() {
 	for id := range c.awaited {
 		h, ok := c.hosts[id]
@@ -48,7 +49,7 @@
 		case !ok || h.compared:
 			delete(c.awaited, id)
 			c.hostsChanged = true
-		case h.leasesExpired(c.now):
+		case h.leasesExpired(c.now), c.now > c.foreignLeaseEnd().Add(maxOrderDelay):
 			// The run numbers used there are unknown.
 			c.runNumberGap = maxUnrecordedRuns
 			delete(c.awaited, id)
