Reserve no space of a commit for rows of used hosts

While rows of used hosts waited for the last commit of a batch, each commit kept space for them. A record of several rows then never fitted beside others, and every second commit carried no records. The rows now join the last commit if they fit, or get one of their own. Found by review; go test ./drive passes.

--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -186,6 +186,15 @@
 	ordersPending bool
 }
 
+// hostsFit reports whether the rows of used hosts fit into a commit beside the packed records, or whether there are none.
+func (b *batch) hostsFit(packed recordRows, limit, space int) bool {
+	for _, put := range b.hostRows {
+		space -= len(put.Value)
+	}
+	limit -= len(b.hostRows) + len(b.staleHostRows)
+	return packed.entries() == 0 || packed.entries() <= limit && packed.size <= space
+}
+
 // writeBatch writes the batch, split into as many commits as necessary. The rows of used hosts are written last: until the
 // runs are recorded that were started or adopted without a record, a later owner must look for them on the hosts of the
 // previous rows.
@@ -203,19 +212,13 @@
 		}
 		txn := fold.Txn{Deletes: b.deletes}
 		limit, space := maxRows-len(txn.Deletes)-len(b.requests), maxBytes-sizeOfRequests(b.requests)
-		if hostsPending && !whole {
-			limit -= len(b.hostRows) + len(b.staleHostRows)
-			for _, put := range b.hostRows {
-				space -= len(put.Value)
-			}
-		}
 		packed, rest, err := d.pack(writes, limit, space)
 		if err != nil {
 			return err
 		}
 		txn.Puts = append(txn.Puts, packed.rows...)
 		txn.Deletes = append(slices.Clone(txn.Deletes), packed.stale...)
-		if hostsPending && !whole && len(rest) == 0 {
+		if hostsPending && len(rest) == 0 && b.hostsFit(packed, limit, space) {
 			txn.Puts = append(txn.Puts, b.hostRows...)
 			txn.Deletes = append(txn.Deletes, b.staleHostRows...)
 			hostsPending = false
