--- a/fold/core/takeover.go
+++ b/fold/core/takeover.go
@@ -1,7 +1,9 @@
 package core
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 
 	"plantainfold.example/fold"
 )
@@ -145,21 +147,28 @@
 	c.allowUnrecorded = unrecorded
 }
 
+// maxLoggedRuns limits the runs that a log line names.
+const maxLoggedRuns = 50
+
 // startUnrecorded orders the planned runs before their records are written. A later owner expects such runs only for jobs
 // that it loads. It loads the table as of our last commit at least, so a job newer than that may be unknown to it.
 func (c *Cell) startUnrecorded() {
 	if !c.allowUnrecorded {
 		return
 	}
+	var started []string
 	for _, plans := range [][]*run{c.recording, c.planned} {
 		for _, r := range plans {
 			if r.phase == phasePlanned && !r.detached && !r.stopping && c.recordedIncarnations[r.host.info.ID] == r.incarnation && r.task.part.job.tableVersion <= c.lastCommit {
 				r.phase = phaseOrdered
-				c.log.Info("Started a run without a record.", "task", r.id, "run", r.number, "host", r.host.info.ID)
+				started = append(started, fmt.Sprintf("%s/%d@%s", r.id, r.number, r.host.info.ID))
 				c.orderStart(r)
 			}
 		}
 	}
+	if len(started) > 0 {
+		c.log.Info("Started runs without records.", "runs", len(started), "tasks", strings.Join(started[:min(len(started), maxLoggedRuns)], " "))
+	}
 }
 
 // mayBeUnrecorded reports whether an earlier owner may have started a run of this number without a record.
