--- a/fold/drive/usedhosts_test.go
+++ b/fold/drive/usedhosts_test.go
@@ -15,6 +15,7 @@
 	"plantainfold.example/fold/codec"
 	"plantainfold.example/fold/drive"
 	"plantainfold.example/fold/flow"
+	"plantainfold.example/fold/lead"
 	"plantainfold.example/fold/plat"
 )
 
@@ -251,3 +252,53 @@
 		}
 	})
 }
+
+// Guards against an owner's row that lists an entry that was not told of runs without records, at any commit: such an entry
+// takes over without looking for them. Entries come and go, and batches of records need several commits.
+func TestListedEntriesWereTold(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random, stalls := rand.New(rand.NewPCG(seed, 8)), rand.New(rand.NewPCG(seed, 9))
+				table := &watchedTable{stallingTable: newStallingTable(stalls)}
+				check := &unrecordedCheck{t: t, table: table.Table, listed: []string{"x-1", "y-1"}, told: make(map[string]bool), started: make(map[string]int)}
+				hosts := checkedHosts{newFakeHosts(40, 150*time.Millisecond), check}
+				table.applied = func() {
+					check.mu.Lock()
+					defer check.mu.Unlock()
+					check.forgetRecorded()
+					owner, _, err := lead.Read(t.Context(), table.Table)
+					if err != nil {
+						t.Error(err)
+					}
+					for _, e := range owner.Entries {
+						if len(check.started) > 0 && !check.told[e] {
+							t.Errorf("%s: %d runs have no record, and entry %s, which the owner's row names, does not know", time.Now().Format("05.000"), len(check.started), e)
+						}
+					}
+				}
+				d := startDriver(t, table, table.Table, hosts.fakeHosts, func(p *drive.Parts) {
+					p.Runner, p.Announce, p.Entries, p.MaxRow = hosts, check.announce, check.entries, 1<<10
+				})
+				changing, stop := context.WithCancel(t.Context())
+				var changes sync.WaitGroup
+				changes.Go(func() {
+					for n := 0; changing.Err() == nil; n++ {
+						check.mu.Lock()
+						check.listed[n%2] = fmt.Sprintf("z-%d", n)
+						check.mu.Unlock()
+						time.Sleep(30 * time.Millisecond)
+					}
+				})
+				submitBursts(t, d, random, 4)
+				stop()
+				changes.Wait()
+				check.mu.Lock()
+				defer check.mu.Unlock()
+				if check.unrecorded == 0 {
+					t.Error("no run started without a record, so the test checks nothing")
+				}
+			})
+		})
+	}
+}
