Play owners that are lost in turn, drains, short rows and restarts of hosts

TestNoTaskRunsTwice also drains hosts, writes short rows and starts hosts again. A Hold call now fails when its host starts again: a run may otherwise end unseen, because the next incarnation would get an acknowledgement that was meant for the earlier one.

--- a/fold/node/simulation_test.go
+++ b/fold/node/simulation_test.go
@@ -100,6 +100,8 @@
 	hosts *simulatedHosts
 	// steps are the two steps of each job.
 	steps []flow.Step
+	// maxRow is Settings.Row of the entries.
+	maxRow int
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -109,9 +111,9 @@
 	stalled  *simulatedEntry
 	// entries are the entries that run and are not leaving.
 	entries []*simulatedEntry
-	// started counts the entries that were started.
-	started int
-	running sync.WaitGroup
+	// started counts the entries that were started, and submitted the jobs.
+	started, submitted int
+	running            sync.WaitGroup
 }
 
 func newSimulation(t *testing.T, seed uint64) *simulation {
@@ -120,7 +122,7 @@
 	size := fold.Resources{CPU: 500, Memory: 10}
 	s.steps = []flow.Step{{Count: 2, Size: size, Estimate: 300}, {Count: 2, Size: size, Estimate: 900, After: []int{0}}}
 	client := http.DefaultClient.Transport
-	http.DefaultClient.Transport = &http.Transport{DialContext: s.net.dial}
+	http.DefaultClient.Transport = &http.Transport{DialContext: s.net.dial, DisableKeepAlives: true}
 	t.Cleanup(func() { http.DefaultClient.Transport = client })
 	return s
 }
@@ -195,7 +197,7 @@
 	s.mu.Unlock()
 	e := &simulatedEntry{sim: s, owned: make(chan struct{}), crashed: make(chan struct{})}
 	log := hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.Debug, Output: s, TimeFormat: "05.000"})
-	settings := Settings{Name: name, Peers: name + ":1", Lease: 6000, Stop: 900, Grace: 4000, Cores: cores}
+	settings := Settings{Name: name, Peers: name + ":1", Lease: 6000, Stop: 900, Grace: 4000, Cores: cores, Row: s.maxRow}
 	n, err := New(settings, Parts{Table: simulatedTable{s.table, e}, Log: simulatedTable{s.table, e}, Rules: simulatedRules{}, Roster: s.hosts, Runner: simulatedRunner{e}, Adviser: s.hosts}, virtualClock{}, log)
 	if err != nil {
 		s.t.Fatal(err)
@@ -286,7 +288,11 @@
 }
 
 // submit submits a job of two steps to the owner if there is one.
-func (s *simulation) submit(n int) {
+func (s *simulation) submit() {
+	s.mu.Lock()
+	s.submitted++
+	n := s.submitted
+	s.mu.Unlock()
 	e := s.owning()
 	if e == nil {
 		return
@@ -457,12 +463,12 @@
 }
 
 // order carries out an order after a random delay and the given one.
-func (r simulatedRunner) order(ctx context.Context, late time.Duration, execute func() error) error {
-	if r.entry.isCrashed() {
+func order[Reply any](ctx context.Context, e *simulatedEntry, late time.Duration, execute func() (Reply, error)) (reply Reply, err error) {
+	if e.isCrashed() {
 		<-ctx.Done()
-		return fold.Unknown.New("the process has ended")
+		return reply, fold.Unknown.New("the process has ended")
 	}
-	s := r.entry.sim
+	s := e.sim
 	delay := s.between(time.Millisecond, 4*time.Millisecond)
 	switch kind := s.intN(60); {
 	case kind == 0:
@@ -470,23 +476,30 @@
 	case kind < 16:
 		delay = s.between(10*time.Millisecond, 150*time.Millisecond)
 	}
-	answers := make(chan error, 1)
-	time.AfterFunc(late+delay, func() { answers <- execute() })
+	type answer struct {
+		reply Reply
+		err   error
+	}
+	answers := make(chan answer, 1)
+	time.AfterFunc(late+delay, func() {
+		reply, err := execute()
+		answers <- answer{reply, err}
+	})
 	select {
 	case <-ctx.Done():
-		return fold.Unknown.Wrap(ctx.Err(), "no answer")
-	case <-r.entry.crashed:
-		return fold.Unknown.New("the process has ended")
-	case err := <-answers:
-		return err
+		return reply, fold.Unknown.Wrap(ctx.Err(), "no answer")
+	case <-e.crashed:
+		return reply, fold.Unknown.New("the process has ended")
+	case a := <-answers:
+		return a.reply, a.err
 	}
 }
 
-func (r simulatedRunner) Hold(ctx context.Context, h fold.Host, q fold.HoldRequest) (reply fold.HoldReply, err error) {
-	err = r.order(ctx, r.entry.sim.hosts.lateBy(h.ID), func() error {
-		reply, err = r.entry.sim.hosts.hold(h.ID, q, true)
-		return err
-	})
+// Hold fails if the host starts again before it answers, because this breaks the connection.
+func (r simulatedRunner) Hold(ctx context.Context, h fold.Host, q fold.HoldRequest) (fold.HoldReply, error) {
+	hosts := r.entry.sim.hosts
+	incarnation := hosts.incarnationOf(h.ID)
+	reply, err := order(ctx, r.entry, hosts.lateBy(h.ID), func() (fold.HoldReply, error) { return hosts.hold(h.ID, incarnation, q, true) })
 	for end := time.Now().Add(q.Wait); err == nil && len(reply.Ends) == 0 && time.Now().Before(end); {
 		select {
 		case <-ctx.Done():
@@ -495,17 +508,19 @@
 			return fold.HoldReply{}, fold.Unknown.New("the process has ended")
 		case <-time.After(10 * time.Millisecond):
 		}
-		reply, err = r.entry.sim.hosts.hold(h.ID, q, false)
+		reply, err = hosts.hold(h.ID, incarnation, q, false)
 	}
 	return reply, err
 }
 
 func (r simulatedRunner) Start(ctx context.Context, h fold.Host, q fold.StartRequest) error {
-	return r.order(ctx, 0, func() error { return r.entry.sim.hosts.start(h.ID, q) })
+	_, err := order(ctx, r.entry, 0, func() (struct{}, error) { return struct{}{}, r.entry.sim.hosts.start(h.ID, q) })
+	return err
 }
 
 func (r simulatedRunner) Stop(ctx context.Context, h fold.Host, task string, run int, fence int64) error {
-	return r.order(ctx, 0, func() error { return r.entry.sim.hosts.stopRun(h.ID, task, run, fence) })
+	_, err := order(ctx, r.entry, 0, func() (struct{}, error) { return struct{}{}, r.entry.sim.hosts.stopRun(h.ID, task, run, fence) })
+	return err
 }
 
 func (r simulatedRunner) Pace(context.Context, fold.Host, string, int, int, int64) error { return nil }
@@ -709,9 +724,18 @@
 	}
 }
 
-func (h *simulatedHosts) hold(id string, q fold.HoldRequest, renew bool) (fold.HoldReply, error) {
+func (h *simulatedHosts) incarnationOf(id string) int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.hosts[id].incarnation
+}
+
+func (h *simulatedHosts) hold(id string, incarnation int64, q fold.HoldRequest, renew bool) (fold.HoldReply, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.hosts[id].incarnation != incarnation {
+		return fold.HoldReply{}, fold.Unknown.New("the connection was closed")
+	}
 	o, err := h.at(id, q.Fence)
 	if err != nil {
 		return fold.HoldReply{}, err
--- a/fold/node/twice_test.go
+++ b/fold/node/twice_test.go
@@ -12,12 +12,21 @@
 // faults are the kinds of faults that a random schedule contains.
 type faults struct {
 	stalls, terminations, crashes, joins, restarts, drains bool
+	// shortRows makes most batches of records take several commits.
+	shortRows bool
 }
 
 // play runs a cell with random faults and checks that no task runs twice.
 func play(t *testing.T, seed uint64, f faults) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSimulation(t, seed)
+		if f.restarts {
+			// A run must not end before the owner has noticed the restart of its host.
+			s.hosts.taskTimes = [2]time.Duration{2500 * time.Millisecond, 3500 * time.Millisecond}
+		}
+		if f.shortRows {
+			s.maxRow = 1 << 9
+		}
 		for i := range 3 {
 			s.start(fmt.Sprintf("entry-%d", i), float64(1+s.intN(2)))
 		}
@@ -86,13 +95,29 @@
 
 // submitFor submits jobs for a while.
 func (s *simulation) submitFor(length time.Duration) {
-	began := time.Now()
-	for n := 0; time.Since(began) < length; n++ {
-		s.submit(n)
+	for began := time.Now(); time.Since(began) < length; {
+		s.submit()
 		time.Sleep(s.between(20*time.Millisecond, 100*time.Millisecond))
 	}
 }
 
+// startUnrecorded submits jobs and stalls the table for 1.5 s, until runs without records have started for a while.
+func (s *simulation) startUnrecorded(t *testing.T) {
+	t.Helper()
+	// The second steps of these jobs are due in the stall.
+	for attempt := range 10 {
+		s.submitFor(700 * time.Millisecond)
+		s.stall(nil, 1500*time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
+		if s.count("Started a run without a record") > 0 {
+			return
+		}
+		s.note("RETRY %d", attempt)
+		time.Sleep(6 * time.Second)
+	}
+	t.Fatal("no run starts without a record")
+}
+
 // finish ends the simulation and checks that no task ran twice and that runs started without records.
 func (s *simulation) finish(t *testing.T) {
 	t.Helper()
@@ -121,10 +146,7 @@
 				time.Sleep(time.Second)
 				second := s.start("entry-1", 1)
 				time.Sleep(3 * time.Second)
-				// The second steps of these jobs are due in the stall.
-				s.submitFor(700 * time.Millisecond)
-				s.stall(nil, 1500*time.Millisecond)
-				time.Sleep(500 * time.Millisecond)
+				s.startUnrecorded(t)
 				second.kill()
 				time.Sleep(100 * time.Millisecond)
 				s.start("entry-1", 1)
@@ -139,6 +161,36 @@
 	}
 }
 
+// Guards against a task that runs twice because the owner after the next one does not look for runs without records. The next
+// owner is lost at any moment between its takeover and the records of the runs that it has adopted.
+func TestOwnersLostInTurn(t *testing.T) {
+	for seed := range seedCount(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulation(t, seed)
+				s.steps[0].Label, s.steps[1].Label = edgeLabel, mainLabel
+				s.hosts.taskTimes[1] = 5 * time.Second
+				first := s.start("entry-0", 1)
+				time.Sleep(time.Second)
+				s.start("entry-1", 1)
+				s.start("entry-2", 1)
+				time.Sleep(3 * time.Second)
+				s.startUnrecorded(t)
+				s.hosts.delayBusy(100 * time.Millisecond)
+				first.kill()
+				second := s.owning()
+				for ; second == nil; second = s.owning() {
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(time.Duration(seed) * 10 * time.Millisecond)
+				second.kill()
+				time.Sleep(8 * time.Second)
+				s.finish(t)
+			})
+		})
+	}
+}
+
 // seedCount returns the number of seeds to play: the given one, or that in the environment for a longer search.
 func seedCount(usual uint64) uint64 {
 	if n, err := strconv.ParseUint(os.Getenv("PLANTAINFOLD_SEEDS"), 10, 64); err == nil {
