--- a/fold/drive/usedhosts_test.go
+++ b/fold/drive/usedhosts_test.go
@@ -59,16 +59,26 @@
 	run  int
 }
 
-// watchedTable calls applied after each successful commit, before the answer.
+// watchedTable calls applied after each successful commit, before the answer, one call at a time.
 type watchedTable struct {
 	*stallingTable
-	applied func()
+	watching sync.Mutex
+	applied  func()
+}
+
+// watch replaces applied.
+func (w *watchedTable) watch(applied func()) {
+	w.watching.Lock()
+	defer w.watching.Unlock()
+	w.applied = applied
 }
 
 func (w *watchedTable) Commit(ctx context.Context, t fold.Txn) (int64, error) {
 	version, err := w.Table.Commit(ctx, t)
 	if err == nil {
+		w.watching.Lock()
 		w.applied()
+		w.watching.Unlock()
 	}
 	w.mu.Lock()
 	delay := w.stall()
@@ -160,7 +170,7 @@
 					}
 				}
 				d := startDriver(t, table, table.Table, hosts.fakeHosts, func(p *drive.Parts) {
-					p.Runner, p.Roster = hosts, &drainingRoster{fakeHosts: hosts.fakeHosts, random: random}
+					p.Runner, p.Roster = hosts, &drainingRoster{fakeHosts: hosts.fakeHosts, random: rand.New(rand.NewPCG(seed, 7))}
 					p.MaxRow = 1 << 10
 				})
 				submitBursts(t, d, random, 4)
@@ -236,7 +246,7 @@
 		hosts.mu.Unlock()
 		check := &unrecordedCheck{t: t, table: table.Table}
 		commits := 0
-		table.applied = func() {
+		table.watch(func() {
 			commits++
 			used := recordedHosts(t, table.Table, 2)
 			for _, task := range slices.Sorted(maps.Keys(runs)) {
@@ -244,9 +254,10 @@
 					t.Errorf("%s: the adopted run of %s has no record, and its host %s is not recorded as awaited", time.Now().Format("05.000"), task, runs[task])
 				}
 			}
-		}
+		})
 		second := startDriver(t, table, table.Table, hosts, func(p *drive.Parts) { p.AwaitUnrecorded, p.MaxRow = true, 1<<10 })
 		time.Sleep(3 * time.Second)
+		table.watch(func() {})
 		if _, _, ok := second.State(testJob(0, 1).ID); !ok || commits < 2 {
 			t.Errorf("the second owner knows the jobs: %v, after %d commits", ok, commits)
 		}
