Record a run that replaces one whose lease has ended

An owner that cannot commit starts runs without records for up to 4 s. If the lease of a run had ended as far as it knew, because the host did not answer it, it also started that task again without a record. A later owner, which has taken over meanwhile, may reach the host and renew the lease: two runs at the same time, under two owners.

Such a run now waits for its record. The commit fails if a later owner exists.

TestNoRunWithoutRecordAfterALeaseHasEnded fails before.

--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -424,6 +424,7 @@
 		}
 		for _, r := range h.copyRuns() {
 			if r.phase != phasePlanned {
+				r.task.part.leaseEnded = true
 				c.loseRun(r, "lease ended")
 			}
 		}
--- a/fold/core/job.go
+++ b/fold/core/job.go
@@ -62,6 +62,8 @@
 	active bool
 	// rank is its rank in the last round of decisions.
 	rank int
+	// leaseEnded reports whether a run of the part was lost because its lease had ended.
+	leaseEnded bool
 	// gangFailures counts failed runs of the gang. lastFailedRun is the number of the last one.
 	gangFailures, lastFailedRun int
 	perHost                     map[*host]int
--- a/fold/core/takeover.go
+++ b/fold/core/takeover.go
@@ -159,6 +159,10 @@
 	var started []string
 	for _, plans := range [][]*run{c.recording, c.planned} {
 		for _, r := range plans {
+			// A later owner may have renewed the lease of a run that counts as lost here. Only a commit excludes this.
+			if r.task.part.leaseEnded {
+				continue
+			}
 			if r.phase == phasePlanned && !r.detached && !r.stopping && c.recordedIncarnations[r.host.info.ID] == r.incarnation && r.task.part.job.tableVersion <= c.lastCommit {
 				r.phase = phaseOrdered
 				started = append(started, fmt.Sprintf("%s/%d@%s", r.id, r.number, r.host.info.ID))
--- a/fold/core/takeover_test.go
+++ b/fold/core/takeover_test.go
@@ -11,6 +11,7 @@
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/core"
 	"plantainfold.example/fold/flow"
+	"plantainfold.example/fold/lease"
 )
 
 // newOwner returns a fixture with an owner that has just taken over; an earlier owner used the hosts, and none has
@@ -100,6 +101,33 @@
 	}
 }
 
+// Guards against two runs of a task under two owners: a host does not answer this owner, which cannot commit, and its lease has
+// ended as far as this owner knows. A later owner may reach the host and renew the lease.
+func TestNoRunWithoutRecordAfterALeaseHasEnded(t *testing.T) {
+	b := newFixture(t, fold.Rules{}, host("a", 1000), host("b", 900))
+	b.cell.AddJob(job(queue(0), step(1)), 1)
+	b.cell.SetCommitted(1)
+	if starts := b.decide().Starts; len(starts) != 1 || starts[0].Host.ID != "a" {
+		t.Fatalf("starts %+v, want one on host a", starts)
+	}
+	b.hosts[1].Capacity.CPU = 1000
+	b.cell.SetHosts(b.hosts)
+	hosts, _ := b.cell.HostsToRecord()
+	b.cell.SetRecordedHosts(hosts)
+	b.cell.RecordSilence("a", 1, lease.MaxDuration(leaseTime))
+	b.advance(leaseTime + time.Second)
+	b.report(b.hosts[1], nil, nil)
+	b.cell.AllowUnrecorded(true)
+	b.cell.Decide()
+	if starts := b.cell.Orders().Starts; len(starts) != 0 {
+		t.Errorf("starts %+v without a record", starts)
+	}
+	b.cell.SnapshotRecorded(b.cell.Snapshot())
+	if starts := b.cell.Orders().Starts; len(starts) != 1 || starts[0].Host.ID != "b" {
+		t.Errorf("starts %+v after the record, want one on host b", starts)
+	}
+}
+
 // Guards against jobs within the rate of their team that are ranked as excess because a new owner loads all jobs at the
 // same time. The rate must use the times of acceptance.
 func TestRateIsJudgedByAcceptance(t *testing.T) {
