--- a/fold/model/day.go
+++ b/fold/model/day.go
@@ -100,6 +100,11 @@
 	Teams      []fold.TeamRule
 	Bursts     []Burst
 	Faults     []Fault
+	// Entries is the number of entries that can own the pool. If it is 0, there is one owner that is replaced after faults of
+	// its own.
+	Entries int
+	// Partitions are faults of the entries; Entries must not be 0.
+	Partitions []Partition
 	// AdviceCallers is the number of entries that call the adviser, which limits concurrent calls.
 	AdviceCallers int
 }
--- a/fold/model/host.go
+++ b/fold/model/host.go
@@ -44,6 +44,8 @@
 	incarnation int
 
 	cut, fails, hangs bool
+	// unlisted counts the active faults that remove the host from the roster.
+	unlisted int
 	slowdown          float64
 }
 
--- a/fold/model/world.go
+++ b/fold/model/world.go
@@ -12,6 +12,7 @@
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/flow"
+	"plantainfold.example/fold/lead"
 )
 
 // World is the state of a running simulation.
@@ -32,7 +33,13 @@
 	// gangs holds the runs of each gang, by step and run number.
 	gangs map[string][]*run
 	store store
-	owner *owner
+	// owner is the one that began its term last. entries are the processes that can own the pool.
+	owner   *owner
+	entries []*entry
+	// faults is the random stream of the faults of entries, so that the other days do not depend on it.
+	faults *rand.Rand
+	// slowTable is the mean additional time of a message to or from the table.
+	slowTable time.Duration
 	// lateShare is the share of orders that are executed late and not answered.
 	lateShare float64
 	// lateOrder is set while a late order is executed; rules with a time bound do not apply to it.
@@ -95,7 +102,11 @@
 	w := &World{
 		day: d, random: rand.New(rand.NewPCG(d.Seed, 1)), log: hclog.NewNullLogger(), now: fold.Instant(time.Hour), start: fold.Instant(time.Hour),
 		byID: make(map[string]*jobTruth), tasks: make(map[string]*taskTruth), gangs: make(map[string][]*run), tableUp: true,
-		store: store{records: make(map[string]flow.Record), jobs: make(map[string]flow.Job), cancels: make(map[string]bool)},
+		store:  store{records: make(map[string]flow.Record), jobs: make(map[string]flow.Job), jobVersions: make(map[string]int64), cancels: make(map[string]bool)},
+		faults: rand.New(rand.NewPCG(d.Seed, 2)),
+	}
+	for i := range max(1, d.Entries) {
+		w.entries = append(w.entries, w.newEntry(i))
 	}
 	w.counts.ByClass = make(map[string][2]float64)
 	w.rules = fold.Rules{Revision: 1, Teams: d.Teams}
@@ -117,10 +128,20 @@
 	for _, f := range d.Faults {
 		w.at(f.At, func() { w.inject(f) })
 	}
+	for _, p := range d.Partitions {
+		w.at(p.At, func() { w.partition(p) })
+	}
 	for i := range d.Classes {
 		w.scheduleArrival(i)
 	}
-	w.after(0, w.takeOver)
+	if d.Entries == 0 {
+		w.after(0, w.takeOver)
+	} else {
+		w.store.row.entry = noEntry
+		for _, e := range w.entries {
+			e.after(time.Duration(w.faults.Int64N(int64(lead.PollInterval))), e.watch)
+		}
+	}
 	w.sample()
 	w.runUntil(d.Length + d.SettleTime)
 	w.addTotals()
