--- a/fold/model/partition.go
+++ b/fold/model/partition.go
@@ -44,6 +44,11 @@
 	TableAway
 	// MessagesLate executes a share of the calls to hosts 2 to 12 s late and does not answer them.
 	MessagesLate
+	// TakeoverPaused stops the process of the next entry that takes over, for Duration, once it has sent its takeover.
+	TakeoverPaused
+	// TermCutFromTable cuts the link between the next entry that begins a term and the table once the entry has loaded the
+	// jobs.
+	TermCutFromTable
 	// PartitionKinds is the number of kinds.
 	PartitionKinds
 )
@@ -180,6 +185,10 @@
 	case MessagesLate:
 		w.lateShare = p.Hosts.Share / 2
 		w.after(p.Duration, func() { w.lateShare = 0 })
+	case TakeoverPaused:
+		w.pauseTakeover = p.Duration
+	case TermCutFromTable:
+		w.cutTerm = &p
 	case PartitionKinds:
 	}
 }
--- a/fold/model/world.go
+++ b/fold/model/world.go
@@ -40,6 +40,10 @@
 	faults *rand.Rand
 	// slowTable is the mean additional time of a message to or from the table.
 	slowTable time.Duration
+	// pauseTakeover is how long the next entry that takes over is paused, or 0. cutTerm is the cut of the next term from the
+	// table, or nil.
+	pauseTakeover time.Duration
+	cutTerm       *Partition
 	// lateShare is the share of orders that are executed late and not answered.
 	lateShare float64
 	// lateOrder is set while a late order is executed; rules with a time bound do not apply to it.
