--- a/fold/model/host.go
+++ b/fold/model/host.go
@@ -46,7 +46,7 @@
 	cut, fails, hangs bool
 	// unlisted counts the active faults that remove the host from the roster.
 	unlisted int
-	slowdown          float64
+	slowdown float64
 }
 
 // run is a running attempt of a task.
--- a/fold/model/partition.go
+++ b/fold/model/partition.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"slices"
 	"time"
 )
 
@@ -49,6 +50,9 @@
 	// TermCutFromTable cuts the link between the next entry that begins a term and the table once the entry has loaded the
 	// jobs.
 	TermCutFromTable
+	// Split divides the pool into the chosen entries and hosts and the rest. No entry reaches an entry or host of the other
+	// side; all entries still reach the table.
+	Split
 	// PartitionKinds is the number of kinds.
 	PartitionKinds
 )
@@ -136,6 +140,11 @@
 	return hosts
 }
 
+// hostsExcept returns the hosts that are not in the list.
+func (w *World) hostsExcept(hosts []*host) []*host {
+	return slices.DeleteFunc(slices.Clone(w.hosts), func(h *host) bool { return slices.Contains(hosts, h) })
+}
+
 // partition injects a partition.
 func (w *World) partition(p Partition) {
 	entries, others := w.chooseEntries(p.Entries)
@@ -152,6 +161,10 @@
 		w.cutTable(entries, p)
 		w.cutPeers(entries, others, p)
 		w.cutHosts(others, hosts, p)
+	case Split:
+		w.cutPeers(entries, others, p)
+		w.cutHosts(others, hosts, p)
+		w.cutHosts(entries, w.hostsExcept(hosts), p)
 	case EntriesPaused:
 		for _, e := range entries {
 			e.pausedUntil = max(e.pausedUntil, w.now.Add(p.Duration))
--- a/fold/model/world.go
+++ b/fold/model/world.go
@@ -77,7 +77,10 @@
 	// cancelled is when the cancellation request became durable.
 	cancelled fold.Instant
 	// cancelSent is set once a caller has sent a cancellation request, even if it got no answer.
-	cancelSent  bool
+	cancelSent bool
+	// idleSince is since when the job has had no run although its steps fit on the hosts, or 0. It is known at the end of a day
+	// with several entries.
+	idleSince   fold.Instant
 	alwaysFails bool
 	objective   time.Duration
 	size        float64
