--- a/fold/model/host.go
+++ b/fold/model/host.go
@@ -44,7 +44,9 @@
 	incarnation int
 
 	cut, fails, hangs bool
-	slowdown          float64
+	// unlisted counts the active faults that remove the host from the roster.
+	unlisted int
+	slowdown float64
 }
 
 // run is a running attempt of a task.
