--- a/fold/model/partition_test.go
+++ b/fold/model/partition_test.go
@@ -145,6 +145,8 @@
 	// An owner that was cut from the table counted a run as lost on a host that its successor reached, and started the task
 	// again without a record.
 	1322,
+	// An owner counted the failed end of a run without a record, but not that of the run before it, which the next owner read.
+	2858,
 }
 
 // Guards against a new owner that starts a task again, or counts it as lost, while an entry that owned the pool before still
