Read the record of a job again before answering that there is none

Without an answer of the owner, an entry reads the record of a job, its row and its row in the inbox, one after the other. A job that ended between the reads had no record at the first one and no row at the second, and the caller was told that there is no such job: 410 for an accepted job, rule LOST.

The record is now read once more before that answer.

TestStateOfAJobThatEnds fails before.

--- a/fold/front/front.go
+++ b/fold/front/front.go
@@ -288,18 +288,20 @@
 			return state, f.checkTeam(a, team)
 		}
 	}
-	rec, err := drive.ReadRecord(ctx, f.table, a.jobID)
-	if err == nil {
-		return rec.State, f.checkTeam(a, rec.Team)
-	}
+	state, err := f.recordedState(ctx, a)
 	if !errorx.IsOfType(err, fold.NotFound) {
-		return "", err
+		return state, err
 	}
 	row, err := f.table.Get(ctx, drive.JobPrefix+a.jobID)
 	if errorx.IsOfType(err, fold.NotFound) {
 		row, err = f.table.Get(ctx, drive.InboxPrefix+a.jobID)
 	}
 	if errorx.IsOfType(err, fold.NotFound) {
+		// The job may have ended between the reads, which deletes its row after its record got one.
+		state, err = f.recordedState(ctx, a)
+		if !errorx.IsOfType(err, fold.NotFound) {
+			return state, err
+		}
 		return "", fold.Refuse(fold.Gone, "check the id", "no job has the id %q", a.jobID)
 	}
 	if err != nil {
@@ -312,6 +314,15 @@
 	return flow.Queued, f.checkTeam(a, job.Team)
 }
 
+// recordedState returns the state in the record of a job, or a NotFound error if the record has no row of its own.
+func (f *Front) recordedState(ctx context.Context, a access) (flow.State, error) {
+	rec, err := drive.ReadRecord(ctx, f.table, a.jobID)
+	if err != nil {
+		return "", err
+	}
+	return rec.State, f.checkTeam(a, rec.Team)
+}
+
 // checkTeam returns a Forbidden error if the caller and the job both have a team and these differ.
 func (f *Front) checkTeam(a access, team string) error {
 	if team != "" && a.team != "" && team != a.team {
--- a/fold/front/front_test.go
+++ b/fold/front/front_test.go
@@ -195,3 +195,40 @@
 		<-done
 	})
 }
+
+// endingTable is a table on which a job ends right before its row is read.
+type endingTable struct {
+	*plat.Table
+	t *testing.T
+}
+
+func (e endingTable) Get(ctx context.Context, key string) (fold.Row, error) {
+	if key == drive.JobPrefix+endingJob {
+		value, err := codec.Encode(flow.Record{State: flow.Completed, Team: "t"})
+		if err != nil {
+			e.t.Error(err)
+		}
+		if _, err := e.Commit(ctx, fold.Txn{Puts: []fold.Put{{Key: drive.StatePrefix + endingJob, Value: value}}, Deletes: []string{key}}); err != nil {
+			e.t.Error(err)
+		}
+	}
+	return e.Table.Get(ctx, key)
+}
+
+const endingJob = "0123456789abcdef"
+
+// Guards against the answer that there is no such job for a job that ends while an entry without an owner reads its rows.
+func TestStateOfAJobThatEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		followed := front.NewRules(rules{}, clock{}, hclog.NewNullLogger(), func(fold.Rules) {})
+		if err := followed.Refresh(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		table := endingTable{Table: plat.NewTable(), t: t}
+		f := front.New(table, followed, rules{}, clock{}, hclog.NewNullLogger(), func(string) (int, bool) { return 0, false }, func() front.Owner { return nil }, maxRow)
+		state, _, err := f.Read(t.Context(), front.Caller{Key: "k", Host: "h", Path: "/p/" + endingJob, Budget: 3 * time.Second})
+		if err != nil || state != flow.Completed {
+			t.Errorf("state %q, error %v; want completed", state, err)
+		}
+	})
+}
