--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -123,12 +123,7 @@
 				state, unansweredPings = ownerNotSuspected, 0
 			}
 			if due, why := n.takeoverDue(s, state, unansweredPings); goodReads > 0 && due {
-				// Without a configuration no takeover succeeds, and each round repeats this line.
-				level := hclog.Info
-				if index, _, _ := n.rules.Current(); index == nil {
-					level = hclog.Debug
-				}
-				n.log.Log(level, "A takeover of the pool is due.", "owner", s.owner.Entry, "epoch", s.owner.Epoch, "why", why, "unchanged", n.clock.Now().Sub(s.changedAt).String(), "unanswered", unansweredPings)
+				n.logDue(s, why, unansweredPings)
 				return s.owner, s.version, nil
 			}
 		}
@@ -151,6 +146,15 @@
 	}
 }
 
+// logDue logs that a takeover is due. Without a configuration no takeover succeeds, and each round would repeat the line.
+func (n *Node) logDue(s ownerRowState, why string, unansweredPings int) {
+	level := hclog.Info
+	if index, _, _ := n.rules.Current(); index == nil {
+		level = hclog.Debug
+	}
+	n.log.Log(level, "A takeover of the pool is due.", "owner", s.owner.Entry, "epoch", s.owner.Epoch, "why", why, "unchanged", n.clock.Now().Sub(s.changedAt).String(), "unanswered", unansweredPings)
+}
+
 // takeoverDue reports whether an entry other than the owner may take over, and why. The last probe found the owner in the
 // given state.
 func (n *Node) takeoverDue(s ownerRowState, state ownerState, unansweredPings int) (due bool, why string) {
