--- a/cmd/pfsoak/internal/app/soak_test.go
+++ b/cmd/pfsoak/internal/app/soak_test.go
@@ -21,6 +21,7 @@
 // Options of test runs.
 var (
 	smallRun      = options{Length: 8 * time.Second, Entries: 3, Hosts: 12, Basic: true}
+	smallRunLinks = options{Length: 8 * time.Second, Entries: 3, Hosts: 12, Links: true}
 	largeRun      = options{Length: 30 * time.Second, Entries: 9, Hosts: 48, Basic: true}
 	largeRunAll   = options{Length: 20 * time.Second, Entries: 9, Hosts: 48}
 	largeRunLinks = options{Length: 20 * time.Second, Entries: 9, Hosts: 48, Links: true}
@@ -52,7 +53,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	runs := []regression{{seed: 1, run: smallRun}}
+	runs := []regression{{seed: 1, run: smallRun}, {seed: 3, run: smallRunLinks}}
 	if os.Getenv("PLANTAINFOLD_SOAK") != "" {
 		runs = append(runs, regressions...)
 	}
