pfsoak: cut links between entries and hosts, stutters and series of owners

The soak lacked faults of the users' machines. Each entry now reaches each host and each other entry through a proxy of its own: a store server per entry replaces the addresses in the rows servers/, entry/, lead/ and used/. Links are delayed, cut silently (data is dropped, or arrives after the fault) or cut one way. Entries and hosts are spread over three failure domains. New faults: partitions of an entry, mostly the owner, with the hosts of its domain, whose rows may lapse; links to some hosts and between entries; stutters; two to four owners in a row killed, paused or cut off; hosts that leave the roster or return at another address beside a kill of the owner. hosts.log holds the orders to the hosts with their fences.

--- a/cmd/pfsoak/internal/app/entry.go
+++ b/cmd/pfsoak/internal/app/entry.go
@@ -48,7 +48,7 @@
 	return (&net.ListenConfig{}).Listen(ctx, "tcp", net.JoinHostPort(loopback, "0"))
 }
 
-func newEntry(ctx context.Context, program, dir, name, store, adviser string) (*entry, error) {
+func newEntry(ctx context.Context, program, dir, name, domain, store, adviser string) (*entry, error) {
 	e := &entry{program: program, dir: dir}
 	var err error
 	if e.storeProxy, err = newProxy(ctx, store); err != nil {
@@ -66,7 +66,7 @@
 		e.reserved, addresses = append(e.reserved, l), append(addresses, l.Addr().String())
 	}
 	e.settings = node.Settings{
-		Name: name, Domain: "soak", Callers: addresses[0], Ready: addresses[1], Peers: addresses[2],
+		Name: name, Domain: domain, Callers: addresses[0], Ready: addresses[1], Peers: addresses[2],
 		Store: e.storeProxy.address(), Adviser: e.adviserProxy.address(), Level: "info",
 		Lease: 6000, Stop: 900, Restore: 100, Save: 2000, Early: 250, Grace: float64(graceTime.Milliseconds()), Cores: 1, Memory: 256,
 	}
@@ -138,6 +138,13 @@
 	_ = e.process.Process.Signal(s)
 }
 
+// isPaused reports whether the current process is paused.
+func (e *entry) isPaused() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.paused
+}
+
 // stopping reports whether SIGTERM was sent to the latest process.
 func (e *entry) stopping() bool {
 	e.mu.Lock()
--- a/cmd/pfsoak/internal/app/environment.go
+++ b/cmd/pfsoak/internal/app/environment.go
@@ -7,7 +7,9 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -44,13 +46,25 @@
 	storeFaults *plat.Faults
 	// servers are the servers of the simulated platform and its hosts.
 	servers        []*httptest.Server
-	storeAddress   string
 	adviserAddress string
 	rules          fold.Rules
+	links          *links
+	// domains holds the failure domain of each host by its id.
+	domains map[string]string
+
+	mu sync.Mutex
+	// hostServers holds the current server of each host by its id.
+	hostServers map[string]*httptest.Server
+	// unlisted counts, by the id of a host, the active faults that keep it from registering.
+	unlisted map[string]int
 }
 
-// newWorkload returns the workload of a test run: the job classes of a planning service on a pool of the given size.
-func newWorkload(seed uint64, hosts int) model.Day {
+// domainNames are the failure domains, over which entries and hosts are spread in turn.
+var domainNames = []string{"soak-a", "soak-b", "soak-c"}
+
+// newWorkload returns the workload of a test run: the job classes of a planning service on a pool of the given size. The mean
+// run time of tasks is limited to maxRunTime.
+func newWorkload(seed uint64, hosts int, maxRunTime time.Duration) model.Day {
 	workload := model.PlanningDay(seed)
 	workload.Hosts, workload.Racks = hosts, max(1, hosts/4)
 	for i := range workload.Classes {
@@ -69,18 +83,31 @@
 const (
 	// loadFactor scales the arrival rate of jobs to what a shared machine can process.
 	loadFactor = 1.2
-	// maxRunTime limits the mean run time of tasks, so that a test run stays short.
-	maxRunTime = 3 * time.Second
+	// shortRunTime limits the mean run time of tasks, so that a test run stays short.
+	shortRunTime = 3 * time.Second
+	// longRunTime is the limit beside faults of links. Many tasks then outlast a lease.
+	longRunTime = 6 * time.Second
 )
 
-func newEnvironment(ctx context.Context, seed uint64, hosts int, log hclog.Logger) (*environment, error) {
-	e := &environment{log: log, random: rand.New(rand.NewPCG(seed, 7)), workload: newWorkload(seed, hosts), table: plat.NewTable(), storeFaults: plat.NewFaults(fold.BootClock{})}
-	e.live = model.NewLive(e.workload, hclog.NewNullLogger(), e.newestRecord)
-	e.storeAddress = e.startServer(stand.Store(plat.NewFaultyTable(e.table, e.storeFaults), plat.NewFaultyChangeFeed(e.table, e.storeFaults)))
-	e.adviserAddress = e.startServer(stand.Adviser(e.live))
+// newEnvironment returns the environment of a test run for entries with the given names. The orders to the hosts are logged
+// to hostLog.
+func newEnvironment(ctx context.Context, seed uint64, workload model.Day, entries []string, log, hostLog hclog.Logger) (*environment, error) {
+	e := &environment{
+		log: log, random: rand.New(rand.NewPCG(seed, 7)), workload: workload, table: plat.NewTable(), storeFaults: plat.NewFaults(fold.BootClock{}),
+		links: newLinks(entries), domains: make(map[string]string), hostServers: make(map[string]*httptest.Server), unlisted: make(map[string]int),
+	}
+	e.live = model.NewLive(e.workload, hostLog, e.newestRecord)
+	server, err := e.startServer(ctx, stand.Adviser(e.live))
+	if err != nil {
+		return nil, err
+	}
+	e.adviserAddress = server.Listener.Addr().String()
 	up, _ := e.live.Hosts()
-	for _, h := range up {
-		e.live.SetAddress(h.ID, e.startServer(stand.Host(e.live, func() fold.Host { return fold.Host{ID: h.ID} })))
+	for i, h := range up {
+		e.domains[h.ID] = domainNames[i%len(domainNames)]
+		if err := e.giveAddress(ctx, h.ID); err != nil {
+			return nil, err
+		}
 	}
 	e.rules = fold.Rules{Revision: 1, Teams: e.workload.Teams}
 	for _, c := range e.workload.Classes {
@@ -124,11 +151,63 @@
 // commitWait limits the wait for a commit of the owner, which commits several times in a second.
 const commitWait = 2 * time.Second
 
-// startServer starts a server on loopback and returns its address.
-func (e *environment) startServer(h http.Handler) string {
-	server := httptest.NewServer(h)
+// startServer starts a server on loopback.
+func (e *environment) startServer(ctx context.Context, h http.Handler) (*httptest.Server, error) {
+	l, err := listen(ctx)
+	if err != nil {
+		return nil, err
+	}
+	server := &httptest.Server{Listener: l, Config: &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}}
+	server.Start()
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.servers = append(e.servers, server)
-	return strings.TrimPrefix(server.URL, "http://")
+	return server, nil
+}
+
+// startStore starts the server of the store for an entry and returns its address.
+func (e *environment) startStore(ctx context.Context, entry string) (string, error) {
+	store := linkedStore{FaultyTable: plat.NewFaultyTable(e.table, e.storeFaults), FaultyChangeFeed: plat.NewFaultyChangeFeed(e.table, e.storeFaults), links: e.links, entry: entry}
+	server, err := e.startServer(ctx, stand.Store(store, store))
+	if err != nil {
+		return "", err
+	}
+	return server.Listener.Addr().String(), nil
+}
+
+// giveAddress lets a host listen at a new address and no longer at its previous one.
+func (e *environment) giveAddress(ctx context.Context, id string) error {
+	server, err := e.startServer(ctx, stand.Host(e.live, func() fold.Host { return fold.Host{ID: id} }))
+	if err != nil {
+		return err
+	}
+	address := server.Listener.Addr().String()
+	if err := e.links.addTarget(ctx, id, address); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	previous := e.hostServers[id]
+	e.hostServers[id] = server
+	e.mu.Unlock()
+	e.live.SetAddress(id, address)
+	if previous != nil {
+		previous.CloseClientConnections()
+		previous.Close()
+	}
+	return nil
+}
+
+// setListed sets whether the hosts keep their rows. Calls with false and with true must come in pairs.
+func (e *environment) setListed(ids []string, listed bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, id := range ids {
+		if listed {
+			e.unlisted[id]--
+		} else {
+			e.unlisted[id]++
+		}
+	}
 }
 
 // writeConfig writes the configuration to the table.
@@ -144,8 +223,18 @@
 // updateRegistrations writes the rows of the hosts that are up and deletes the rows of the others.
 func (e *environment) updateRegistrations(ctx context.Context) error {
 	up, down := e.live.Hosts()
+	e.mu.Lock()
+	up = slices.DeleteFunc(up, func(h fold.Host) bool {
+		if e.unlisted[h.ID] > 0 {
+			down = append(down, h.ID)
+			return true
+		}
+		return false
+	})
+	e.mu.Unlock()
 	var txn fold.Txn
 	for _, h := range up {
+		h.Domain = e.domains[h.ID]
 		put, err := stand.Registration(h)
 		if err != nil {
 			return err
@@ -210,7 +299,7 @@
 
 // Close stops the hosts and the servers.
 func (e *environment) Close() error {
-	err := e.live.Close()
+	err := errors.Join(e.live.Close(), e.links.Close())
 	for _, s := range e.servers {
 		s.CloseClientConnections()
 		s.Close()
--- a/cmd/pfsoak/internal/app/fault.go
+++ b/cmd/pfsoak/internal/app/fault.go
@@ -145,11 +145,7 @@
 	m := modeDelay + mode(random.IntN(int(modeCount-modeDelay)))
 	f.name = fmt.Sprintf("connections of %s to %s, mode %d", e.settings.Name, peer, m)
 	f.inject = func(context.Context) { p.setMode(m) }
-	f.revert = func() {
-		// Connections that lost data cannot be used any more.
-		p.setMode(modeReset)
-		p.setMode(modePass)
-	}
+	f.revert = p.restore
 }
 
 // storeFault injects a fault into the store, which all entries use.
--- a/cmd/pfsoak/internal/app/proxy.go
+++ b/cmd/pfsoak/internal/app/proxy.go
@@ -21,11 +21,20 @@
 	modeDropAll
 	// modeReset aborts open and new connections.
 	modeReset
+	// modeCount is the number of modes that networkFault draws from. The modes after it are for faults of links.
 	modeCount
+	// modeDropRequests drops data to the target; connections stay open.
+	modeDropRequests
+	// modeHold keeps all data back until the mode changes. Requests then arrive late, also those of closed connections.
+	modeHold
 )
 
-// delayTime is the delay of each piece of data in modeDelay.
-const delayTime = 120 * time.Millisecond
+const (
+	// delayTime is the delay of each piece of data in modeDelay.
+	delayTime = 120 * time.Millisecond
+	// holdInterval is the time between checks whether modeHold has ended.
+	holdInterval = 10 * time.Millisecond
+)
 
 // proxy forwards connections on loopback to a target and injects the network fault of its mode.
 type proxy struct {
@@ -66,6 +75,14 @@
 	}
 }
 
+// restore ends the fault of the proxy. Connections that lost data cannot be used any more, so they are aborted.
+func (p *proxy) restore() {
+	if p.currentMode() != modeHold {
+		p.setMode(modeReset)
+	}
+	p.setMode(modePass)
+}
+
 func (p *proxy) currentMode() mode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -84,11 +101,7 @@
 // Close aborts all connections and waits until all goroutines of the proxy have ended.
 func (p *proxy) Close() error {
 	err := p.listener.Close()
-	p.mu.Lock()
-	for c := range p.conns {
-		abort(c)
-	}
-	p.mu.Unlock()
+	p.setMode(modeReset)
 	p.group.Wait()
 	return err
 }
@@ -131,10 +144,14 @@
 		if err != nil {
 			return
 		}
-		switch m := p.currentMode(); {
+		m := p.currentMode()
+		for ; m == modeHold; m = p.currentMode() {
+			time.Sleep(holdInterval)
+		}
+		switch {
 		case m == modeDelay:
 			time.Sleep(delayTime)
-		case m == modeDropAll || m == modeDropAnswers && fromTarget:
+		case m == modeDropAll || m == modeDropAnswers && fromTarget || m == modeDropRequests && !fromTarget:
 			// Without this data, the other side could not parse the rest of the stream.
 			p.discard(from)
 			return
--- a/cmd/pfsoak/internal/app/soak.go
+++ b/cmd/pfsoak/internal/app/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -31,6 +32,8 @@
 	Entries int           `long:"entries" default:"3" description:"number of entries"`
 	Hosts   int           `long:"hosts" default:"12" description:"number of hosts; the rate of jobs grows with it"`
 	Program string        `long:"program" description:"path of the entry daemon; if it is not set, the daemon is built from the checkout"`
+	Basic   bool          `long:"basic" description:"inject no faults of links, no stutters and no series of changes of the owner"`
+	Links   bool          `long:"links" description:"inject only the faults that --basic leaves out"`
 	Logs    string        `long:"logs" description:"folder in which the logs of the entries are kept; if it is not set, they are removed after a test run without a violation"`
 }
 
@@ -61,24 +64,15 @@
 // runSeed performs the test run of a seed and returns its result.
 func runSeed(ctx context.Context, o options, seed uint64, dir string, log hclog.Logger) (out outcome, err error) {
 	t := &testRun{log: log}
-	if t.env, err = newEnvironment(ctx, seed, o.Hosts, log); err != nil {
+	hostLog, err := os.Create(filepath.Join(dir, "hosts.log"))
+	if err != nil {
 		return out, err
 	}
-	defer func() { _ = t.env.Close() }()
-	for n := range o.Entries {
-		e, err := newEntry(ctx, o.Program, dir, fmt.Sprintf("entry-%d", n), t.env.storeAddress, t.env.adviserAddress)
-		if err != nil {
-			return out, err
-		}
-		t.entries = append(t.entries, e)
+	defer func() { _ = hostLog.Close() }()
+	if err := t.connect(ctx, o, seed, dir, hclog.New(&hclog.LoggerOptions{Level: hclog.Debug, Output: hostLog})); err != nil {
+		return out, err
 	}
-	defer func() {
-		for _, e := range t.entries {
-			if closeErr := e.Close(); closeErr != nil && err == nil {
-				err = closeErr
-			}
-		}
-	}()
+	defer func() { err = errors.Join(err, t.close()) }()
 	t.startEntries(t.entries)
 	t.callers = newCallers(t.env, t.entries)
 	watching, stop := context.WithCancel(ctx)
@@ -90,7 +84,15 @@
 	for class := range t.env.workload.Classes {
 		senders.Go(func() { t.callers.sendJobs(sending, watching, class, seed) })
 	}
-	out.faults = t.injectFaults(ctx, t.drawFaults(rand.New(rand.NewPCG(seed, 11)), o.Length))
+	// Each group of faults has its own random numbers, so that a seed keeps its faults when another group is added.
+	var faults []fault
+	if !o.Links {
+		faults = t.drawFaults(rand.New(rand.NewPCG(seed, 11)), o.Length)
+	}
+	if !o.Basic {
+		faults = append(faults, t.drawLinkFaults(rand.New(rand.NewPCG(seed, 13)), o.Length)...)
+	}
+	out.faults = t.injectFaults(ctx, faults)
 	senders.Wait()
 	out.unplaced = t.finish(ctx, stop)
 	c := t.callers
@@ -103,6 +105,46 @@
 	return out, nil
 }
 
+// connect creates the environment and the entries, whose processes are not started.
+func (t *testRun) connect(ctx context.Context, o options, seed uint64, dir string, hostLog hclog.Logger) error {
+	runTime := longRunTime
+	if o.Basic {
+		runTime = shortRunTime
+	}
+	var names []string
+	for n := range o.Entries {
+		names = append(names, fmt.Sprintf("entry-%d", n))
+	}
+	var err error
+	if t.env, err = newEnvironment(ctx, seed, newWorkload(seed, o.Hosts, runTime), names, t.log, hostLog); err != nil {
+		return err
+	}
+	for n, name := range names {
+		store, err := t.env.startStore(ctx, name)
+		if err != nil {
+			return errors.Join(err, t.close())
+		}
+		e, err := newEntry(ctx, o.Program, dir, name, domainNames[n%len(domainNames)], store, t.env.adviserAddress)
+		if err != nil {
+			return errors.Join(err, t.close())
+		}
+		t.entries = append(t.entries, e)
+		if err := t.env.links.addTarget(ctx, name, e.settings.Peers); err != nil {
+			return errors.Join(err, t.close())
+		}
+	}
+	return nil
+}
+
+// close closes the entries and the environment.
+func (t *testRun) close() error {
+	var errs []error
+	for _, e := range t.entries {
+		errs = append(errs, e.Close())
+	}
+	return errors.Join(append(errs, t.env.Close())...)
+}
+
 // startEntries starts the processes of those entries that are not running.
 func (t *testRun) startEntries(entries []*entry) {
 	for _, e := range entries {
--- a/fold/model/live.go
+++ b/fold/model/live.go
@@ -147,6 +147,7 @@
 		if name, ok := flow.ParseTaskName(r.Task); ok && l.refused[name.Job] {
 			h.world.addViolation("REFUSED", "%s starts although every submission of its job was refused", r.Task)
 		}
+		h.world.log.Debug("Host was told to start a run.", "task", r.Task, "run", r.Run, "host", h.info.ID, "fence", r.Fence, "leaseLeft", r.LeaseEnd-h.clock())
 		return h.start(r)
 	})
 }
