Show that a late renewal outlasts the wait for a host that started again

A confirmed run that no report has listed stays with the next incarnation of its host, which may have confirmed the start. If this incarnation does not answer, Cell.handleRestart waits for one lease. A renewal without an answer may be carried out there up to 13 s later; the new clock does not refuse it.

--- a/fold/core/latestart_test.go
+++ b/fold/core/latestart_test.go
@@ -68,7 +68,7 @@
 	b.expectNoStartBefore(other, arrived.Add(lease.OnSlowestClock(leaseTime)))
 }
 
-// expectNoStartBefore expects that the task starts again, but not before a late start has arrived and its lease has ended. Only
+// expectNoStartBefore expects that the task starts again, but not before a late call has arrived and the lease that it grants has ended. Only
 // the given host reports.
 func (b *fixture) expectNoStartBefore(reporting fold.Host, end fold.Instant) {
 	b.t.Helper()
@@ -77,6 +77,6 @@
 	if after == 0 {
 		b.t.Error("the task does not start again")
 	} else if after < bound {
-		b.t.Errorf("the task starts again after %s; a late start may hold its lease for %s", after, bound)
+		b.t.Errorf("the task starts again after %s; a late call may extend its lease for %s", after, bound)
 	}
 }
