Log what the adviser answered about waiting tasks

Tasks wait. now has the last call, the last answer and the valid tickets of the step, the owner logs late and failed calls at most once in 3 s, and a refused ticket is logged with the time that it was still valid for by the owner's clock. No decision changes.

--- a/fold/core/advice.go
+++ b/fold/core/advice.go
@@ -27,6 +27,17 @@
 	nextCall fold.Instant
 	// nextPreemption is the earliest time at which runs may next be stopped to make room for this step.
 	nextPreemption fold.Instant
+	// lastAnswer describes the last answer or failed call.
+	lastAnswer adviceAnswer
+	// expiredTickets counts the starts that hosts refused because of their ticket.
+	expiredTickets int
+}
+
+// adviceAnswer describes an answer of the adviser, or a call without one, for the log.
+type adviceAnswer struct {
+	at              fold.Instant
+	asked, approved int
+	err             error
 }
 
 // ticket permits the starts of one step on one incarnation of a host until it expires.
@@ -412,6 +423,7 @@
 	p.advice.callPending = false
 	c.callsInFlight = slices.DeleteFunc(c.callsInFlight, func(other AdviceCall) bool { return other.part == p })
 	c.sumRequestedShares()
+	p.advice.lastAnswer = adviceAnswer{at: c.now, asked: len(call.Hosts), approved: len(advice.Approvals), err: err}
 	if err != nil {
 		p.advice.nextCall = c.now.Add(failedCallDelay)
 		return
--- a/fold/core/explain.go
+++ b/fold/core/explain.go
@@ -26,10 +26,34 @@
 			return
 		}
 		reasons := c.countReasons(p, c.openHostsFor(p))
-		c.log.Info("Tasks wait.", "step", p.stepName(), "queue", p.job.queue.Name, "team", p.job.spec.Team, "tasks", p.waitingTasks, "live", p.liveRunCount(),
+		fields := []any{
+			"step", p.stepName(), "queue", p.job.queue.Name, "team", p.job.spec.Team, "tasks", p.waitingTasks, "live", p.liveRunCount(),
 			"since", c.now.Sub(p.readyAt).String(), "rank", c.rank(p), "hosts", reasons.open, "full", reasons.full, "denied", reasons.denied,
-			"unasked", reasons.unasked, "limit", reasons.limit, "record", !p.fitsRecord(), "asking", p.advice.callPending)
+			"unasked", reasons.unasked, "limit", reasons.limit, "record", !p.fitsRecord(), "asking", p.advice.callPending,
+		}
+		c.log.Info("Tasks wait.", append(fields, c.explainAdvice(p)...)...)
+	}
+}
+
+// explainAdvice returns the fields of a log line that tell what the adviser has answered about a step.
+func (c *Cell) explainAdvice(p *part) []any {
+	a := &p.advice
+	if p.job.queue.Advice == nil || a.lastCall == 0 {
+		return nil
+	}
+	valid := 0
+	for h := range a.tickets {
+		if p.permitted(h, c.now) {
+			valid++
+		}
+	}
+	fields := []any{
+		"sinceCall", c.now.Sub(a.lastCall).String(), "unsuccessful", a.unsuccessful, "allApproved", len(a.approvedIDs), "tickets", valid, "expiredTickets", a.expiredTickets,
+	}
+	if a.lastAnswer.at == 0 {
+		return fields
 	}
+	return append(fields, "sinceAnswer", c.now.Sub(a.lastAnswer.at).String(), "asked", a.lastAnswer.asked, "approved", a.lastAnswer.approved, "error", a.lastAnswer.err)
 }
 
 // reasons counts the open hosts by the reason for which they cannot take a task.
--- a/fold/core/orders.go
+++ b/fold/core/orders.go
@@ -202,7 +202,12 @@
 		h.enforcesFence = false
 		c.hostsChanged = true
 	case errorx.IsOfType(err, fold.BadTicket):
-		delete(r.task.part.advice.tickets, h)
+		a := &r.task.part.advice
+		a.expiredTickets++
+		if held, ok := a.tickets[h]; ok {
+			c.log.Info("A host refused a ticket.", "task", r.key().task, "run", r.number, "host", h.info.ID, "left", held.expires.Sub(c.now).String())
+		}
+		delete(a.tickets, h)
 	}
 	if r.tries > 1 || errorx.IsOfType(err, fold.HostRestarted) {
 		// An earlier order for this run may have been carried out or may still arrive.
--- a/fold/drive/advice.go
+++ b/fold/drive/advice.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/core"
 )
@@ -29,6 +31,48 @@
 	busy      map[string]bool
 	retryAt   map[string]fold.Instant
 	slowCalls int
+	report    adviceReport
+}
+
+const (
+	// adviceReportInterval is the shortest time between two logs about late and failed calls to the adviser.
+	adviceReportInterval = 3 * time.Second
+	// reportedDelay is how much longer than stated a call to the adviser takes before the log reports it.
+	reportedDelay = 100 * time.Millisecond
+)
+
+// adviceReport sums up the calls to the adviser since the last log about them.
+type adviceReport struct {
+	since                fold.Instant
+	calls, late, failed  int
+	maxDelay             time.Duration
+	lastStep, lastCaller string
+	lastErr              error
+}
+
+// add adds a call that has ended. delay is how much longer than stated it took.
+func (r *adviceReport) add(step, caller string, delay time.Duration, err error) {
+	r.calls++
+	if delay > reportedDelay {
+		r.late++
+	}
+	if err != nil {
+		r.failed++
+		r.lastStep, r.lastCaller, r.lastErr = step, caller, err
+	}
+	r.maxDelay = max(r.maxDelay, delay)
+}
+
+// logIfDue logs late and failed calls, at most once in adviceReportInterval, and begins the next sum.
+func (r *adviceReport) logIfDue(log hclog.Logger, now fold.Instant, inFlight int) {
+	if now.Sub(r.since) < adviceReportInterval {
+		return
+	}
+	if r.late > 0 || r.failed > 0 {
+		log.Warn("Calls to the adviser were late or failed.", "calls", r.calls, "late", r.late, "failed", r.failed, "maxDelay", r.maxDelay.String(),
+			"inFlight", inFlight, "lastStep", r.lastStep, "lastCaller", r.lastCaller, "error", r.lastErr)
+	}
+	*r = adviceReport{since: now}
 }
 
 // runAdvice makes the calls that the cell wants through entries that are free, until ctx ends.
@@ -86,7 +130,9 @@
 		d.log.Debug("Called the adviser.", "step", ask.Step, "hosts", len(ask.Hosts), "approved", len(advice.Approvals), "by", name, "took", took.String(), "error", err)
 		d.updateCell(func(c *core.Cell) { c.ApplyAdvice(ask, advice, d.parts.Clock.Now().Add(-maxTicketAge), err) })
 		finish := func() {
-			state.busy[name] = false
+			state.report.add(ask.Step, name, took-ask.Duration, err)
+			state.report.logIfDue(d.log, d.parts.Clock.Now(), len(state.busy)-1)
+			delete(state.busy, name)
 			if isSlow {
 				state.slowCalls--
 			}
