Use answers of the adviser that arrive late

Callers saw tasks of queues with advice wait for ever although hosts had room.

Cause: the owner gave up a call 250 ms after the time that the adviser states, dropped the answer, did not use the entry for a second, and asked again for the same step. The adviser serves the calls of an entry in turn, also those that were given up. An adviser that is late for all calls, for instance on a shared processor, thus let no step start, at any load.

The test now has the 37 entries of the deployment, because 9 slow calls at a time cannot serve 4 steps a second at 2.7 s a call.

Ruled out: a lack of room or limits (the test has neither), and tickets that hosts refuse (none is refused before the answer is dropped).

Change: an overdue call lets another entry make a call for the step, but its answer still counts. An answer is overdue by a margin above the usual delay of answers, so an adviser that is slow for all entries does not get more calls. The entry stays reserved until the answer arrives or the call is given up; the limit for that grows while calls are given up.

--- a/fold/core/advice.go
+++ b/fold/core/advice.go
@@ -16,8 +16,8 @@
 	approved []*host
 	// approvedIDs holds the ids of the hosts that the adviser has approved; an approval does not change.
 	approvedIDs, deniedIDs map[string]bool
-	// callPending reports whether a call is in flight.
-	callPending bool
+	// pendingCall is the number of the call whose answer the step waits for, or 0.
+	pendingCall uint64
 	// lastWaiting is the number of waiting tasks at the last call. unsuccessful is the number of consecutive calls after
 	// which no task started.
 	lastWaiting, unsuccessful int
@@ -125,6 +125,7 @@
 	Hosts []string
 	// Duration is how long the adviser needs to answer.
 	Duration time.Duration
+	number   uint64
 	part     *part
 	// service is the service of the queue when the call was made. share is the share of its capacity that the call asks for.
 	service string
@@ -171,7 +172,7 @@
 // adviceCall returns the call that a part needs now, if any, and marks it as in flight.
 func (c *Cell) adviceCall(p *part, slow bool) (AdviceCall, bool) {
 	policy := p.job.queue.Advice
-	if policy == nil || p.waitingTasks == 0 && !c.needsCopies(p) || p.advice.callPending || c.now < p.advice.nextCall || p.job.state.Final() {
+	if policy == nil || p.waitingTasks == 0 && !c.needsCopies(p) || p.advice.pendingCall != 0 || c.now < p.advice.nextCall || p.job.state.Final() {
 		return AdviceCall{}, false
 	}
 	if !slow && policy.CallTime+minCallHosts*policy.TimePerHost > maxQuickCall {
@@ -193,8 +194,10 @@
 	} else {
 		p.advice.unsuccessful++
 	}
-	p.advice.callPending, p.advice.lastCall, p.advice.lastWaiting = true, c.now, p.waitingTasks
+	c.lastCall++
+	p.advice.pendingCall, p.advice.lastCall, p.advice.lastWaiting = c.lastCall, c.now, p.waitingTasks
 	call := AdviceCall{
+		number: c.lastCall,
 		Step: p.stepName(), Hosts: hosts, Duration: policy.CallTime + time.Duration(len(hosts))*policy.TimePerHost,
 		part: p, service: p.job.queue.Service, share: share, validity: policy.Validity,
 	}
@@ -415,17 +418,28 @@
 	return a.Duration > maxQuickCall
 }
 
-// ApplyAdvice applies the answer to a call. The tickets were issued no earlier than issued. The queue may have got another
-// service or policy since the call was made.
+// ReleaseAdviceCall lets the step of a call whose answer is overdue be asked about again. The answer may still arrive.
+func (c *Cell) ReleaseAdviceCall(call AdviceCall) {
+	if call.part.advice.pendingCall != call.number {
+		return
+	}
+	call.part.advice.pendingCall = 0
+	c.callsInFlight = slices.DeleteFunc(c.callsInFlight, func(other AdviceCall) bool { return other.number == call.number })
+	c.sumRequestedShares()
+}
+
+// ApplyAdvice applies the answer to a call, which may have been released. The tickets were issued no earlier than issued. The
+// queue may have got another service or policy since the call was made.
 func (c *Cell) ApplyAdvice(call AdviceCall, advice fold.Advice, issued fold.Instant, err error) {
 	p := call.part
 	expires := issued.Add(cmp.Or(advice.Validity, call.validity))
-	p.advice.callPending = false
-	c.callsInFlight = slices.DeleteFunc(c.callsInFlight, func(other AdviceCall) bool { return other.part == p })
-	c.sumRequestedShares()
+	released := p.advice.pendingCall != call.number
+	c.ReleaseAdviceCall(call)
 	p.advice.lastAnswer = adviceAnswer{at: c.now, asked: len(call.Hosts), approved: len(advice.Approvals), err: err}
 	if err != nil {
-		p.advice.nextCall = c.now.Add(failedCallDelay)
+		if !released {
+			p.advice.nextCall = c.now.Add(failedCallDelay)
+		}
 		return
 	}
 	if p.advice.tickets == nil {
@@ -447,6 +461,9 @@
 	queue := p.job.queue.Name
 	share := float64(len(advice.Approvals)) / float64(max(1, len(call.Hosts)))
 	c.approvalRates[queue] = max(0.05, c.approvalRate(queue)*(1-approvalRateWeight)+share*approvalRateWeight)
+	if released {
+		return
+	}
 	p.advice.nextCall = c.now.Add(callDelay)
 	if len(advice.Approvals) > 0 {
 		p.advice.nextCall = c.now
--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -74,8 +74,10 @@
 	open map[string][]*host
 	// openCapacity is the total capacity of the open hosts, by service.
 	openCapacity map[string]openCapacity
-	// callsInFlight lists the calls to the adviser without an answer, at most one for each part.
+	// callsInFlight lists the calls to the adviser for whose answers parts wait, at most one for each part.
 	callsInFlight []AdviceCall
+	// lastCall is the number of the last call to the adviser.
+	lastCall uint64
 	// requestedShare is the capacity that calls to the adviser in flight ask for, by service, as a share of the whole.
 	requestedShare map[string]float64
 	// candidateBuffer is reused for the result of candidates.
--- a/fold/drive/advice.go
+++ b/fold/drive/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -17,8 +18,18 @@
 	minQuickEntries = 2
 	// minEntriesForQuick is the least number of entries with which any are reserved for quick calls.
 	minEntriesForQuick = 4
-	// adviseTimeout limits a call in addition to the time that the adviser needs for it. Another entry can repeat the call.
-	adviseTimeout = 250 * time.Millisecond
+	// minOverdueDelay is how much later than stated an answer is overdue if the recent ones came in time. Another entry then
+	// makes a call for the step.
+	minOverdueDelay = 250 * time.Millisecond
+	// overdueFactor is the multiple of the usual delay of answers that is added to minOverdueDelay. An adviser that is slow
+	// for all entries then does not get more calls.
+	overdueFactor = 2
+	// usualDelayWeight is the weight of the newest answer in the moving average of the delay.
+	usualDelayWeight = 0.125
+	// minCallPatience and maxCallPatience are the bounds of the time by which an answer may be later than stated before the call
+	// is given up. The adviser may still serve the call, so until then its entry makes no other one.
+	minCallPatience = 3 * time.Second
+	maxCallPatience = 24 * time.Second
 	// askerRetryDelay is how long an entry is not used after its call failed.
 	askerRetryDelay = time.Second
 	// maxTicketAge is how old the tickets in an answer may be when it arrives.
@@ -31,7 +42,28 @@
 	busy      map[string]bool
 	retryAt   map[string]fold.Instant
 	slowCalls int
-	report    adviceReport
+	// usualDelay is the moving average of how much later than stated answers arrive.
+	usualDelay time.Duration
+	// patience is how much later than stated an answer may arrive before the call is given up. It grows while calls are given
+	// up, so that an adviser that is late for long is not asked in vain.
+	patience time.Duration
+	report   adviceReport
+}
+
+// recordDelay adjusts the limits to a call that was answered or given up. delay is how much longer than stated it took.
+func (s *adviceCalls) recordDelay(delay time.Duration, err error) {
+	switch {
+	case err == nil:
+		s.usualDelay += time.Duration(usualDelayWeight * float64(max(0, delay)-s.usualDelay))
+		s.patience = min(max(minCallPatience, 2*delay), maxCallPatience)
+	case errors.Is(err, context.DeadlineExceeded):
+		s.patience = min(2*s.patience, maxCallPatience)
+	}
+}
+
+// overdueDelay returns how much later than stated an answer is overdue.
+func (s *adviceCalls) overdueDelay() time.Duration {
+	return min(minOverdueDelay+overdueFactor*s.usualDelay, s.patience)
 }
 
 const (
@@ -77,7 +109,7 @@
 
 // runAdvice makes the calls that the cell wants through entries that are free, until ctx ends.
 func (d *Driver) runAdvice(ctx context.Context) {
-	state := &adviceCalls{busy: make(map[string]bool), retryAt: make(map[string]fold.Instant)}
+	state := &adviceCalls{busy: make(map[string]bool), retryAt: make(map[string]fold.Instant), patience: minCallPatience}
 	done := make(chan func(), 64)
 	for {
 		d.dispatchAdvice(ctx, state, done)
@@ -120,9 +152,11 @@
 	if isSlow {
 		state.slowCalls++
 	}
+	overdue, limit := ask.Duration+state.overdueDelay(), ask.Duration+state.patience
 	d.spawn(func() {
 		sent := d.parts.Clock.Now()
-		call, cancel := context.WithTimeout(ctx, ask.Duration+adviseTimeout)
+		call, cancel := context.WithTimeout(ctx, limit)
+		d.spawn(func() { d.releaseOverdue(call, ask, overdue) })
 		advice, err := asker.Advise(call, ask.Step, ask.Hosts)
 		cancel()
 		took := d.parts.Clock.Now().Sub(sent)
@@ -130,6 +164,7 @@
 		d.log.Debug("Called the adviser.", "step", ask.Step, "hosts", len(ask.Hosts), "approved", len(advice.Approvals), "by", name, "took", took.String(), "error", err)
 		d.updateCell(func(c *core.Cell) { c.ApplyAdvice(ask, advice, d.parts.Clock.Now().Add(-maxTicketAge), err) })
 		finish := func() {
+			state.recordDelay(took-ask.Duration, err)
 			state.report.add(ask.Step, name, took-ask.Duration, err)
 			state.report.logIfDue(d.log, d.parts.Clock.Now(), len(state.busy)-1)
 			delete(state.busy, name)
@@ -146,3 +181,12 @@
 		}
 	})
 }
+
+// releaseOverdue lets another call be made for the step of a call that is not answered within the given time. The context ends
+// with the call.
+func (d *Driver) releaseOverdue(call context.Context, ask core.AdviceCall, overdue time.Duration) {
+	if d.pause(call, overdue) {
+		d.log.Debug("An answer of the adviser is overdue.", "step", ask.Step, "after", overdue.String())
+		d.updateCell(func(c *core.Cell) { c.ReleaseAdviceCall(ask) })
+	}
+}
--- a/fold/drive/adviser_test.go
+++ b/fold/drive/adviser_test.go
@@ -21,11 +21,11 @@
 // approvedPercent is the share of hosts that the adviser approves for a step of long-running work.
 const approvedPercent = 35
 
-// lateAdviser serves the calls of each entry one after the other, also those that the entry has given up, and takes longer
-// for each call than it states.
+// lateAdviser serves the calls of each entry one after the other, also those that the entry has given up.
 type lateAdviser struct {
 	policy fold.AdvicePolicy
-	late   time.Duration
+	// late is how much longer than stated each call takes. delivery is how long an answer with its tickets is on its way.
+	late, delivery time.Duration
 
 	mu sync.Mutex
 	// free is when the last call of an entry will have been served.
@@ -60,7 +60,7 @@
 	select {
 	case <-ctx.Done():
 		return fold.Advice{}, fold.Unknown.Wrap(ctx.Err(), "no answer")
-	case <-time.After(time.Until(end)):
+	case <-time.After(time.Until(end) + l.delivery):
 	}
 	advice := fold.Advice{Validity: l.policy.Validity}
 	for _, id := range hosts {
@@ -95,17 +95,28 @@
 // Guards against work that never starts because the owner gives up each call to an adviser that answers later than it
 // states, asks again, and makes the adviser serve the calls that it has given up.
 func TestWorkStartsWithALateAdviser(t *testing.T) {
-	for _, late := range []time.Duration{0, 200 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond, 2 * time.Second} {
-		t.Run(late.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { testLateAdviser(t, late) })
+	for _, delay := range []time.Duration{0, 200 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond, 2 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testLateAdviser(t, delay, 0) })
 		})
 	}
 }
 
-func testLateAdviser(t *testing.T, late time.Duration) {
+// Guards against work that does not start because tickets are old when they arrive.
+func TestWorkStartsWithOldTickets(t *testing.T) {
+	for _, delay := range []time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond, 2 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testLateAdviser(t, 0, delay) })
+		})
+	}
+}
+
+// testLateAdviser submits long-running work in a pool with as many entries as there are in a pool of 350 hosts, and checks that
+// all of it starts in time.
+func testLateAdviser(t *testing.T, late, delivery time.Duration) {
 	t.Helper()
-	const entries, jobs, tasks = 12, 12, 6
-	adviser := &lateAdviser{policy: watchPolicy, late: late, free: make(map[string]time.Time), issued: make(map[string]time.Time)}
+	const entries, jobs, tasks = 37, 12, 6
+	adviser := &lateAdviser{policy: watchPolicy, late: late, delivery: delivery, free: make(map[string]time.Time), issued: make(map[string]time.Time)}
 	hosts := newFakeHosts(100, time.Hour)
 	var callers []drive.AdviceCaller
 	for n := range entries {
