--- a/fold/core/advice.go
+++ b/fold/core/advice.go
@@ -198,7 +198,7 @@
 	p.advice.pendingCall, p.advice.lastCall, p.advice.lastWaiting = c.lastCall, c.now, p.waitingTasks
 	call := AdviceCall{
 		number: c.lastCall,
-		Step: p.stepName(), Hosts: hosts, Duration: policy.CallTime + time.Duration(len(hosts))*policy.TimePerHost,
+		Step:   p.stepName(), Hosts: hosts, Duration: policy.CallTime + time.Duration(len(hosts))*policy.TimePerHost,
 		part: p, service: p.job.queue.Service, share: share, validity: policy.Validity,
 	}
 	c.callsInFlight = append(c.callsInFlight, call)
