Supervise hosts whose answers are slow

Callers would see jobs wait for ever although hosts are up and have room.

A Hold call failed 250 ms after the wait that it asks for, a start 200 ms after it was sent, whatever the host's answers usually take. A host that takes longer for each answer counted as silent for good and got no work. Hosts that share processors with others may do so.

Change: the limits of the calls include the usual delay of the host's answers, which follows a longer delay at once. The limit of calls to a silent host doubles up to 1.5 s, so that a host that has become slow is noticed. A host with quick answers counts as silent as early as before, after two calls without an answer.

Ruled out for leases: their end is a time of the host's clock that is fixed before the call is sent, so a slower call extends none.

--- a/fold/relay/calls.go
+++ b/fold/relay/calls.go
@@ -9,7 +9,7 @@
 	"plantainfold.example/fold"
 )
 
-// callTimeout limits a call to a host. Hosts answer within milliseconds, and starts can be repeated safely.
+// callTimeout limits a call to a host in addition to the usual delay of its answers. Starts can be repeated safely.
 const callTimeout = 200 * time.Millisecond
 
 // startRun sends a start to a host. It first waits for the host's clock, which the lease refers to.
@@ -72,11 +72,15 @@
 func (r *Relay) callHost(id string, fn func(context.Context, *contact) error) error {
 	r.mu.Lock()
 	c, ok := r.contacts[id]
+	limit := callTimeout
+	if ok {
+		limit += c.usualDelay
+	}
 	r.mu.Unlock()
 	if !ok {
 		return fold.Refuse(fold.Unavailable, "send the order again", "this relay does not supervise the host %s", id)
 	}
-	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(r.ctx, limit)
 	defer cancel()
 	err := fn(ctx, c)
 	if errorx.IsOfType(err, fold.HostFenced) {
--- a/fold/relay/contact.go
+++ b/fold/relay/contact.go
@@ -11,9 +11,14 @@
 )
 
 const (
-	// holdTimeout limits a Hold call in addition to the requested wait. A lost answer delays everything that waits for the
-	// run ends in it.
+	// holdTimeout limits a Hold call in addition to the requested wait and the usual delay of the host's answers. A lost answer
+	// delays everything that waits for the run ends in it.
 	holdTimeout = 250 * time.Millisecond
+	// maxHoldTimeout is the upper bound of the limit, without the wait. The limit doubles with each unanswered call to a silent
+	// host, so that a host whose answers have become slow is noticed.
+	maxHoldTimeout = 1500 * time.Millisecond
+	// delayDecay is the share by which the usual delay of a host's answers approaches a shorter one.
+	delayDecay = 0.125
 	// maxUnanswered is how many consecutive Hold calls may get no answer before the host counts as silent; single answers
 	// get lost.
 	maxUnanswered = 1
@@ -36,6 +41,9 @@
 	// that is recorded.
 	incarnation, lastEnd, acked int64
 	silent                      bool
+	// usualDelay is how long the host's answers took recently, without the wait that was asked for. It follows a longer delay
+	// at once and a shorter one slowly.
+	usualDelay time.Duration
 	// answeredAt is when the host last answered, or 0. ackSent is the highest number of an end that was acknowledged to this
 	// incarnation.
 	answeredAt fold.Instant
@@ -79,12 +87,17 @@
 	for ctx.Err() == nil {
 		host, req := r.holdRequest(c, unanswered)
 		ownerTime, sent := r.parts.OwnerTime(), r.parts.Clock.Now()
-		call, cancel := context.WithTimeout(ctx, req.Wait+holdTimeout)
+		call, cancel := context.WithTimeout(ctx, req.Wait+r.holdTimeout(c, unanswered))
 		reply, err := r.parts.Runner.Hold(call, host, req)
 		cancel()
-		r.parts.Meter.Hold(r.parts.Clock.Now().Sub(sent), err)
+		took := r.parts.Clock.Now().Sub(sent)
+		r.parts.Meter.Hold(took, err)
 		if err == nil {
 			unanswered = 0
+			if took >= req.Wait {
+				// The host did not answer early because of an end.
+				r.recordDelay(c, took-req.Wait)
+			}
 			r.handleReply(c, ownerTime, reply)
 			r.awaitAcks(ctx, c)
 			continue
@@ -106,6 +119,27 @@
 	}
 }
 
+// holdTimeout returns the limit of a Hold call, without the wait, after a number of unanswered ones.
+func (r *Relay) holdTimeout(c *contact, unanswered int) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	doublings := min(max(0, unanswered-maxUnanswered), maxHoldDoublings)
+	return min((holdTimeout+c.usualDelay)<<doublings, maxHoldTimeout)
+}
+
+// maxHoldDoublings is the number of doublings after which holdTimeout exceeds maxHoldTimeout.
+const maxHoldDoublings = 3
+
+// recordDelay records how long a host took to answer a call.
+func (r *Relay) recordDelay(c *contact, delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if delay < c.usualDelay {
+		delay = c.usualDelay - time.Duration(delayDecay*float64(c.usualDelay-delay))
+	}
+	c.usualDelay = delay
+}
+
 // holdRequest returns the next Hold call to a host. The leases of a silent host, which may still receive requests, and of a
 // released one are not renewed: they have to end before its tasks can run elsewhere. The lease begins before the permission is
 // checked, so a process that is suspended in between grants none that the permission does not cover.
