Notice that a call to the adviser was given up

Callers would see tasks wait for ever with an adviser that is more than 3 s late.

Cause: the owner waits longer once calls are given up, but looked for the deadline in the error of the call, and errors of calls do not unwrap to it.

The call's own context now tells whether it was given up.

--- a/fold/drive/advice.go
+++ b/fold/drive/advice.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -51,12 +50,12 @@
 }
 
 // recordDelay adjusts the limits to a call that was answered or given up. delay is how much longer than stated it took.
-func (s *adviceCalls) recordDelay(delay time.Duration, err error) {
+func (s *adviceCalls) recordDelay(delay time.Duration, answered, timedOut bool) {
 	switch {
-	case err == nil:
+	case answered:
 		s.usualDelay += time.Duration(usualDelayWeight * float64(max(0, delay)-s.usualDelay))
 		s.patience = min(max(minCallPatience, 2*delay), maxCallPatience)
-	case errors.Is(err, context.DeadlineExceeded):
+	case timedOut:
 		s.patience = min(2*s.patience, maxCallPatience)
 	}
 }
@@ -158,13 +157,14 @@
 		call, cancel := context.WithTimeout(ctx, limit)
 		d.spawn(func() { d.releaseOverdue(call, ask, overdue) })
 		advice, err := asker.Advise(call, ask.Step, ask.Hosts)
+		timedOut := call.Err() != nil && ctx.Err() == nil
 		cancel()
 		took := d.parts.Clock.Now().Sub(sent)
 		d.parts.Meter.Ask(took, err)
 		d.log.Debug("Called the adviser.", "step", ask.Step, "hosts", len(ask.Hosts), "approved", len(advice.Approvals), "by", name, "took", took.String(), "error", err)
 		d.updateCell(func(c *core.Cell) { c.ApplyAdvice(ask, advice, d.parts.Clock.Now().Add(-maxTicketAge), err) })
 		finish := func() {
-			state.recordDelay(took-ask.Duration, err)
+			state.recordDelay(took-ask.Duration, err == nil, timedOut)
 			state.report.add(ask.Step, name, took-ask.Duration, err)
 			state.report.logIfDue(d.log, d.parts.Clock.Now(), len(state.busy)-1)
 			delete(state.busy, name)
--- a/fold/drive/adviser_test.go
+++ b/fold/drive/adviser_test.go
@@ -111,12 +111,30 @@
 	}
 }
 
-// testLateAdviser submits long-running work in a pool with as many entries as there are in a pool of 350 hosts, and checks that
-// all of it starts in time.
-func testLateAdviser(t *testing.T, late, delivery time.Duration) {
+// Guards against work that never starts because the adviser is later than the owner waits at first.
+func TestWorkStartsWithAVeryLateAdviser(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const tasks = 6
+		adviser := newLateAdviser(8*time.Second, 0)
+		d, hosts := startLateAdviser(t, adviser)
+		submitWatchJobs(t, d, 1, tasks)
+		time.Sleep(time.Minute)
+		hosts.mu.Lock()
+		defer hosts.mu.Unlock()
+		if hosts.starts != tasks {
+			t.Errorf("%d of %d tasks have started after a minute, %d calls", hosts.starts, tasks, adviser.calls)
+		}
+	})
+}
+
+func newLateAdviser(late, delivery time.Duration) *lateAdviser {
+	return &lateAdviser{policy: watchPolicy, late: late, delivery: delivery, free: make(map[string]time.Time), issued: make(map[string]time.Time)}
+}
+
+// startLateAdviser runs an owner with as many entries as a pool of 350 hosts has.
+func startLateAdviser(t *testing.T, adviser *lateAdviser) (*drive.Driver, *fakeHosts) {
 	t.Helper()
-	const entries, jobs, tasks = 37, 12, 6
-	adviser := &lateAdviser{policy: watchPolicy, late: late, delivery: delivery, free: make(map[string]time.Time), issued: make(map[string]time.Time)}
+	const entries = 37
 	hosts := newFakeHosts(100, time.Hour)
 	var callers []drive.AdviceCaller
 	for n := range entries {
@@ -128,6 +146,12 @@
 		p.AdviceCallers = func() []drive.AdviceCaller { return callers }
 	})
 	time.Sleep(5 * time.Second)
+	return d, hosts
+}
+
+// submitWatchJobs submits long-running jobs, four in a second, and returns when each of them was submitted.
+func submitWatchJobs(t *testing.T, d *drive.Driver, jobs, tasks int) map[string]time.Time {
+	t.Helper()
 	queue := testQueue
 	queue.Name, queue.Advice = "watch", &watchPolicy
 	submitted := make(map[string]time.Time)
@@ -140,6 +164,16 @@
 		submitted[job.ID] = time.Now()
 		time.Sleep(250 * time.Millisecond)
 	}
+	return submitted
+}
+
+// testLateAdviser checks that all submitted long-running work starts in time.
+func testLateAdviser(t *testing.T, late, delivery time.Duration) {
+	t.Helper()
+	const jobs, tasks = 12, 6
+	adviser := newLateAdviser(late, delivery)
+	d, hosts := startLateAdviser(t, adviser)
+	submitted := submitWatchJobs(t, d, jobs, tasks)
 	time.Sleep(30 * time.Second)
 	hosts.mu.Lock()
 	defer hosts.mu.Unlock()
