Try further entries to reach a silent host

What callers see: hosts that an entry reaches stay without work until they report again, and that may be never.

Cause: the owner assigned a silent host to one other supervisor and, if that one did not reach it either, to no further one until the host reported. Hosts whose supervisor has reported them as silent are also exempt from noContactTimeout. Sessions are opened for capacity only, so an entry that reaches the host may not be asked at all. Balancing could hand a host back to the supervisor that had just failed.

Change: each assignment records which supervisors reached the host and which failed, and when. Silent hosts go on to the next supervisor, in one round a second, first to the one that last reached them, last to the one that failed first; to none that failed within ten seconds. Sessions are opened for hosts that no session reaches. Balancing leaves silent hosts out and does not use a supervisor that failed within a minute.

Safety: each move records the leases that the supervisor may have granted, as before, and so delays the moment when runs on the host count as lost. After the first move, which existed before, only hosts are moved that have no runs and are not awaited.

--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -242,6 +242,12 @@
 	return Contact{Host: h.info, Acked: h.lastAck, MaxWait: h.sentMaxWait}, true
 }
 
+// Unused reports whether no run may exist on the host, so that nothing waits for the end of its leases.
+func (c *Cell) Unused(id string) bool {
+	h, ok := c.hosts[id]
+	return !ok || len(h.runs) == 0 && !c.awaited[id]
+}
+
 // Maximum times between reports of a host. All of them stay well below a lease.
 const (
 	// busyWait is the maximum time between reports of a host with runs. Reports carry progress and load.
--- a/fold/drive/orders.go
+++ b/fold/drive/orders.go
@@ -138,14 +138,17 @@
 	for _, r := range events.Reports {
 		if supervises(r.Host) {
 			assigned := l.assignments[r.Host]
-			assigned.triedOtherSupervisor, assigned.silent, assigned.lastContact = false, false, now
+			assigned.silent, assigned.lastContact = false, now
+			assigned.history.recordReport(source.name())
 			reports = append(reports, r)
 		}
 	}
 	silences := events.Silences[:0]
 	for _, s := range events.Silences {
 		if supervises(s.Host) {
-			l.assignments[s.Host].silent = true
+			assigned := l.assignments[s.Host]
+			assigned.silent = true
+			assigned.history.recordSilence(source.name(), now)
 			silences = append(silences, s)
 			silent = append(silent, s.Host)
 		}
--- a/fold/drive/reach_test.go
+++ b/fold/drive/reach_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -24,11 +26,13 @@
 	*fakeHosts
 
 	links sync.Mutex
-	// reaches reports whether an entry reaches a host.
-	reaches func(entry, host string) bool
+	// reaches reports whether an entry reaches the address of a host, which is the id of the host at first.
+	reaches func(entry, address string) bool
 	// leaseEnds holds the end of the lease of each host, on its clock. answered holds when it last answered a Hold call.
 	leaseEnds map[string]int64
 	answered  map[string]time.Time
+	// answeredTo holds the entry that got this answer.
+	answeredTo map[string]string
 	// fruitless counts, by entry, the Hold calls that reach no host.
 	fruitless map[string]int
 	// twice describes runs of a task beside each other.
@@ -38,7 +42,7 @@
 func newLinkedHosts(count int) *linkedHosts {
 	return &linkedHosts{
 		fakeHosts: newFakeHosts(count, time.Hour), reaches: func(string, string) bool { return true }, leaseEnds: make(map[string]int64),
-		answered: make(map[string]time.Time), fruitless: make(map[string]int),
+		answered: make(map[string]time.Time), answeredTo: make(map[string]string), fruitless: make(map[string]int),
 	}
 }
 
@@ -48,11 +52,11 @@
 	l.reaches = reaches
 }
 
-// link reports whether an entry reaches a host now.
-func (l *linkedHosts) link(entry, host string) bool {
+// link reports whether an entry reaches an address now.
+func (l *linkedHosts) link(entry, address string) bool {
 	l.links.Lock()
 	defer l.links.Unlock()
-	return l.reaches(entry, host)
+	return l.reaches(entry, address)
 }
 
 // renew ends the runs of a host whose lease has expired, and extends the lease.
@@ -129,7 +133,7 @@
 }
 
 func (r linkedRunner) Hold(ctx context.Context, h fold.Host, q fold.HoldRequest) (fold.HoldReply, error) {
-	if !r.link(r.entry, h.ID) {
+	if !r.link(r.entry, h.Address) {
 		r.links.Lock()
 		r.fruitless[r.entry]++
 		r.links.Unlock()
@@ -138,20 +142,20 @@
 	}
 	r.renew(h.ID, q.LeaseEnd)
 	reply, err := r.fakeHosts.Hold(ctx, h, q)
-	if err == nil && !r.link(r.entry, h.ID) {
+	if err == nil && !r.link(r.entry, h.Address) {
 		<-ctx.Done()
 		return fold.HoldReply{}, fold.Unknown.Wrap(ctx.Err(), "no answer")
 	}
 	if err == nil {
 		r.links.Lock()
-		r.answered[h.ID] = time.Now()
+		r.answered[h.ID], r.answeredTo[h.ID] = time.Now(), r.entry
 		r.links.Unlock()
 	}
 	return reply, err
 }
 
 func (r linkedRunner) Start(ctx context.Context, h fold.Host, q fold.StartRequest) error {
-	if !r.link(r.entry, h.ID) {
+	if !r.link(r.entry, h.Address) {
 		<-ctx.Done()
 		return fold.Unknown.Wrap(ctx.Err(), "no answer")
 	}
@@ -161,7 +165,7 @@
 }
 
 func (r linkedRunner) Stop(ctx context.Context, h fold.Host, task string, run int, _ int64) error {
-	if !r.link(r.entry, h.ID) {
+	if !r.link(r.entry, h.Address) {
 		<-ctx.Done()
 		return fold.Unknown.Wrap(ctx.Err(), "no answer")
 	}
@@ -178,6 +182,26 @@
 	*relayEntry
 	hosts    *linkedHosts
 	capacity int
+	// delay is how much longer than usual calls to the owner and their answers are on their way.
+	delay time.Duration
+}
+
+// distantConn is a connection to the owner on which calls and answers are delayed.
+type distantConn struct {
+	ownerConn
+	delay time.Duration
+}
+
+func (c distantConn) Orders(ctx context.Context, got uint64) (relay.Batch, error) {
+	time.Sleep(c.delay)
+	defer time.Sleep(c.delay)
+	return c.ownerConn.Orders(ctx, got)
+}
+
+func (c distantConn) SendEvents(ctx context.Context, number, got uint64, news relay.Events, leaving bool) (relay.Permit, error) {
+	time.Sleep(c.delay)
+	defer time.Sleep(c.delay)
+	return c.ownerConn.SendEvents(ctx, number, got, news, leaving)
 }
 
 func (e *linkedEntry) Capacity() int { return e.capacity }
@@ -192,18 +216,18 @@
 		go func(old *relay.Session) { _ = old.Close() }(e.session)
 	}
 	e.session = relay.Open(relay.Parts{Runner: linkedRunner{e.hosts, e.id}, Clock: clock{}, Logger: e.log, Meter: noMeter{}, Epoch: epoch, Lease: 6 * time.Second},
-		ownerConn{entry: e.relayEntry, driver: e.driver, session: session}, stamp, func() bool { return e.flagged(&e.leaving) })
+		distantConn{ownerConn{entry: e.relayEntry, driver: e.driver, session: session}, e.delay}, stamp, func() bool { return e.flagged(&e.leaving) })
 	return nil
 }
 
 // startLinkedOwner starts an owner that supervises at most four hosts itself, and relays.
-func startLinkedOwner(t *testing.T, hosts *linkedHosts, relays, capacity int, roster fold.Roster) *drive.Driver {
+func startLinkedOwner(t *testing.T, hosts *linkedHosts, relays, capacity int, roster fold.Roster, delay time.Duration) *drive.Driver {
 	t.Helper()
 	var entries []*linkedEntry
 	var listed []drive.RelayEntry
 	ready := make(chan struct{})
 	for n := range relays {
-		e := &linkedEntry{relayEntry: &relayEntry{id: fmt.Sprintf("entry-%d", n), log: hclog.NewNullLogger()}, hosts: hosts, capacity: capacity}
+		e := &linkedEntry{relayEntry: &relayEntry{id: fmt.Sprintf("entry-%d", n), log: hclog.NewNullLogger()}, hosts: hosts, capacity: capacity, delay: delay}
 		entries, listed = append(entries, e), append(listed, e)
 	}
 	table := plat.NewTable()
@@ -273,7 +297,7 @@
 				const count, relays = 24, 5
 				hosts := newLinkedHosts(count)
 				hosts.setLinks(onlyLinks(rand.New(rand.NewPCG(seed, 11)), count, relays))
-				d := startLinkedOwner(t, hosts, relays, 10, hosts.fakeHosts)
+				d := startLinkedOwner(t, hosts, relays, 10, hosts.fakeHosts, 0)
 				submitJob(t, d, lastingJob(0, count))
 				time.Sleep(10 * time.Second)
 				if left := hosts.unanswered(3 * time.Second); len(left) > 0 {
@@ -300,7 +324,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				const count, relays = 24, 5
 				hosts := newLinkedHosts(count)
-				d := startLinkedOwner(t, hosts, relays, 10, hosts.fakeHosts)
+				d := startLinkedOwner(t, hosts, relays, 10, hosts.fakeHosts, 0)
 				time.Sleep(5 * time.Second)
 				// Half of the hosts have work.
 				submitJob(t, d, lastingJob(0, count/2))
@@ -346,7 +370,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				const count = 24
 				hosts := newLinkedHosts(count)
-				d := startLinkedOwner(t, hosts, c.relays, c.capacity, hosts.fakeHosts)
+				d := startLinkedOwner(t, hosts, c.relays, c.capacity, hosts.fakeHosts, 0)
 				time.Sleep(5 * time.Second)
 				submitJob(t, d, lastingJob(0, count))
 				time.Sleep(2 * time.Second)
@@ -379,11 +403,39 @@
 	}
 }
 
+// Guards against an owner that goes on supervising more hosts than it can after its only relay lost contact with them for a
+// short time.
+func TestOwnerHandsHostsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count, capacity = 24, 4
+		hosts := newLinkedHosts(count)
+		startLinkedOwner(t, hosts, 1, 40, hosts.fakeHosts, 0)
+		time.Sleep(5 * time.Second)
+		hosts.setLinks(func(entry, _ string) bool { return entry != "entry-0" })
+		time.Sleep(3 * time.Second)
+		hosts.setLinks(func(string, string) bool { return true })
+		time.Sleep(15 * time.Second)
+		hosts.links.Lock()
+		defer hosts.links.Unlock()
+		own := 0
+		for _, entry := range hosts.answeredTo {
+			if entry == "owner" {
+				own++
+			}
+		}
+		if own > capacity {
+			t.Errorf("the owner supervises %d hosts, but has a capacity of %d", own, capacity)
+		}
+	})
+}
+
 // growingRoster lists hosts from the first up to a number that grows.
 type growingRoster struct {
 	*fakeHosts
 	grow  sync.Mutex
 	shown int
+	// suffix is appended to all addresses.
+	suffix string
 }
 
 func (g *growingRoster) setShown(n int) {
@@ -396,6 +448,9 @@
 	all, version, err := g.fakeHosts.Hosts(ctx)
 	g.grow.Lock()
 	defer g.grow.Unlock()
+	for i := range all {
+		all[i].Address += g.suffix
+	}
 	return all[:g.shown], version, err
 }
 
@@ -413,7 +468,7 @@
 		const before, count = 24, 36
 		hosts := newLinkedHosts(count)
 		roster := &growingRoster{fakeHosts: hosts.fakeHosts, shown: before}
-		startLinkedOwner(t, hosts, 4, 20, roster)
+		startLinkedOwner(t, hosts, 4, 20, roster, 0)
 		time.Sleep(5 * time.Second)
 		hosts.setLinks(func(entry, _ string) bool { return entry != "entry-0" })
 		time.Sleep(8 * time.Second)
@@ -426,6 +481,31 @@
 	})
 }
 
+// Guards against hosts that stay silent after they have moved to new addresses, which the roster shows later.
+func TestSilentHostsWithNewAddresses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 24
+		hosts := newLinkedHosts(count)
+		roster := &growingRoster{fakeHosts: hosts.fakeHosts, shown: count}
+		d := startLinkedOwner(t, hosts, 4, 20, roster, 0)
+		time.Sleep(5 * time.Second)
+		hosts.setLinks(func(_, address string) bool { return strings.HasSuffix(address, "-moved") })
+		time.Sleep(8 * time.Second)
+		roster.grow.Lock()
+		roster.suffix = "-moved"
+		roster.grow.Unlock()
+		time.Sleep(2 * time.Second)
+		if left := hosts.unanswered(2 * time.Second); len(left) > 0 {
+			t.Errorf("%d hosts do not answer the owner at their new addresses: %v", len(left), left)
+		}
+		submitJob(t, d, lastingJob(0, count))
+		time.Sleep(maxIdle)
+		if n := hosts.running(lastingJob(0, count).ID); n != count {
+			t.Errorf("%d of %d hosts have work", n, count)
+		}
+	})
+}
+
 // idleReport is the longest time between reports of a host without work.
 const idleReport = 1500 * time.Millisecond
 
@@ -437,7 +517,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				const count = 24
 				hosts := newLinkedHosts(count)
-				d := startLinkedOwner(t, hosts, relays, 20, hosts.fakeHosts)
+				d := startLinkedOwner(t, hosts, relays, 20, hosts.fakeHosts, 0)
 				time.Sleep(5 * time.Second)
 				submitJob(t, d, lastingJob(0, count/2))
 				time.Sleep(5 * time.Second)
@@ -465,3 +545,61 @@
 		})
 	}
 }
+
+// Guards against relays that may neither start runs nor renew leases because the owner takes silent hosts from them all the
+// time. A third of the hosts is lost but stays in the roster, and calls to the owner take long.
+func TestStartsWhileManyHostsAreSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count, lost, jobs = 120, 40, 80
+		hosts := newLinkedHosts(count)
+		d := startLinkedOwner(t, hosts, 12, 20, hosts.fakeHosts, 100*time.Millisecond)
+		time.Sleep(5 * time.Second)
+		submitJob(t, d, lastingJob(jobs, count))
+		time.Sleep(5 * time.Second)
+		hosts.setLinks(func(_, host string) bool { return host >= fmt.Sprintf("host-%02d", lost) })
+		// The runs on lost hosts count as lost by then.
+		time.Sleep(12 * time.Second)
+		before, _, _ := d.Stats()
+		late := 0
+		for n := range jobs {
+			submitJob(t, d, lastingJob(n, 1))
+			time.Sleep(500 * time.Millisecond)
+			if n >= 6 && hosts.running(lastingJob(n-5, 1).ID) == 0 {
+				late++
+			}
+		}
+		after, _, _ := d.Stats()
+		if late > 0 {
+			t.Errorf("nothing of %d of %d jobs runs %s after their submission", late, jobs, maxIdle)
+		}
+		if refused, runs := after.Refused-before.Refused, after.Lost-before.Lost; refused > 0 || runs > 0 {
+			t.Errorf("%d starts were refused and %d runs were lost, want none", refused, runs)
+		}
+		hosts.expectOnce(t)
+	})
+}
+
+// Guards against hosts of a large pool that stay silent after half of the links between entries and hosts were cut.
+func TestHalfOfTheLinksAreCut(t *testing.T) {
+	for _, seed := range []string{"a", "b", "c"} {
+		t.Run(seed, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const count, relays = 350, 37
+				hosts := newLinkedHosts(count)
+				startLinkedOwner(t, hosts, relays, 38, hosts.fakeHosts, 2*time.Millisecond)
+				time.Sleep(10 * time.Second)
+				hosts.setLinks(func(entry, host string) bool {
+					h := fnv.New32a()
+					_, _ = h.Write([]byte(seed + entry + "/" + host))
+					return h.Sum32()>>8%2 == 0
+				})
+				for _, wait := range []time.Duration{20 * time.Second, time.Minute} {
+					time.Sleep(wait)
+					if left := hosts.unanswered(3 * time.Second); len(left) > 0 {
+						t.Errorf("%s later, %d of %d hosts do not answer the owner: %v", wait, len(left), count, left)
+					}
+				}
+			})
+		})
+	}
+}
--- a/fold/drive/supervision.go
+++ b/fold/drive/supervision.go
@@ -1,6 +1,7 @@
 package drive
 
 import (
+	"cmp"
 	"context"
 	"runtime/debug"
 	"slices"
@@ -23,6 +24,8 @@
 	// Sessions are opened until their total capacity is at least spareFactor times the number of hosts, so that enough is
 	// left when some sessions are lost.
 	spareFactor = 1.5
+	// unreachedWeight is the number of hosts that each host counts for in addition if no supervisor reaches it.
+	unreachedWeight = 10
 	// sessionsWait is how long, at the beginning of a term, hosts for which no session has room stay unassigned before this
 	// entry supervises them itself. They stay unassigned for longer while a session is being opened.
 	sessionsWait = 600 * time.Millisecond
@@ -40,12 +43,24 @@
 	maxReassignments = 16
 )
 
+const (
+	// silentMoveInterval is the time between rounds in which silent hosts are assigned to other supervisors. A relay gets no
+	// new permission while it has releases to apply, so they are sent together.
+	silentMoveInterval = time.Second
+	// maxSilentMoves limits the hosts of such a round.
+	maxSilentMoves = 200
+	// silentRetryTime is how long a silent host is not assigned again to a supervisor that did not reach it.
+	silentRetryTime = 10 * time.Second
+	// balanceRetryTime is how long balancing does not assign a host to a supervisor that did not reach it. For hosts of this
+	// entry, if it has more than it can supervise, it is silentRetryTime.
+	balanceRetryTime = time.Minute
+)
+
 // assignment records which supervisor a host is assigned to.
 type assignment struct {
 	supervisor supervisor
 	contact    core.Contact
-	// triedOtherSupervisor is true if another supervisor was tried since the last report of the host.
-	triedOtherSupervisor bool
+	history    hostHistory
 	// silent is true if the supervisor reported that the host does not answer.
 	silent bool
 	// lastContact is when the supervisor last passed on a report of the host or, if later, was sent the assignment again. At
@@ -53,6 +68,61 @@
 	lastContact fold.Instant
 }
 
+// unreached reports whether the host was silent when it was last heard of.
+func (a *assignment) unreached() bool {
+	return a.silent || a.history.moved
+}
+
+// hostHistory records through which supervisors a host answered. It is kept when the host is assigned to another one.
+type hostHistory struct {
+	// moved is true if the host was assigned to another supervisor because it was silent, and has not reported since.
+	moved bool
+	// reachedBy is the name of the supervisor that last reported an answer. valid is false if there is none.
+	reachedBy string
+	valid     bool
+	// silentSince is when the host was first reported as silent since its last report, or 0.
+	silentSince fold.Instant
+	// failedAt holds when a supervisor last reported the host as silent, by name, unless it has reached the host since.
+	failedAt map[string]fold.Instant
+}
+
+// failed reports whether the supervisor reported the host as silent within the given time.
+func (h *hostHistory) failed(supervisor string, now fold.Instant, within time.Duration) bool {
+	at, ok := h.failedAt[supervisor]
+	return ok && now.Sub(at) < within
+}
+
+func (h *hostHistory) recordReport(supervisor string) {
+	h.moved, h.reachedBy, h.valid, h.silentSince = false, supervisor, true, 0
+	delete(h.failedAt, supervisor)
+}
+
+func (h *hostHistory) recordSilence(supervisor string, now fold.Instant) {
+	if h.failedAt == nil {
+		h.failedAt = make(map[string]fold.Instant)
+	}
+	h.failedAt[supervisor] = now
+	if h.silentSince == 0 {
+		h.silentSince = now
+	}
+}
+
+// failedSilent reports whether the supervisor has failed to reach the host since the host fell silent.
+func (h *hostHistory) failedSilent(supervisor string) bool {
+	at, ok := h.failedAt[supervisor]
+	return ok && at >= h.silentSince
+}
+
+// failedAll reports whether all sessions have failed to reach the host since it fell silent.
+func (h *hostHistory) failedAll(sessions map[uint64]*session) bool {
+	for _, s := range sessions {
+		if !h.failedSilent(s.name()) {
+			return false
+		}
+	}
+	return true
+}
+
 // supervision holds the supervisors, the assignments of hosts and the orders whose outcome is not known yet.
 type supervision struct {
 	mu          sync.Mutex
@@ -70,6 +140,10 @@
 	lastOrder  uint64
 	// termStart is when the term began. lastCheck is when the sessions were last checked.
 	termStart, lastCheck fold.Instant
+	// lastSilentMove is when silent hosts were last assigned to other supervisors in a round.
+	lastSilentMove fold.Instant
+	// unreached is the number of unused hosts that no session has reached since they fell silent.
+	unreached int
 }
 
 // runSupervision keeps each host assigned to a supervisor until ctx ends.
@@ -79,6 +153,7 @@
 		d.checkSessions()
 		d.openSessions(ctx)
 		d.assignHosts()
+		d.moveSilentHosts()
 		if !d.pause(ctx, supervisionInterval) {
 			return
 		}
@@ -170,7 +245,8 @@
 	c.RecordLease(id, end.Sub(now)+lease.MaxDuration(d.parts.Times.Lease))
 }
 
-// openSessions asks other entries to open sessions if the pool has more hosts than this entry can supervise.
+// openSessions asks other entries to open sessions if the pool has more hosts than this entry can supervise. More are
+// opened while no supervisor reaches some of the hosts.
 func (d *Driver) openSessions(ctx context.Context) {
 	l := &d.supervision
 	var hosts int
@@ -189,7 +265,7 @@
 		connected[s.name()] = true
 	}
 	for _, e := range d.parts.RelayEntries() {
-		if float64(capacity) >= spareFactor*float64(hosts) {
+		if float64(capacity) >= spareFactor*float64(hosts+unreachedWeight*l.unreached) {
 			return
 		}
 		if connected[e.Name()] || l.retryAt[e.Name()] > now {
@@ -243,7 +319,7 @@
 			a, ok := l.assignments[id]
 			switch {
 			case !ok:
-				chosen := l.chooseSupervisor(contact.Host, load, useSessions, nil)
+				chosen := l.chooseSupervisor(contact.Host, load, useSessions)
 				if chosen == nil && useSessions && (len(l.opening) > 0 || c.Now().Sub(l.termStart) < sessionsWait) {
 					// Wait, because a session may open soon.
 					continue
@@ -303,25 +379,34 @@
 	return load
 }
 
-// chooseSupervisor returns the local relay if useSessions is false and the local relay is not excluded. In all other cases
-// it returns the session with the lowest load relative to its capacity, or nil if none has room. Sessions in the host's
-// failure domain are preferred, and an excluded session is not considered.
-func (l *supervision) chooseSupervisor(h fold.Host, load map[supervisor]int, useSessions bool, excluded supervisor) supervisor {
-	if !useSessions && excluded != l.local {
+// chooseSupervisor returns the local relay if useSessions is false. Otherwise it returns the session with the lowest load
+// relative to its capacity, or nil if none has room. Sessions in the host's failure domain are preferred.
+func (l *supervision) chooseSupervisor(h fold.Host, load map[supervisor]int, useSessions bool) supervisor {
+	if !useSessions {
 		return l.local
 	}
+	return l.leastLoaded(h, load, func(s supervisor, n int) (rank int64, ok bool) {
+		return 0, s != l.local && n < s.capacity()
+	})
+}
+
+// leastLoaded returns the supervisor of the lowest rank, and among these the one with the lowest load relative to its capacity,
+// or nil if rankOf accepts none.
+func (l *supervision) leastLoaded(h fold.Host, load map[supervisor]int, rankOf func(s supervisor, n int) (rank int64, ok bool)) supervisor {
 	var best supervisor
+	var bestRank int64
 	var bestScore float64
 	for s, n := range load {
-		if s == excluded || s == l.local || n >= s.capacity() {
+		rank, ok := rankOf(s, n)
+		if !ok {
 			continue
 		}
 		score := float64(n) / float64(max(1, s.capacity()))
 		if s.domain() != h.Domain {
 			score += otherDomainPenalty
 		}
-		if best == nil || score < bestScore || score == bestScore && s.name() < best.name() {
-			best, bestScore = s, score
+		if best == nil || cmp.Or(cmp.Compare(rank, bestRank), cmp.Compare(score, bestScore), cmp.Compare(s.name(), best.name())) < 0 {
+			best, bestRank, bestScore = s, rank, score
 		}
 	}
 	return best
@@ -331,11 +416,11 @@
 // stay within a domain, where they do not load the network between domains.
 const otherDomainPenalty = 0.25
 
-// balance moves hosts from the local relay and from overloaded sessions to the least loaded sessions. The caller holds the
-// locks of the supervision and the cell.
+// balance moves hosts that answer from the local relay and from overloaded sessions to the least loaded sessions. The caller
+// holds the locks of the supervision and the cell.
 func (d *Driver) balance(c *core.Cell, contacts []core.Contact, load map[supervisor]int) {
 	l := &d.supervision
-	capacity := 0
+	now, capacity := c.Now(), 0
 	for s := range load {
 		if s != l.local {
 			capacity += s.capacity()
@@ -344,35 +429,68 @@
 	if capacity == 0 {
 		return
 	}
+	answering, hosts := l.answeringLoad(load)
 	reassigned := 0
 	for _, contact := range contacts {
 		a, ok := l.assignments[contact.Host.ID]
-		if !ok || reassigned >= maxReassignments {
+		if !ok || a.unreached() || reassigned >= maxReassignments {
 			continue
 		}
-		share := float64(len(contacts)) * float64(a.supervisor.capacity()) / float64(capacity)
-		if a.supervisor != l.local && float64(load[a.supervisor]) <= overloadFactor*share+1 {
+		share := float64(hosts) * float64(a.supervisor.capacity()) / float64(capacity)
+		if a.supervisor != l.local && float64(answering[a.supervisor]) <= overloadFactor*share+1 {
 			continue
 		}
-		if candidate := l.chooseSupervisor(contact.Host, load, true, a.supervisor); candidate != nil && (a.supervisor == l.local || load[candidate]+1 < load[a.supervisor]) {
+		if candidate := l.balanceTarget(contact.Host, a, load, answering, now); candidate != nil {
 			d.reassign(c, contact, a, candidate, load)
+			answering[a.supervisor]--
+			answering[candidate]++
 			reassigned++
 		}
 	}
 }
 
+// answeringLoad returns the number of hosts that answer of each supervisor in load, and of all of them. Silent hosts do not stay
+// with a supervisor, so balancing does not count them as load. The caller holds the lock.
+func (l *supervision) answeringLoad(load map[supervisor]int) (answering map[supervisor]int, hosts int) {
+	answering = make(map[supervisor]int, len(load))
+	for s := range load {
+		answering[s] = 0
+	}
+	for _, a := range l.assignments {
+		if !a.unreached() {
+			answering[a.supervisor]++
+			hosts++
+		}
+	}
+	return answering, hosts
+}
+
+// balanceTarget returns the session that balancing assigns a host to, or nil if none is better. The caller holds the lock.
+func (l *supervision) balanceTarget(h fold.Host, a *assignment, load, answering map[supervisor]int, now fold.Instant) supervisor {
+	retryTime := balanceRetryTime
+	if a.supervisor == l.local && load[l.local] > l.local.capacity() {
+		retryTime = silentRetryTime
+	}
+	candidate := l.leastLoaded(h, answering, func(s supervisor, _ int) (int64, bool) {
+		return 0, s != l.local && s != a.supervisor && load[s] < s.capacity() && !a.history.failed(s.name(), now, retryTime)
+	})
+	if candidate != nil && a.supervisor != l.local && answering[candidate]+1 >= answering[a.supervisor] {
+		return nil
+	}
+	return candidate
+}
+
 // reassign moves a host to another supervisor. The caller holds the locks of the supervision and the cell.
 func (d *Driver) reassign(c *core.Cell, contact core.Contact, a *assignment, to supervisor, load map[supervisor]int) {
 	a.supervisor.enqueue(relay.Orders{Releases: []string{contact.Host.ID}})
 	d.recordLeases(c, contact.Host.ID, a)
 	load[a.supervisor]--
-	triedOtherSupervisor := a.triedOtherSupervisor
 	d.supervision.assign(contact, to, load)
-	d.supervision.assignments[contact.Host.ID].triedOtherSupervisor = triedOtherSupervisor
+	d.supervision.assignments[contact.Host.ID].history = a.history
 }
 
-// tryOtherSupervisors moves each of the given silent hosts to another supervisor, at most once until the host reports again,
-// because only the connection between supervisor and host may be interrupted.
+// tryOtherSupervisors assigns those of the given silent hosts to other supervisors that were not moved since they last
+// reported, because only the connection between supervisor and host may be interrupted.
 func (d *Driver) tryOtherSupervisors(hosts []string) {
 	if len(hosts) == 0 {
 		return
@@ -382,24 +500,85 @@
 	defer l.mu.Unlock()
 	d.withCell(func(c *core.Cell) {
 		load := l.load()
+		for _, id := range hosts {
+			contact, known := c.Contact(id)
+			a, ok := l.assignments[id]
+			if known && ok && a.silent && !a.history.moved {
+				d.moveSilentHost(c, contact, a, load)
+			}
+		}
+	})
+}
+
+// moveSilentHosts assigns silent hosts to supervisors that have not failed to reach them lately. It leaves out hosts that may
+// have runs: the next supervisor may grant leases, so each move delays the moment when they count as lost.
+func (d *Driver) moveSilentHosts() {
+	l := &d.supervision
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := d.parts.Clock.Now()
+	if now.Sub(l.lastSilentMove) < silentMoveInterval {
+		return
+	}
+	l.lastSilentMove, l.unreached = now, 0
+	d.withCell(func(c *core.Cell) {
+		var silent []core.Contact
 		for _, contact := range c.Contacts() {
-			a, ok := l.assignments[contact.Host.ID]
-			if !ok || a.triedOtherSupervisor || !slices.Contains(hosts, contact.Host.ID) {
-				continue
+			if a, ok := l.assignments[contact.Host.ID]; ok && a.silent && c.Unused(contact.Host.ID) {
+				silent = append(silent, contact)
 			}
-			chosen := l.chooseSupervisor(contact.Host, load, true, a.supervisor)
-			if chosen == nil && a.supervisor != l.local {
-				chosen = l.local
+		}
+		slices.SortStableFunc(silent, func(a, b core.Contact) int {
+			return cmp.Compare(l.assignments[a.Host.ID].lastContact, l.assignments[b.Host.ID].lastContact)
+		})
+		load, moves := l.load(), 0
+		for _, contact := range silent {
+			a := l.assignments[contact.Host.ID]
+			if a.history.failedAll(l.sessions) {
+				l.unreached++
 			}
-			if chosen != nil {
-				a.triedOtherSupervisor = true
-				d.log.Debug("Assigned a host that does not answer to another entry.", "host", contact.Host.ID, "entry", chosen.name())
-				d.reassign(c, contact, a, chosen, load)
+			if moves < maxSilentMoves && d.moveSilentHost(c, contact, a, load) {
+				moves++
 			}
 		}
 	})
 }
 
+// moveSilentHost assigns a silent host to a supervisor that has not failed to reach it lately, and returns false if there is
+// none. The supervisor that last reached the host comes first, then other sessions, this entry, and those that have failed since
+// the host fell silent, the earliest first. The caller holds the locks of the supervision and the cell.
+func (d *Driver) moveSilentHost(c *core.Cell, contact core.Contact, a *assignment, load map[supervisor]int) bool {
+	l, now := &d.supervision, c.Now()
+	load[l.local] += 0
+	room := false
+	chosen := l.leastLoaded(contact.Host, load, func(s supervisor, n int) (rank int64, ok bool) {
+		if s == a.supervisor || n >= s.capacity() {
+			return 0, false
+		}
+		room = room || s != l.local
+		switch {
+		case a.history.failedSilent(s.name()):
+			rank = 3 + int64(a.history.failedAt[s.name()])
+		case a.history.valid && s.name() == a.history.reachedBy:
+		case s == l.local:
+			rank = 2
+		default:
+			rank = 1
+		}
+		return rank, !a.history.failed(s.name(), now, silentRetryTime)
+	})
+	if chosen == nil && !room && a.supervisor != l.local {
+		chosen = l.local
+	}
+	if chosen == nil {
+		return false
+	}
+	a.history.moved = true
+	d.log.Debug("Assigned a host that does not answer to another entry.", "host", contact.Host.ID, "entry", chosen.name())
+	d.reassign(c, contact, a, chosen, load)
+	return true
+}
+
 // dropSpecs tells relays to drop the specifications of jobs that have ended.
 func (d *Driver) dropSpecs(jobs []string) {
 	l := &d.supervision
