Assign no hosts to a relay that reaches none

What callers see: hosts that answer are taken from relays that reach them and given to one that reaches none, again and again, and do not answer there. If its session alone has room for all hosts, no other one is opened.

Cause: load alone decides where hosts go. A relay without links to hosts has the lowest load, and its capacity counts although it is of no use.

Change: a supervisor counts as isolated if three hosts fell silent since its last report and it has reported nothing for two seconds. Its capacity does not count, so other sessions are opened; new hosts go there only if no other session has room; balancing gives it a single host ten seconds after the last silence. One report ends this.

--- a/fold/drive/orders.go
+++ b/fold/drive/orders.go
@@ -140,6 +140,7 @@
 			assigned := l.assignments[r.Host]
 			assigned.silent, assigned.lastContact = false, now
 			assigned.history.recordReport(source.name())
+			*l.record(source) = contactRecord{lastReport: now}
 			reports = append(reports, r)
 		}
 	}
@@ -149,6 +150,8 @@
 			assigned := l.assignments[s.Host]
 			assigned.silent = true
 			assigned.history.recordSilence(source.name(), now)
+			record := l.record(source)
+			record.silences, record.lastSilence = record.silences+1, now
 			silences = append(silences, s)
 			silent = append(silent, s.Host)
 		}
--- a/fold/drive/supervision.go
+++ b/fold/drive/supervision.go
@@ -54,8 +54,27 @@
 	// balanceRetryTime is how long balancing does not assign a host to a supervisor that did not reach it. For hosts of this
 	// entry, if it has more than it can supervise, it is silentRetryTime.
 	balanceRetryTime = time.Minute
+	// isolatedSilences is the number of hosts that must fall silent in a row before a supervisor counts as isolated.
+	isolatedSilences = 3
+	// isolatedTime is how long such a supervisor must have reported no answer. Hosts report within two seconds.
+	isolatedTime = 2 * time.Second
+	// isolatedRetryTime is how long after the last silence a supervisor that counts as isolated may get a host that answers
+	// elsewhere, to find out whether it reaches hosts again.
+	isolatedRetryTime = 10 * time.Second
 )
 
+// contactRecord records what a supervisor has reported about the hosts that it supervises.
+type contactRecord struct {
+	lastReport, lastSilence fold.Instant
+	// silences counts the hosts that fell silent since the last report.
+	silences int
+}
+
+// isolated reports whether the supervisor has lately reached no host.
+func (r contactRecord) isolated(now fold.Instant) bool {
+	return r.silences >= isolatedSilences && now.Sub(r.lastReport) > isolatedTime
+}
+
 // assignment records which supervisor a host is assigned to.
 type assignment struct {
 	supervisor supervisor
@@ -140,12 +159,34 @@
 	lastOrder  uint64
 	// termStart is when the term began. lastCheck is when the sessions were last checked.
 	termStart, lastCheck fold.Instant
+	// records holds what each supervisor has reported, by name.
+	records map[string]*contactRecord
 	// lastSilentMove is when silent hosts were last assigned to other supervisors in a round.
 	lastSilentMove fold.Instant
 	// unreached is the number of unused hosts that no session has reached since they fell silent.
 	unreached int
 }
 
+// record returns the record of a supervisor. The caller holds the lock.
+func (l *supervision) record(s supervisor) *contactRecord {
+	if l.records == nil {
+		l.records = make(map[string]*contactRecord)
+	}
+	r, ok := l.records[s.name()]
+	if !ok {
+		r = &contactRecord{}
+		l.records[s.name()] = r
+	}
+	return r
+}
+
+// usable reports whether a supervisor with n hosts may get hosts that answer elsewhere. One that was isolated gets a single
+// host at first. The caller holds the lock.
+func (l *supervision) usable(s supervisor, n int, now fold.Instant) bool {
+	r := l.record(s)
+	return !r.isolated(now) || n == 0 && now.Sub(r.lastSilence) > isolatedRetryTime
+}
+
 // runSupervision keeps each host assigned to a supervisor until ctx ends.
 func (d *Driver) runSupervision(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -245,8 +286,8 @@
 	c.RecordLease(id, end.Sub(now)+lease.MaxDuration(d.parts.Times.Lease))
 }
 
-// openSessions asks other entries to open sessions if the pool has more hosts than this entry can supervise. More are
-// opened while no supervisor reaches some of the hosts.
+// openSessions asks other entries to open sessions if the pool has more hosts than this entry can supervise. Sessions whose
+// relays reach no host do not count, and more are opened while no supervisor reaches some of the hosts.
 func (d *Driver) openSessions(ctx context.Context) {
 	l := &d.supervision
 	var hosts int
@@ -261,7 +302,9 @@
 	capacity := 0
 	connected := make(map[string]bool)
 	for _, s := range l.sessions {
-		capacity += s.capacity()
+		if !l.record(s).isolated(now) {
+			capacity += s.capacity()
+		}
 		connected[s.name()] = true
 	}
 	for _, e := range d.parts.RelayEntries() {
@@ -319,7 +362,7 @@
 			a, ok := l.assignments[id]
 			switch {
 			case !ok:
-				chosen := l.chooseSupervisor(contact.Host, load, useSessions)
+				chosen := l.chooseSupervisor(contact.Host, load, useSessions, c.Now())
 				if chosen == nil && useSessions && (len(l.opening) > 0 || c.Now().Sub(l.termStart) < sessionsWait) {
 					// Wait, because a session may open soon.
 					continue
@@ -380,13 +423,17 @@
 }
 
 // chooseSupervisor returns the local relay if useSessions is false. Otherwise it returns the session with the lowest load
-// relative to its capacity, or nil if none has room. Sessions in the host's failure domain are preferred.
-func (l *supervision) chooseSupervisor(h fold.Host, load map[supervisor]int, useSessions bool) supervisor {
+// relative to its capacity, or nil if none has room. Sessions that are not isolated and those in the host's failure domain are
+// preferred.
+func (l *supervision) chooseSupervisor(h fold.Host, load map[supervisor]int, useSessions bool, now fold.Instant) supervisor {
 	if !useSessions {
 		return l.local
 	}
 	return l.leastLoaded(h, load, func(s supervisor, n int) (rank int64, ok bool) {
-		return 0, s != l.local && n < s.capacity()
+		if !l.usable(s, n, now) {
+			rank = 1
+		}
+		return rank, s != l.local && n < s.capacity()
 	})
 }
 
@@ -421,8 +468,8 @@
 func (d *Driver) balance(c *core.Cell, contacts []core.Contact, load map[supervisor]int) {
 	l := &d.supervision
 	now, capacity := c.Now(), 0
-	for s := range load {
-		if s != l.local {
+	for s, n := range load {
+		if s != l.local && l.usable(s, n, now) {
 			capacity += s.capacity()
 		}
 	}
@@ -472,7 +519,7 @@
 		retryTime = silentRetryTime
 	}
 	candidate := l.leastLoaded(h, answering, func(s supervisor, _ int) (int64, bool) {
-		return 0, s != l.local && s != a.supervisor && load[s] < s.capacity() && !a.history.failed(s.name(), now, retryTime)
+		return 0, s != l.local && s != a.supervisor && load[s] < s.capacity() && l.usable(s, load[s], now) && !a.history.failed(s.name(), now, retryTime)
 	})
 	if candidate != nil && a.supervisor != l.local && answering[candidate]+1 >= answering[a.supervisor] {
 		return nil
@@ -545,8 +592,8 @@
 }
 
 // moveSilentHost assigns a silent host to a supervisor that has not failed to reach it lately, and returns false if there is
-// none. The supervisor that last reached the host comes first, then other sessions, this entry, and those that have failed since
-// the host fell silent, the earliest first. The caller holds the locks of the supervision and the cell.
+// none. The supervisor that last reached the host comes first, then other sessions, this entry, isolated supervisors, and those
+// that have failed since the host fell silent, the earliest first. The caller holds the locks of the supervision and the cell.
 func (d *Driver) moveSilentHost(c *core.Cell, contact core.Contact, a *assignment, load map[supervisor]int) bool {
 	l, now := &d.supervision, c.Now()
 	load[l.local] += 0
@@ -558,8 +605,10 @@
 		room = room || s != l.local
 		switch {
 		case a.history.failedSilent(s.name()):
-			rank = 3 + int64(a.history.failedAt[s.name()])
+			rank = 4 + int64(a.history.failedAt[s.name()])
 		case a.history.valid && s.name() == a.history.reachedBy:
+		case l.record(s).isolated(now):
+			rank = 3
 		case s == l.local:
 			rank = 2
 		default:
