Count the age of orders from the first event message

Callers can see a start that is older than the limit of one second carried out, for instance on a host that has been draining for longer than allowed.

Cause: a relay bounds the age of a batch by the time at which it sent the last event message that the owner had received. When an answer is lost the message is sent again under the same number, and the time of the repetition replaced the first one, although the owner may have received the first message and made the batch after it. The permission does not cover this: the repetition renews it.

Change: the time of the first sending is kept. The permission still counts from the sending of the message that was answered, which is a call of its own.

--- a/fold/relay/session.go
+++ b/fold/relay/session.go
@@ -86,7 +86,7 @@
 	ownerTime fold.Instant
 	// lastContact is when the owner last answered an event message, or when the session was opened.
 	lastContact fold.Instant
-	// eventsSent holds the times at which event messages were sent, by number. Messages to which new batches cannot refer
+	// eventsSent holds the times at which event messages were first sent, by number. Messages to which new batches cannot refer
 	// are removed.
 	eventsSent map[uint64]fold.Instant
 	// specs holds the specifications of jobs, by job id.
@@ -235,7 +235,9 @@
 	for s.ctx.Err() == nil {
 		sent := s.clock.Now()
 		s.mu.Lock()
-		s.eventsSent[number] = sent
+		if _, repeated := s.eventsSent[number]; !repeated {
+			s.eventsSent[number] = sent
+		}
 		timedOut := sent.Sub(s.lastContact) > ownerTimeout
 		s.mu.Unlock()
 		if timedOut {
