Bound the age of orders by the clock of the owner

Callers saw work wait while answers between the owner and its relays took hundreds of milliseconds: relays refused orders as too old that the owner had made a fraction of a second before.

Cause: the bound on the age of a batch is the time since the last event message was sent that the owner had received. With a delay d each way this message was sent up to 3d + 0.2 s before the batch was made, so the bound is up to 4d + 0.2 s for orders that are d old, and exceeds one second from d = 0.2 s on.

Ruled out: a longer limit. A host must get no work two seconds after it has reported that it drains; the owner learns of it within the wait of the roster, so the true age of an order has to stay at one second.

Change: a batch carries the reading of the owner's clock when it was made. Each answer to an event message shows that the owner's clock had a certain reading after the message was sent. From this, and at most 2 % difference in speed, follows the earliest time at which the batch can have been made. The relay uses the later one of both bounds, which are both safe. A batch without the reading is judged as before.

--- a/fold/drive/supervisor.go
+++ b/fold/drive/supervisor.go
@@ -189,7 +189,7 @@
 		if s.queue.Empty() {
 			return relay.Batch{}
 		}
-		s.lastBatch = relay.Batch{Number: s.lastBatch.Number + 1, Orders: s.queue, LastEvents: s.eventsNumber}
+		s.lastBatch = relay.Batch{Number: s.lastBatch.Number + 1, Orders: s.queue, LastEvents: s.eventsNumber, MadeAt: now}
 		s.queue = relay.Orders{}
 	}
 	s.batchSent = now
--- a/fold/relay/orderage_test.go
+++ b/fold/relay/orderage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,6 +20,8 @@
 	// ordered is when the owner makes the batch with the start. It arrives after the delay.
 	ordered time.Time
 	delay   time.Duration
+	// stamped is true if batches tell when they were made.
+	stamped bool
 
 	mu         sync.Mutex
 	lastEvents uint64
@@ -40,6 +43,9 @@
 	o.mu.Lock()
 	batch := relay.Batch{Number: 2, LastEvents: o.lastEvents, Orders: startOrder(1)}
 	o.mu.Unlock()
+	if o.stamped {
+		batch.MadeAt = clock{}.Now()
+	}
 	time.Sleep(o.delay)
 	return batch, nil
 }
@@ -62,20 +68,27 @@
 // Guards against carrying out an order that is older than the limit because its age is counted from when an event message was
 // repeated, although the owner had received it, and made the order, long before.
 func TestAgeOfOrdersCountsFromFirstMessage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h, now := newFakeHost(), time.Now()
-		// The Orders call is not given up before the batch arrives.
-		o := &losingOwner{lostFrom: now.Add(100 * time.Millisecond), lostUntil: now.Add(1300 * time.Millisecond), ordered: now.Add(350 * time.Millisecond), delay: 1300 * time.Millisecond}
-		s := relay.Open(parts(h), o, clock{}.Now(), func() bool { return false })
-		defer func() { _ = s.Close() }()
-		time.Sleep(3 * time.Second)
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		if h.holds[len(h.holds)-1].LeaseEnd == 0 {
-			t.Error("the permission was not renewed, so the test shows nothing")
-		}
-		if len(h.starts) > 0 {
-			t.Errorf("a start was carried out %s after it was ordered", o.delay)
-		}
-	})
+	for _, stamped := range []bool{false, true} {
+		t.Run(fmt.Sprintf("stamped: %v", stamped), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, now := newFakeHost(), time.Now()
+				// The Orders call is not given up before the batch arrives.
+				o := &losingOwner{
+					lostFrom: now.Add(100 * time.Millisecond), lostUntil: now.Add(1300 * time.Millisecond),
+					ordered: now.Add(350 * time.Millisecond), delay: 1300 * time.Millisecond, stamped: stamped,
+				}
+				s := relay.Open(parts(h), o, clock{}.Now(), func() bool { return false })
+				defer func() { _ = s.Close() }()
+				time.Sleep(3 * time.Second)
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				if h.holds[len(h.holds)-1].LeaseEnd == 0 {
+					t.Error("the permission was not renewed, so the test shows nothing")
+				}
+				if len(h.starts) > 0 {
+					t.Errorf("a start was carried out %s after it was ordered", o.delay)
+				}
+			})
+		})
+	}
 }
--- a/fold/relay/session.go
+++ b/fold/relay/session.go
@@ -40,6 +40,9 @@
 	// LastEvents is the number of the last event message that the owner had received when it made the batch. The time since
 	// that message was sent is therefore an upper bound on the age of the batch.
 	LastEvents uint64 `json:"heard"`
+	// MadeAt is the reading of the owner's clock when it made the batch, or 0. It gives a closer bound on the age if messages
+	// take long to arrive.
+	MadeAt fold.Instant `json:"made,omitempty"`
 	// Ended is true if the session has ended.
 	Ended bool `json:"ended,omitempty"`
 }
@@ -84,6 +87,8 @@
 	permittedUntil fold.Instant
 	// ownerTime is the latest known reading of the owner's clock.
 	ownerTime fold.Instant
+	// ownerClock relates the owner's clock to this entry's clock.
+	ownerClock clockRelation
 	// lastContact is when the owner last answered an event message, or when the session was opened.
 	lastContact fold.Instant
 	// eventsSent holds the times at which event messages were first sent, by number. Messages to which new batches cannot refer
@@ -179,7 +184,10 @@
 		return
 	}
 	s.lastBatch = batch.Number
-	sent, known := s.eventsSent[batch.LastEvents]
+	madeAfter, known := s.eventsSent[batch.LastEvents]
+	if earliest, ok := s.ownerClock.earliest(batch.MadeAt); ok && (!known || earliest > madeAfter) {
+		madeAfter, known = earliest, true
+	}
 	// Later batches refer to the same message or to newer ones.
 	for number := range s.eventsSent {
 		if number < batch.LastEvents {
@@ -197,11 +205,11 @@
 		delete(s.specs, job)
 	}
 	s.mu.Unlock()
-	if age := now.Sub(sent); !known || age > maxOrderAge {
+	if age := now.Sub(madeAfter); !known || age > maxOrderAge {
 		late := Orders{Starts: orders.Starts, Stops: orders.Stops, Paces: orders.Paces}
 		orders.Starts, orders.Stops, orders.Paces = nil, nil, nil
 		if !late.Empty() {
-			// The age means nothing if the event message is unknown. Paces are not counted here.
+			// The age means nothing if it is unknown. Paces are not counted here.
 			s.log.Warn("Refused orders of the owner that arrived too late.", "starts", len(late.Starts), "stops", len(late.Stops), "age", age.String())
 		}
 		s.relay.Refuse(late, fold.Refuse(fold.Unavailable, "send the order again", "the order was not sent because it may be %s old", age))
@@ -256,6 +264,9 @@
 		s.lastContact = s.clock.Now()
 		s.permittedUntil = max(s.permittedUntil, sent.Add(permit.RenewFor))
 		s.ownerTime = max(s.ownerTime, permit.OwnerTime)
+		if !permit.Ended {
+			s.ownerClock.observe(sent, permit.OwnerTime)
+		}
 		s.mu.Unlock()
 		s.apply(permit.Batch)
 		return !permit.Ended
