Renew the permission of relays while answers are late

Callers saw work wait while answers between the owner and its relays took hundreds of milliseconds, and an owner had to supervise all hosts of the pool itself.

Cause: a relay has one event message under way at a time. With a round trip r the next message comes up to r + 0.2 s after the last one, and its answer r later. The permission of one second, counted from the sending, is thus missing for a part of the time from r = 0.4 s on, and for all of it where answers take longer than the timeout of the call, 0.7 s: these are dropped and the message is repeated. The owner ends a session after 0.65 s without a call, so constant delays from 0.3 s each way on ended all sessions, although both sides live.

Change: while no message of the last 0.3 s is answered, a relay sends messages without events at most every 100 ms, with number 0, which renew the permission. Their answers contain no orders, so that orders are not repeated on slow links. Rules for permission and leases are the same: each answer counts from the sending of its own message, and the owner grants none while a release is unapplied.

Ruled out: a longer permission. It would delay the reuse of each host that is lost with its relay. Repeating the events: they may be long, and the link may be what is slow.

Where a round trip takes longer than a permission lasts (600 ms) the owner supervises the hosts itself, as before.

--- a/fold/drive/supervisor.go
+++ b/fold/drive/supervisor.go
@@ -202,7 +202,8 @@
 	return len(s.queue.Releases) > 0 || s.lastBatch.Number > lastNumber && len(s.lastBatch.Orders.Releases) > 0
 }
 
-// HandleEvents handles an event message of a session. A repeated message, which has the same number, is handled once.
+// HandleEvents handles an event message of a session. A repeated message, which has the same number, is handled once. The
+// answer to a message with number 0, which only renews the permission, contains no batch.
 // The hosts of a relay that is leaving are assigned to other supervisors.
 func (d *Driver) HandleEvents(id, number, lastNumber uint64, events relay.Events, leaving bool) relay.Permit {
 	l := &d.supervision
@@ -239,7 +240,7 @@
 	}
 	s.permittedUntil = max(s.permittedUntil, now.Add(renew))
 	permit := relay.Permit{RenewFor: renew, OwnerTime: now}
-	if s.lastBatch.Number <= lastNumber || now.Sub(s.batchSent) >= resendAfter {
+	if number > 0 && (s.lastBatch.Number <= lastNumber || now.Sub(s.batchSent) >= resendAfter) {
 		permit.Batch = s.batchAfter(lastNumber, now)
 	}
 	return permit
--- a/fold/relay/slowowner_test.go
+++ b/fold/relay/slowowner_test.go
@@ -36,6 +36,12 @@
 	return fmt.Sprintf("%d to %d ms, handler %d ms", d.shortest.Milliseconds(), d.longest.Milliseconds(), d.handler.Milliseconds())
 }
 
+// steady reports whether all messages are equally late, by so little that the owner never hears nothing of a relay for as long
+// as it takes to end a session, also when they become late.
+func (d delays) steady() bool {
+	return d.shortest == d.longest && relay.EventsInterval+d.longest+d.handler < sessionTimeout
+}
+
 // constant returns a delay that is the same for all messages.
 func constant(d time.Duration) delays { return delays{shortest: d, longest: d} }
 
@@ -173,6 +179,8 @@
 }
 
 const (
+	// sessionTimeout is how long the owner hears nothing of a relay before it ends the session.
+	sessionTimeout = 650 * time.Millisecond
 	// maxIdle is how long a job may have nothing running although its task fits.
 	maxIdle = 3 * time.Second
 	// drainTime is longer than any message is on its way.
@@ -285,7 +293,8 @@
 }
 
 // Guards against relays that hold hosts but do not carry orders: answers between the owner and its relays take hundreds of
-// milliseconds, the relays refuse orders as too old or without permission, and work does not start although hosts have room.
+// milliseconds, the relays refuse orders as too old or without permission, and work does not start although hosts have room. Also
+// guards against sessions that end although both sides live, so that the owner has to supervise all hosts itself.
 func TestWorkStartsOverSlowLinks(t *testing.T) {
 	const ms = time.Millisecond
 	cases := []delays{
@@ -312,6 +321,9 @@
 					if r.idle > 0 {
 						t.Errorf("%d of %d jobs had nothing running for more than %s", r.idle, r.jobs, maxIdle)
 					}
+					if c.steady() && r.reopened > 0 {
+						t.Errorf("%d sessions were opened again although messages arrived in time", r.reopened)
+					}
 					for _, s := range r.twice {
 						t.Error(s)
 					}
