--- a/fold/relay/session.go
+++ b/fold/relay/session.go
@@ -21,8 +21,11 @@
 	// minEventsInterval is the shortest time between two event messages, so that under load each of them carries more
 	// events.
 	minEventsInterval = 15 * time.Millisecond
-	// ownerCallTimeout limits a call to the owner, in addition to the wait for orders.
-	ownerCallTimeout = 700 * time.Millisecond
+	// renewalInterval is the time between two messages that only renew the permission. They are sent while answers are late.
+	renewalInterval = 100 * time.Millisecond
+	// ownerCallTimeout limits a call to the owner, in addition to the wait for orders. It exceeds the validity of a permission,
+	// because a late answer still confirms that events have arrived.
+	ownerCallTimeout = 1500 * time.Millisecond
 	// ownerRetryDelay is the delay before a failed call to the owner is tried again.
 	ownerRetryDelay = 50 * time.Millisecond
 	// maxOrderAge is the age up to which orders are sent to hosts. Older ones are refused, because the owner may have ended
@@ -40,6 +43,9 @@
 	// LastEvents is the number of the last event message that the owner had received when it made the batch. The time since
 	// that message was sent is therefore an upper bound on the age of the batch.
 	LastEvents uint64 `json:"heard"`
+	// MadeAt is the reading of the owner's clock when it made the batch, or 0. It gives a closer bound on the age if messages
+	// take long to arrive.
+	MadeAt fold.Instant `json:"made,omitempty"`
 	// Ended is true if the session has ended.
 	Ended bool `json:"ended,omitempty"`
 }
@@ -62,7 +68,8 @@
 	// applied. A batch with number 0 contains no orders.
 	Orders(ctx context.Context, lastNumber uint64) (Batch, error)
 	// SendEvents sends an event message. The owner handles a message once, even if it arrives again under the same number. If
-	// leaving is true, the session ends. The answer may contain the batch that follows batch lastNumber.
+	// leaving is true, the session ends. The answer may contain the batch that follows batch lastNumber. A message with number 0
+	// contains no events, and its answer no batch; it only renews the permission.
 	SendEvents(ctx context.Context, number, lastNumber uint64, events Events, leaving bool) (Permit, error)
 }
 
@@ -84,9 +91,14 @@
 	permittedUntil fold.Instant
 	// ownerTime is the latest known reading of the owner's clock.
 	ownerTime fold.Instant
+	// ownerClock relates the owner's clock to this entry's clock.
+	ownerClock clockRelation
+	// lastSent is when a message was last sent to the owner. lastAnswered is when the newest message that it has answered was
+	// sent.
+	lastSent, lastAnswered fold.Instant
 	// lastContact is when the owner last answered an event message, or when the session was opened.
 	lastContact fold.Instant
-	// eventsSent holds the times at which event messages were sent, by number. Messages to which new batches cannot refer
+	// eventsSent holds the times at which event messages were first sent, by number. Messages to which new batches cannot refer
 	// are removed.
 	eventsSent map[uint64]fold.Instant
 	// specs holds the specifications of jobs, by job id.
@@ -136,6 +148,7 @@
 	s.log.Info("Started a session to supervise hosts for the owner.")
 	var group sync.WaitGroup
 	group.Go(s.followOrders)
+	group.Go(s.renewPermission)
 	s.reportEvents()
 	s.cancel()
 	group.Wait()
@@ -179,7 +192,10 @@
 		return
 	}
 	s.lastBatch = batch.Number
-	sent, known := s.eventsSent[batch.LastEvents]
+	madeAfter, known := s.eventsSent[batch.LastEvents]
+	if earliest, ok := s.ownerClock.earliest(batch.MadeAt); ok && (!known || earliest > madeAfter) {
+		madeAfter, known = earliest, true
+	}
 	// Later batches refer to the same message or to newer ones.
 	for number := range s.eventsSent {
 		if number < batch.LastEvents {
@@ -197,11 +213,11 @@
 		delete(s.specs, job)
 	}
 	s.mu.Unlock()
-	if age := now.Sub(sent); !known || age > maxOrderAge {
+	if age := now.Sub(madeAfter); !known || age > maxOrderAge {
 		late := Orders{Starts: orders.Starts, Stops: orders.Stops, Paces: orders.Paces}
 		orders.Starts, orders.Stops, orders.Paces = nil, nil, nil
 		if !late.Empty() {
-			// The age means nothing if the event message is unknown. Paces are not counted here.
+			// The age means nothing if it is unknown. Paces are not counted here.
 			s.log.Warn("Refused orders of the owner that arrived too late.", "starts", len(late.Starts), "stops", len(late.Stops), "age", age.String())
 		}
 		s.relay.Refuse(late, fold.Refuse(fold.Unavailable, "send the order again", "the order was not sent because it may be %s old", age))
@@ -235,7 +251,9 @@
 	for s.ctx.Err() == nil {
 		sent := s.clock.Now()
 		s.mu.Lock()
-		s.eventsSent[number] = sent
+		if _, repeated := s.eventsSent[number]; !repeated {
+			s.eventsSent[number] = sent
+		}
 		timedOut := sent.Sub(s.lastContact) > ownerTimeout
 		s.mu.Unlock()
 		if timedOut {
@@ -243,24 +261,64 @@
 			s.log.Warn("Ending the session because the owner does not answer.", "since", ownerTimeout.String())
 			return false
 		}
-		call, cancel := context.WithTimeout(s.ctx, ownerCallTimeout)
-		permit, err := s.owner.SendEvents(call, number, s.appliedBatchNumber(), events, s.leaving())
-		cancel()
+		permit, err := s.callOwner(sent, number, events)
 		if err != nil {
 			s.pause(ownerRetryDelay)
 			continue
 		}
 		s.mu.Lock()
 		s.lastContact = s.clock.Now()
-		s.permittedUntil = max(s.permittedUntil, sent.Add(permit.RenewFor))
-		s.ownerTime = max(s.ownerTime, permit.OwnerTime)
 		s.mu.Unlock()
-		s.apply(permit.Batch)
 		return !permit.Ended
 	}
 	return false
 }
 
+// renewPermission renews the permission while answers to event messages are late, so that neither the permission nor the
+// session ends.
+func (s *Session) renewPermission() {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for s.ctx.Err() == nil {
+		s.pause(renewalInterval)
+		now := s.clock.Now()
+		s.mu.Lock()
+		due := now.Sub(s.lastSent) >= renewalInterval && now.Sub(s.lastAnswered) >= EventsInterval+renewalInterval
+		s.mu.Unlock()
+		if !due {
+			continue
+		}
+		group.Go(func() {
+			if permit, err := s.callOwner(now, 0, Events{}); err == nil && permit.Ended {
+				s.cancel()
+			}
+		})
+	}
+}
+
+// callOwner sends an event message once and applies the answer. sent is a time before the call.
+func (s *Session) callOwner(sent fold.Instant, number uint64, events Events) (Permit, error) {
+	call, cancel := context.WithTimeout(s.ctx, ownerCallTimeout)
+	defer cancel()
+	s.mu.Lock()
+	s.lastSent = max(s.lastSent, sent)
+	s.mu.Unlock()
+	// The session ends with an event message, so that the last events are handled.
+	leaving := number > 0 && s.leaving()
+	permit, err := s.owner.SendEvents(call, number, s.appliedBatchNumber(), events, leaving)
+	if err != nil || permit.Ended {
+		return permit, err
+	}
+	s.mu.Lock()
+	s.lastAnswered = max(s.lastAnswered, sent)
+	s.permittedUntil = max(s.permittedUntil, sent.Add(permit.RenewFor))
+	s.ownerTime = max(s.ownerTime, permit.OwnerTime)
+	s.ownerClock.observe(sent, permit.OwnerTime)
+	s.mu.Unlock()
+	s.apply(permit.Batch)
+	return permit, nil
+}
+
 func (s *Session) pause(wait time.Duration) {
 	select {
 	case <-s.ctx.Done():
