Reserve the room that is made for long-running tasks

Callers saw long-running tasks wait for up to 25 s in a full pool, although the hosts that the adviser approves had room for them once runs of lower priority were stopped. The owner did stop runs, again and again, but the tasks did not get the room.

Besides, a step asked about hosts where preemption makes room only if no other host was left to ask about, and a part paused for 1.3 s after each round of stops.

A long-running step now reserves the room that it makes, for as long as a stop takes and 0.6 s, longer where a ticket has to be renewed. Parts that come later in the order of ranks leave this room free, in decisions and in calls to the adviser. Hosts where stopping runs or free room suffice come first and cost no stop.

--- a/fold/core/advice.go
+++ b/fold/core/advice.go
@@ -136,10 +136,13 @@
 
 // NextAdviceCall returns the most urgent call that is due. It skips slow calls unless slow is true.
 func (c *Cell) NextAdviceCall(slow bool) (AdviceCall, bool) {
+	var held heldRoom
+	defer held.release()
 	for _, p := range c.active {
 		if call, ok := c.adviceCall(p, slow); ok {
 			return call, true
 		}
+		held.add(p)
 	}
 	for _, p := range c.active {
 		for _, n := range p.successors {
@@ -272,6 +275,8 @@
 	host *host
 	// slots is the expected number of waiting tasks that the host takes if it is approved.
 	slots float64
+	// preempts reports whether runs must be preempted to make this room.
+	preempts bool
 }
 
 // chooseCallHosts returns the ids of hosts with room for the waiting tasks of a part: hosts near its data first, then hosts
@@ -287,10 +292,14 @@
 	var candidates []candidate
 	potential := 0.0
 	for _, h := range c.openApproved(p) {
-		slots := c.slots(p, h, h.info.Capacity.Sub(h.used))
+		slots, validity := c.slots(p, h, h.info.Capacity.Sub(h.used)), minValidity
+		if n := float64(p.reservedOn(h)); n > slots {
+			// The room appears when the runs that were stopped for it have ended.
+			slots, validity = n, max(minValidity, c.times.Stop)
+		}
 		potential += slots
 		switch {
-		case p.permitted(h, c.now.Add(minValidity)):
+		case p.permitted(h, c.now.Add(validity)):
 			// Slots with a valid ticket need no call.
 			need -= slots
 		case slots > 0:
@@ -305,8 +314,8 @@
 		// Tickets are useless for a gang that does not fit as a whole.
 		return nil
 	}
-	if len(candidates) == 0 && c.mayPreempt(p) {
-		candidates = c.preemptibleHosts(p)
+	if c.mayPreempt(p) && (p.step.LongRunning || len(candidates) == 0) {
+		candidates = c.addPreemptible(p, candidates, need)
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.preference(p), a.preference(p)), cmp.Compare(b.slots, a.slots))
@@ -358,16 +367,31 @@
 	return candidates, more
 }
 
-// preemptibleHosts returns hosts that have room for the part only if other runs are preempted.
-func (c *Cell) preemptibleHosts(p *part) []candidate {
-	var candidates []candidate
+// addPreemptible appends hosts that have room for the part only if other runs are preempted, if the candidates have too few
+// slots.
+func (c *Cell) addPreemptible(p *part, candidates []candidate, need float64) []candidate {
+	expected := 0.0
+	listed := make(map[*host]bool, len(candidates))
+	for _, option := range candidates {
+		expected += option.slots
+		listed[option.host] = true
+	}
+	if expected >= need*callHeadroom {
+		return candidates
+	}
+	approvalRate := c.approvalRate(p.job.queue.Name)
 	for _, h := range c.openHostsFor(p) {
-		if !h.acceptsWork(c.now) || !p.allowed(h) || p.advice.deniedIDs[h.info.ID] || p.permitted(h, c.now) {
+		if listed[h] || !h.acceptsWork(c.now) || !p.allowed(h) || p.advice.deniedIDs[h.info.ID] || p.permitted(h, c.now) {
 			continue
 		}
-		if slots := c.slots(p, h, h.info.Capacity.Sub(h.used).Add(c.preemptibleCapacity(p, h))); slots > 0 {
-			candidates = append(candidates, candidate{host: h, slots: slots})
+		slots := c.slots(p, h, h.info.Capacity.Sub(h.used).Add(c.preemptibleCapacity(p, h)))
+		if slots == 0 {
+			continue
+		}
+		if !p.advice.approvedIDs[h.info.ID] {
+			slots *= approvalRate
 		}
+		candidates = append(candidates, candidate{host: h, slots: slots, preempts: true})
 	}
 	return candidates
 }
@@ -381,6 +405,9 @@
 	if p.advice.approvedIDs[a.host.info.ID] {
 		rank++
 	}
+	if a.preempts {
+		rank -= 4
+	}
 	return rank
 }
 
--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -19,11 +19,15 @@
 	c.sortActive()
 	c.updateOpenHosts()
 	c.updateAwaited()
+	c.dropReservations()
+	var held heldRoom
 	for _, p := range c.active {
 		if !c.awaitsHosts(p) {
 			c.planPart(p)
 		}
+		held.add(p)
 	}
+	held.release()
 	c.preempt()
 	c.startUnrecorded()
 	c.adjustPaces()
@@ -169,6 +173,7 @@
 func (c *Cell) planStart(t *task, h *host, number int) {
 	p := t.part
 	p.begin()
+	p.useReservation(h)
 	t.lastRun = number
 	if t.firstOwnRun == 0 {
 		t.firstOwnRun = number
--- a/fold/core/job.go
+++ b/fold/core/job.go
@@ -67,7 +67,9 @@
 	// gangFailures counts failed runs of the gang. lastFailedRun is the number of the last one.
 	gangFailures, lastFailedRun int
 	perHost                     map[*host]int
-	advice                      approvals
+	// reservations lists the room that is kept for waiting tasks of the part.
+	reservations []reservation
+	advice       approvals
 	// readyAt is when the part became ready to start.
 	readyAt fold.Instant
 }
--- a/fold/core/preempt.go
+++ b/fold/core/preempt.go
@@ -16,25 +16,88 @@
 	// minRemaining is how much longer a run must take to be stopped for an urgent task. A shorter one soon frees its
 	// resources by itself.
 	minRemaining = 700 * time.Millisecond
-	// preemptPause is the delay between two rounds of stops for one part, so that the stopped runs can end first.
+	// preemptPause is the delay between two rounds of stops for one part that reserves no room, so that the stopped runs can
+	// end first.
 	preemptPause = 1300 * time.Millisecond
-	// preemptRetry is the delay after a search that found no run to stop. A search examines all runs.
+	// preemptRetry is the delay after a search for runs to stop. A search examines all runs.
 	preemptRetry = 120 * time.Millisecond
+	// reservationSlack is how long room stays reserved after the stopped runs should have ended.
+	reservationSlack = 600 * time.Millisecond
 	// maxPreemptions is the maximum number of runs stopped in one round of decisions.
 	maxPreemptions = 16
 )
 
+// reservation is room on a host for a waiting task of a part. It appears when stopped runs end, or needs a ticket first.
+type reservation struct {
+	host  *host
+	until fold.Instant
+}
+
+// reservedOn returns the number of tasks for which the part has reserved room on the host.
+func (p *part) reservedOn(h *host) int {
+	n := 0
+	for _, r := range p.reservations {
+		if r.host == h {
+			n++
+		}
+	}
+	return n
+}
+
+// useReservation removes a reservation of the part on the host, if there is one, because a task starts there.
+func (p *part) useReservation(h *host) {
+	if at := slices.IndexFunc(p.reservations, func(r reservation) bool { return r.host == h }); at >= 0 {
+		p.reservations = slices.Delete(p.reservations, at, at+1)
+	}
+}
+
+// dropReservations removes the reservations that have expired, whose host takes no work, or that exceed the waiting tasks.
+func (c *Cell) dropReservations() {
+	for _, p := range c.active {
+		p.reservations = slices.DeleteFunc(p.reservations, func(r reservation) bool { return r.until < c.now || !r.host.acceptsWork(c.now) })
+		p.reservations = p.reservations[:min(len(p.reservations), p.waitingTasks)]
+	}
+}
+
+// heldClaim is reserved room for one task.
+type heldClaim struct {
+	host  *host
+	claim fold.Resources
+}
+
+// heldRoom lists reserved room that is charged to its hosts while decisions about later parts are made.
+type heldRoom []heldClaim
+
+// add charges the room that is reserved for the part.
+func (s *heldRoom) add(p *part) {
+	claim := p.step.Claim()
+	for _, r := range p.reservations {
+		r.host.used = r.host.used.Add(claim)
+		*s = append(*s, heldClaim{host: r.host, claim: claim})
+	}
+}
+
+// release takes back all charges.
+func (s *heldRoom) release() {
+	for _, held := range *s {
+		held.host.used = held.host.used.Sub(held.claim)
+	}
+	*s = nil
+}
+
 // preempt stops runs of other jobs for long-running and urgent tasks that wait although hosts are approved for them.
 func (c *Cell) preempt() {
 	budget := maxPreemptions
+	var held heldRoom
+	defer held.release()
 	for _, p := range c.active {
 		if budget <= 0 {
 			return
 		}
-		if p.waitingTasks == 0 || p.step.Gang || !p.fitsRecord() || c.awaitsHosts(p) || c.now < p.preemptionTime() || !c.mayPreempt(p) {
-			continue
+		if p.waitingTasks > 0 && !p.step.Gang && p.fitsRecord() && !c.awaitsHosts(p) && c.now >= p.preemptionTime() && c.mayPreempt(p) {
+			budget -= c.preemptFor(p, c.openHostsFor(p), budget)
 		}
-		budget -= c.preemptFor(p, c.openHostsFor(p))
+		held.add(p)
 	}
 }
 
@@ -69,39 +132,95 @@
 	return max(at, p.advice.nextPreemption)
 }
 
-// preemptFor stops runs that block the waiting tasks of the part and returns the number of stopped runs.
-func (c *Cell) preemptFor(p *part, hosts []*host) int {
-	limited := !c.withinLimit(p.job.spec.Team, p.step.Size)
+// preemptFor stops runs that block the waiting tasks of the part, at most about budget runs, and returns the number of stopped
+// runs.
+func (c *Cell) preemptFor(p *part, hosts []*host, budget int) int {
+	p.advice.nextPreemption = c.now.Add(preemptRetry)
+	if !c.withinLimit(p.job.spec.Team, p.step.Size) {
+		return c.preemptInTeam(p, hosts)
+	}
+	if !p.step.LongRunning {
+		return c.preemptUnreserved(p, hosts)
+	}
+	approved := hosts
+	var unticketed []*host
+	if p.job.queue.Advice != nil {
+		// Stopped runs end in time for a ticket that stays valid for Stop. Other hosts need a new ticket.
+		approved = nil
+		for _, h := range c.openApproved(p) {
+			if p.permitted(h, c.now.Add(c.times.Stop)) {
+				approved = append(approved, h)
+			} else {
+				unticketed = append(unticketed, h)
+			}
+		}
+	}
+	stopped := 0
+	for len(p.reservations) < p.waitingTasks && stopped < budget && c.withinLimit(p.job.spec.Team, p.step.Size.Times(int64(len(p.reservations)+1))) {
+		until := c.now.Add(c.times.Stop + reservationSlack)
+		h, victims := c.cheapestVictims(p, approved)
+		if h == nil {
+			h, victims = c.cheapestVictims(p, unticketed)
+			if h == nil {
+				break
+			}
+			until = until.Add(p.job.queue.Advice.CallTime + usualCallHosts*p.job.queue.Advice.TimePerHost)
+		}
+		p.reservations = append(p.reservations, reservation{host: h, until: until})
+		c.stopFor(p, victims, false)
+		stopped += len(victims)
+	}
+	return stopped
+}
+
+// preemptUnreserved stops runs for urgent tasks and returns their number. Urgent tasks are short, so holding the room of the
+// stopped runs back from other tasks would cost more than it gains.
+func (c *Cell) preemptUnreserved(p *part, hosts []*host) int {
 	approved := hosts
 	if p.job.queue.Advice != nil {
 		approved = c.openApproved(p)
 	}
 	stopped := 0
 	for need := p.waitingTasks; need > 0; need-- {
-		var victims []*run
-		if limited {
-			victims = c.victimOfTeam(p, hosts)
-		} else {
-			victims = c.cheapestVictims(p, approved)
+		_, victims := c.cheapestVictims(p, approved)
+		if len(victims) == 0 {
+			break
 		}
+		c.stopFor(p, victims, false)
+		stopped += len(victims)
+	}
+	if stopped > 0 {
+		p.advice.nextPreemption = c.now.Add(preemptPause)
+	}
+	return stopped
+}
+
+// preemptInTeam stops runs of the part's own team, which has reached its limit, and returns their number.
+func (c *Cell) preemptInTeam(p *part, hosts []*host) int {
+	stopped := 0
+	for need := p.waitingTasks; need > 0; need-- {
+		victims := c.victimOfTeam(p, hosts)
 		if victims == nil {
 			break
 		}
-		for _, v := range victims {
-			c.log.Info("Stopped a task for a more urgent one.", "task", v.id, "run", v.number, "host", v.host.info.ID, "for", p.stepName(), "limit", limited)
-			c.stats.Preempted++
-			c.stopRun(v)
-			stopped++
-		}
+		c.stopFor(p, victims, true)
+		stopped += len(victims)
 	}
 	if stopped > 0 {
 		p.advice.nextPreemption = c.now.Add(preemptPause)
-	} else {
-		p.advice.nextPreemption = c.now.Add(preemptRetry)
 	}
 	return stopped
 }
 
+// stopFor stops runs for a part. limited reports whether the reason is the limit of the team.
+func (c *Cell) stopFor(p *part, victims []*run, limited bool) {
+	for _, v := range victims {
+		c.log.Info("Stopped a task for a more urgent one.", "task", v.id, "run", v.number, "host", v.host.info.ID, "for", p.stepName(), "limit", limited)
+		c.stats.Preempted++
+		c.stopRun(v)
+	}
+}
+
 // victimOfTeam returns the run of the part's own team that loses the least work when stopped, or nil. It is used when the
 // team has reached its limit.
 func (c *Cell) victimOfTeam(p *part, hosts []*host) []*run {
@@ -135,41 +254,48 @@
 	return other > p.job.queue.Priority && s.Checkpoints && c.runRemaining(r) > minRemaining
 }
 
-// cheapestVictims returns the runs on one host that free room for a task with the least loss of work, or nil.
-func (c *Cell) cheapestVictims(p *part, hosts []*host) []*run {
-	var best []*run
+// cheapestVictims returns the host on which room for a task can be made with the least loss of work, and the runs to stop
+// there. It returns nil if there is no such host.
+func (c *Cell) cheapestVictims(p *part, hosts []*host) (*host, []*run) {
+	var best *host
+	var bestRuns []*run
 	var bestLoss float64
 	c.stats.Considered += int64(len(hosts))
 	for _, h := range hosts {
 		if !p.allowed(h) {
 			continue
 		}
-		if p.step.PerHost > 0 && p.perHost[h] >= p.step.PerHost {
+		if p.step.PerHost > 0 && p.perHost[h]+p.reservedOn(h) >= p.step.PerHost {
 			continue
 		}
-		runs, loss := c.victimsOn(p, h)
-		if runs != nil && (best == nil || loss < bestLoss) {
-			best, bestLoss = runs, loss
+		runs, loss, ok := c.victimsOn(p, h)
+		if ok && (best == nil || loss < bestLoss) {
+			best, bestRuns, bestLoss = h, runs, loss
+			if len(runs) == 0 {
+				break
+			}
 		}
 	}
-	return best
+	return best, bestRuns
 }
 
-// victimsOn returns preemptible runs on the host that free enough resources for a task, and the core-seconds of work lost.
-func (c *Cell) victimsOn(p *part, h *host) ([]*run, float64) {
-	free := h.info.Capacity.Sub(h.used)
+// victimsOn returns preemptible runs on the host that free enough resources for a task, and the core-seconds of work lost. For
+// a long-running task it returns no runs if the room is free or becomes free when runs that are being stopped have ended.
+func (c *Cell) victimsOn(p *part, h *host) (chosen []*run, loss float64, ok bool) {
 	claim := p.step.Claim()
+	free := h.info.Capacity.Sub(h.used).Sub(claim.Times(int64(p.reservedOn(h))))
 	var eligible []*run
 	for _, r := range h.runList {
-		if c.preemptible(r, p) {
+		switch {
+		case r.stopping && p.step.LongRunning:
+			free = free.Add(r.task.part.step.Claim())
+		case c.preemptible(r, p):
 			eligible = append(eligible, r)
 		}
 	}
 	slices.SortFunc(eligible, func(a, b *run) int {
 		return cmp.Or(cmp.Compare(c.lostWork(a), c.lostWork(b)), cmp.Compare(a.id, b.id))
 	})
-	var chosen []*run
-	loss := 0.0
 	for _, r := range eligible {
 		if claim.Fits(free) {
 			break
@@ -178,10 +304,7 @@
 		loss += c.lostWork(r)
 		chosen = append(chosen, r)
 	}
-	if !claim.Fits(free) || len(chosen) == 0 {
-		return nil, 0
-	}
-	return chosen, loss
+	return chosen, loss, claim.Fits(free) && (p.step.LongRunning || len(chosen) > 0)
 }
 
 // lostWork returns the work in core-seconds that is lost if the run is stopped.
