Use an approved host again after it was forgotten

A step that may not preempt never used a host again that the adviser had approved and that was outside the roster for over 30 s: the owner forgets such a host and adds a new object when it returns. The list of approved hosts kept the old object, which accepts no work, while its id kept the host out of further calls. Long-running steps asked about it once nothing else was left, and so were not affected.

The list now takes the new object when the host has returned.

TestForgottenApprovedHostGetsWork, long absence: 0 starts before, 1 after (want 1); the other two cases pass before and after (go test ./core -run TestForgottenApprovedHostGetsWork).

--- a/fold/core/advice.go
+++ b/fold/core/advice.go
@@ -87,6 +87,7 @@
 	if p.job.queue.Advice == nil {
 		return c.openHostsFor(p)
 	}
+	c.replaceForgotten(p)
 	hosts := c.candidateBuffer[:0]
 	for _, h := range p.advice.approved {
 		if h.info.Service == p.job.queue.Service && h.acceptsWork(c.now) && p.permitted(h, c.now) {
@@ -99,6 +100,7 @@
 
 // openApproved returns the open hosts of the part's service that the adviser has approved for it.
 func (c *Cell) openApproved(p *part) []*host {
+	c.replaceForgotten(p)
 	var hosts []*host
 	for _, h := range p.advice.approved {
 		if h.info.Service == p.job.queue.Service && h.acceptsWork(c.now) {
@@ -108,6 +110,19 @@
 	return hosts
 }
 
+// replaceForgotten replaces the approved hosts that were forgotten and have returned with a new state object.
+func (c *Cell) replaceForgotten(p *part) {
+	for i, h := range p.advice.approved {
+		if h.listed {
+			continue
+		}
+		if current, ok := c.hosts[h.info.ID]; ok && current != h {
+			delete(p.advice.tickets, h)
+			p.advice.approved[i] = current
+		}
+	}
+}
+
 // addApproved inserts a host into the sorted list of approved hosts.
 func (a *approvals) addApproved(h *host) {
 	at, found := slices.BinarySearchFunc(a.approved, h, func(o, h *host) int { return cmp.Compare(o.info.ID, h.info.ID) })
