Judge waiting work in the soak as the platform does

Cause: pfsoak reported a waiting job only if it was idle for 12 s at the end of a run, and a long-running job only if none of its tasks ran. The rule allows 3 s, for each long-running task, at any time that is calm.

Change: a sampler in the live world of fold/model looks at the accepted jobs every 250 ms. A long-running task violates LOST if it has no run for 3 s while a task of its step fits twice on healthy hosts that the adviser approves and its team uses under half of its limit. The 3 s begin at the earliest 4 s after the last fault and 6 s after the task's last run. Another job violates it from 14 s after the end of the traffic and faults, if it has no run for 3 s, a step whose turn has come fits twice, its team uses under half of its limit and under half of the pool is in use. Graceful stops and reloads are no faults, as before. The check after 12 s stays.

--- a/cmd/pfsoak/internal/app/callers.go
+++ b/cmd/pfsoak/internal/app/callers.go
@@ -127,6 +127,7 @@
 		switch {
 		case err == nil && reply.Status == http.StatusOK:
 			c.update(func() { c.accepted[j.ID] = true })
+			c.env.live.RecordAccepted(j.ID)
 			return true
 		case err == nil && (reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests):
 			c.update(func() { c.refusals++ })
--- a/cmd/pfsoak/internal/app/soak.go
+++ b/cmd/pfsoak/internal/app/soak.go
@@ -75,6 +75,8 @@
 	defer func() { err = errors.Join(err, t.close()) }()
 	t.startEntries(t.entries)
 	t.callers = newCallers(t.env, t.entries)
+	judging := time.AfterFunc(warmUpTime, t.env.live.JudgeIdle)
+	defer judging.Stop()
 	watching, stop := context.WithCancel(ctx)
 	defer stop()
 	go t.env.keepHostsRegistered(watching)
@@ -94,6 +96,7 @@
 	}
 	out.faults = t.injectFaults(ctx, faults)
 	senders.Wait()
+	t.env.live.RecordTrafficEnd()
 	out.unplaced = t.finish(ctx, stop)
 	c := t.callers
 	if len(c.accepted) == 0 {
@@ -164,12 +167,16 @@
 			time.Sleep(f.start)
 			// Violations after a recorded fault may be excused. Reloads and graceful stops excuse no violation, so they are
 			// not recorded. Only graceful stops last graceTime.
-			if f.name != "reload" && f.duration != graceTime {
+			disturbs := f.name != "reload" && f.duration != graceTime
+			if disturbs {
 				t.env.live.RecordFault(f.duration)
 			}
 			f.inject(ctx)
 			time.Sleep(f.duration)
 			f.revert()
+			if disturbs {
+				t.env.live.RecordFaultEnd()
+			}
 		})
 	}
 	group.Wait()
--- /dev/null
+++ b/fold/model/idle_test.go
@@ -0,0 +1,220 @@
+package model_test
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/flow"
+	"plantainfold.example/fold/model"
+)
+
+// Classes of PlanningDay.
+const (
+	checkClass = 0
+	watchClass = 2
+)
+
+// idleWorld is a world whose only owner is the test.
+type idleWorld struct {
+	t     *testing.T
+	live  *model.Live
+	hosts []fold.Host
+	// begun is when the hosts started, whose clocks begin at 0.
+	begun time.Time
+}
+
+// newIdleWorld starts a world on 12 hosts with one team. The judge has been active for long enough to excuse nothing.
+func newIdleWorld(t *testing.T, change func(d *model.Day)) *idleWorld {
+	t.Helper()
+	day := model.PlanningDay(7)
+	day.Hosts = 12
+	day.Teams = day.Teams[:1]
+	for i := range day.Classes {
+		day.Classes[i].FailedRunShare, day.Classes[i].FailingJobShare, day.Classes[i].GangShare, day.Classes[i].PerHostShare = 0, 0, 0, 0
+		day.Classes[i].ApprovedShare = 1
+	}
+	if change != nil {
+		change(&day)
+	}
+	w := &idleWorld{t: t, begun: time.Now(), live: model.NewLive(day, hclog.NewNullLogger(), func(string) flow.Record { return flow.Record{} })}
+	t.Cleanup(func() { _ = w.live.Close() })
+	w.hosts, _ = w.live.Hosts()
+	w.live.JudgeIdle()
+	time.Sleep(5 * time.Second)
+	return w
+}
+
+// accept draws a job and records that it was accepted.
+func (w *idleWorld) accept(class int) flow.Job {
+	job := w.live.DrawJob(class)
+	w.live.RecordAccepted(job.ID)
+	return job
+}
+
+// run starts a task on a host and renews its lease for d.
+func (w *idleWorld) run(job flow.Job, index, hostIndex int, d time.Duration) {
+	w.t.Helper()
+	h := w.hosts[hostIndex]
+	task := flow.TaskName{Job: job.ID, Index: index}.String()
+	lease := func() int64 { return time.Since(w.begun).Milliseconds() + 5000 }
+	if err := w.live.Start(w.t.Context(), h, fold.StartRequest{Task: task, Run: 1, Fence: 1, LeaseEnd: lease()}); err != nil {
+		w.t.Fatal(err)
+	}
+	go func() {
+		for range d / time.Second {
+			select {
+			case <-w.t.Context().Done():
+				return
+			case <-time.After(time.Second):
+			}
+			_, _ = w.live.Hold(w.t.Context(), h, fold.HoldRequest{Fence: 1, LeaseEnd: lease()})
+		}
+	}()
+}
+
+// waits returns the violations because of work that waits.
+func (w *idleWorld) waits() []string {
+	_, violations := w.live.Result()
+	var lines []string
+	for _, v := range violations {
+		if strings.Contains(v, "have nothing running") {
+			lines = append(lines, v)
+		} else {
+			w.t.Error("another violation:", v)
+		}
+	}
+	return lines
+}
+
+// Guards against a judge that misses work which waits although there is room, or that reports work which may wait.
+func TestJudgeOfWaitingWork(t *testing.T) {
+	const watchCPU = 1000
+	cases := []struct {
+		name string
+		// change changes the day, and play is what happens.
+		change func(d *model.Day)
+		play   func(w *idleWorld)
+		want   bool
+	}{
+		{name: "nothing starts", want: true, play: func(w *idleWorld) {
+			w.accept(watchClass)
+			time.Sleep(3500 * time.Millisecond)
+		}},
+		{name: "not yet 3 s", play: func(w *idleWorld) {
+			w.accept(watchClass)
+			time.Sleep(2900 * time.Millisecond)
+		}},
+		{name: "one task of a long-running step does not start", want: true, play: func(w *idleWorld) {
+			job := w.accept(watchClass)
+			for i := range job.Steps[0].Count - 1 {
+				w.run(job, i, i%len(w.hosts), 4*time.Second)
+			}
+			time.Sleep(3500 * time.Millisecond)
+		}},
+		{name: "all tasks run", play: func(w *idleWorld) {
+			job := w.accept(watchClass)
+			for i := range job.Steps[0].Count {
+				w.run(job, i, i%len(w.hosts), 20*time.Second)
+			}
+			time.Sleep(15 * time.Second)
+		}},
+		{name: "runs end and 6 s have not passed", play: func(w *idleWorld) {
+			job := w.accept(watchClass)
+			for i := range job.Steps[0].Count {
+				w.run(job, i, i%len(w.hosts), 0)
+			}
+			time.Sleep(5*time.Second + 8500*time.Millisecond)
+		}},
+		{name: "runs end and nothing starts again", want: true, play: func(w *idleWorld) {
+			job := w.accept(watchClass)
+			for i := range job.Steps[0].Count {
+				w.run(job, i, i%len(w.hosts), 0)
+			}
+			time.Sleep(5*time.Second + 9700*time.Millisecond)
+		}},
+		{
+			name: "the adviser approves no host", change: func(d *model.Day) { d.Classes[watchClass].ApprovedShare = 0 },
+			play: func(w *idleWorld) {
+				w.accept(watchClass)
+				time.Sleep(10 * time.Second)
+			},
+		},
+		{
+			name: "the adviser approves one host, which has room for one task", change: func(d *model.Day) {
+				d.Hosts, d.Classes[watchClass].PerHostShare = 1, 1
+			},
+			play: func(w *idleWorld) {
+				job := w.live.DrawJob(watchClass)
+				for job.Steps[0].PerHost > 1 {
+					job = w.live.DrawJob(watchClass)
+				}
+				w.live.RecordAccepted(job.ID)
+				time.Sleep(10 * time.Second)
+			},
+		},
+		{
+			name: "the team uses half of its limit", change: func(d *model.Day) { d.Teams[0].Limit.CPU = 2 * watchCPU },
+			play: func(w *idleWorld) {
+				job := w.accept(watchClass)
+				if job.Steps[0].Size.CPU < watchCPU {
+					w.t.Fatalf("tasks of %s", job.Steps[0].Size)
+				}
+				w.live.RecordCancelSent(job.ID)
+				w.run(job, 0, 0, 12*time.Second)
+				w.accept(watchClass)
+				time.Sleep(10 * time.Second)
+			},
+		},
+		{name: "the job is cancelled", play: func(w *idleWorld) {
+			w.live.RecordCancelSent(w.accept(watchClass).ID)
+			time.Sleep(10 * time.Second)
+		}},
+		{name: "a fault is active until 4 s before", play: func(w *idleWorld) {
+			w.live.RecordFault(time.Second)
+			w.accept(watchClass)
+			time.Sleep(7900 * time.Millisecond)
+		}},
+		{name: "a fault ends later than was recorded", play: func(w *idleWorld) {
+			w.live.RecordFault(time.Second)
+			w.accept(watchClass)
+			time.Sleep(2 * time.Second)
+			w.live.RecordFaultEnd()
+			time.Sleep(6900 * time.Millisecond)
+		}},
+		{name: "7 s after a fault", want: true, play: func(w *idleWorld) {
+			w.live.RecordFault(time.Second)
+			w.accept(watchClass)
+			time.Sleep(8500 * time.Millisecond)
+		}},
+		{name: "a job that ends, while traffic goes on", play: func(w *idleWorld) {
+			w.accept(checkClass)
+			time.Sleep(30 * time.Second)
+		}},
+		{name: "a job that ends, before 14 s have passed after the traffic", play: func(w *idleWorld) {
+			w.accept(checkClass)
+			w.live.RecordTrafficEnd()
+			time.Sleep(16900 * time.Millisecond)
+		}},
+		{name: "a job that ends, 17 s after the traffic", want: true, play: func(w *idleWorld) {
+			w.accept(checkClass)
+			w.live.RecordTrafficEnd()
+			time.Sleep(17500 * time.Millisecond)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newIdleWorld(t, c.change)
+				c.play(w)
+				if lines := w.waits(); (len(lines) == 1) != c.want || len(lines) > 1 {
+					t.Errorf("violations %q, want one: %t", lines, c.want)
+				}
+			})
+		})
+	}
+}
--- a/fold/model/live.go
+++ b/fold/model/live.go
@@ -26,6 +26,7 @@
 	wake chan struct{}
 	// refused holds the jobs for which every submission was refused.
 	refused map[string]bool
+	judge   idleJudge
 }
 
 var (
@@ -39,6 +40,7 @@
 	w.realTime, w.log = true, log
 	w.build()
 	l := &Live{started: time.Now(), stop: make(chan struct{}), done: make(chan struct{}), record: record, w: w, wake: make(chan struct{}, 1), refused: make(map[string]bool)}
+	l.judge = idleJudge{world: w, began: l.started, started: make(map[*taskTruth]bool)}
 	go l.run()
 	return l
 }
@@ -147,7 +149,11 @@
 		if name, ok := flow.ParseTaskName(r.Task); ok && l.refused[name.Job] {
 			h.world.addViolation("REFUSED", "%s starts although every submission of its job was refused", r.Task)
 		}
-		return h.start(r)
+		err := h.start(r)
+		if err == nil {
+			l.judge.started[h.world.tasks[r.Task]] = true
+		}
+		return err
 	})
 }
 
