Run the soak at the size of a large pool

Cause: pfsoak opened one proxy listener for each pair of entry and host (37 x 350 = 12,950) and ran out of 20,000 descriptors. A proxy that failed to accept a connection for lack of descriptors accepted none afterwards.

A proxy retries after an error unless it was closed.

Evidence: TestProxyAcceptsAfterAnError fails without the retry.

--- a/cmd/pfsoak/internal/app/environment.go
+++ b/cmd/pfsoak/internal/app/environment.go
@@ -89,12 +89,12 @@
 	longRunTime = 6 * time.Second
 )
 
-// newEnvironment returns the environment of a test run for entries with the given names. The orders to the hosts are logged
-// to hostLog.
-func newEnvironment(ctx context.Context, seed uint64, workload model.Day, entries []string, log, hostLog hclog.Logger) (*environment, error) {
+// newEnvironment returns the environment of a test run. The links of the entries with the given names get proxies. The orders
+// to the hosts are logged to hostLog.
+func newEnvironment(ctx context.Context, seed uint64, workload model.Day, linked []string, log, hostLog hclog.Logger) (*environment, error) {
 	e := &environment{
 		log: log, random: rand.New(rand.NewPCG(seed, 7)), workload: workload, table: plat.NewTable(), storeFaults: plat.NewFaults(fold.BootClock{}),
-		links: newLinks(entries), domains: make(map[string]string), hostServers: make(map[string]*httptest.Server), unlisted: make(map[string]int),
+		links: newLinks(linked), domains: make(map[string]string), hostServers: make(map[string]*httptest.Server), unlisted: make(map[string]int),
 	}
 	e.live = model.NewLive(e.workload, hostLog, e.newestRecord)
 	server, err := e.startServer(ctx, stand.Adviser(e.live))
--- a/cmd/pfsoak/internal/app/links.go
+++ b/cmd/pfsoak/internal/app/links.go
@@ -21,7 +21,7 @@
 // links holds a proxy for each address at which an entry reaches a host or another entry. Entries find each other and the
 // hosts by rows of the store, so linkedStore replaces the addresses there.
 type links struct {
-	// entries are the names of the entries.
+	// entries are the names of the entries whose links have proxies.
 	entries []string
 
 	mu sync.Mutex
--- a/cmd/pfsoak/internal/app/proxy.go
+++ b/cmd/pfsoak/internal/app/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -34,6 +35,8 @@
 	delayTime = 120 * time.Millisecond
 	// holdInterval is the time between checks whether modeHold has ended.
 	holdInterval = 10 * time.Millisecond
+	// acceptRetryDelay is the time until a connection is accepted again after an error.
+	acceptRetryDelay = 20 * time.Millisecond
 )
 
 // proxy forwards connections on loopback to a target and injects the network fault of its mode.
@@ -109,9 +112,14 @@
 func (p *proxy) accept(ctx context.Context) {
 	for {
 		in, err := p.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// For example, too many files are open.
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		if p.currentMode() == modeReset {
 			abort(in)
 			continue
--- a/cmd/pfsoak/internal/app/soak.go
+++ b/cmd/pfsoak/internal/app/soak.go
@@ -110,16 +110,17 @@
 
 // connect creates the environment and the entries, whose processes are not started.
 func (t *testRun) connect(ctx context.Context, o options, seed uint64, dir string, hostLog hclog.Logger) error {
-	runTime := longRunTime
-	if o.Basic {
-		runTime = shortRunTime
-	}
 	var names []string
 	for n := range o.Entries {
 		names = append(names, fmt.Sprintf("entry-%d", n))
 	}
+	runTime, linked := longRunTime, names
+	if o.Basic {
+		// One proxy for each pair of entry and host takes too many descriptors at the size of a large pool.
+		runTime, linked = shortRunTime, nil
+	}
 	var err error
-	if t.env, err = newEnvironment(ctx, seed, newWorkload(seed, o.Hosts, runTime), names, t.log, hostLog); err != nil {
+	if t.env, err = newEnvironment(ctx, seed, newWorkload(seed, o.Hosts, runTime), linked, t.log, hostLog); err != nil {
 		return err
 	}
 	for n, name := range names {
--- a/cmd/pfsoak/internal/app/soak_test.go
+++ b/cmd/pfsoak/internal/app/soak_test.go
@@ -142,6 +142,43 @@
 	}
 }
 
+// busyListener fails to accept the first connection because too many files are open.
+type busyListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *busyListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a proxy that accepts no more connections for good after too many files were open for a moment.
+func TestProxyAcceptsAfterAnError(t *testing.T) {
+	l, err := listen(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{listener: &busyListener{Listener: l}, target: startEcho(t, io.Discard), conns: make(map[net.Conn]bool)}
+	p.group.Go(func() { p.accept(t.Context()) })
+	t.Cleanup(func() { _ = p.Close() })
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", p.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := conn.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if n, err := conn.Read(make([]byte, 1)); n != 1 {
+		t.Errorf("read %d bytes, error %v", n, err)
+	}
+}
+
 // startEcho starts a server that sends back what it receives and also writes it to received. It returns its address.
 func startEcho(t *testing.T, received io.Writer) string {
 	server, err := listen(t.Context())
