Serve the simulated hosts from one goroutine

The lock was held for microseconds of work, but each hand-over woke another goroutine, and each start wrote a line to hosts.log while holding it.

--- a/cmd/pfsoak/internal/app/soak.go
+++ b/cmd/pfsoak/internal/app/soak.go
@@ -64,11 +64,11 @@
 // runSeed performs the test run of a seed and returns its result.
 func runSeed(ctx context.Context, o options, seed uint64, dir string, log hclog.Logger) (out outcome, err error) {
 	t := &testRun{log: log}
-	hostLog, err := os.Create(filepath.Join(dir, "hosts.log"))
+	hostLog, err := newLogFile(filepath.Join(dir, "hosts.log"))
 	if err != nil {
 		return out, err
 	}
-	defer func() { _ = hostLog.Close() }()
+	defer func() { err = errors.Join(err, hostLog.Close()) }()
 	if err := t.connect(ctx, o, seed, dir, hclog.New(&hclog.LoggerOptions{Level: hclog.Debug, Output: hostLog})); err != nil {
 		return out, err
 	}
--- a/fold/model/live.go
+++ b/fold/model/live.go
@@ -20,10 +20,11 @@
 	// record reads the durable record of a job.
 	record func(id string) flow.Record
 
+	// calls holds functions that the loop calls. Under load, this delays hosts less than a lock that many goroutines wait for.
+	calls chan func()
+
 	mu sync.Mutex
 	w  *World
-	// wake notifies the loop of a change, which may have added an earlier event.
-	wake chan struct{}
 	// refused holds the jobs for which every submission was refused.
 	refused map[string]bool
 	judge   idleJudge
@@ -39,15 +40,17 @@
 	w := newWorld(d)
 	w.realTime, w.log = true, log
 	w.build()
-	l := &Live{started: time.Now(), stop: make(chan struct{}), done: make(chan struct{}), record: record, w: w, wake: make(chan struct{}, 1), refused: make(map[string]bool)}
+	l := &Live{started: time.Now(), stop: make(chan struct{}), done: make(chan struct{}), record: record, w: w, calls: make(chan func()), refused: make(map[string]bool)}
 	l.judge = idleJudge{world: w, began: l.started, started: make(map[*taskTruth]bool)}
 	go l.run()
 	return l
 }
 
-// run is the loop that runs events when they are due.
+// run is the loop that runs events when they are due, and the functions that update passes to it.
 func (l *Live) run() {
 	defer close(l.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		l.mu.Lock()
 		l.advance()
@@ -56,11 +59,13 @@
 			wait = min(wait, l.w.events[0].at.Sub(l.w.now))
 		}
 		l.mu.Unlock()
+		timer.Reset(wait)
 		select {
 		case <-l.stop:
 			return
-		case <-l.wake:
-		case <-time.After(wait):
+		case call := <-l.calls:
+			call()
+		case <-timer.C:
 		}
 	}
 }
@@ -70,15 +75,21 @@
 	l.w.runUntil(time.Since(l.started))
 }
 
-// update advances the world to the present, calls fn on it and wakes the loop.
+// update advances the world to the present and calls fn on it.
 func (l *Live) update(fn func(w *World)) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.advance()
-	fn(l.w)
+	called := make(chan struct{})
+	call := func() {
+		defer close(called)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.advance()
+		fn(l.w)
+	}
 	select {
-	case l.wake <- struct{}{}:
-	default:
+	case l.calls <- call:
+		<-called
+	case <-l.done:
+		call()
 	}
 }
 
