Add the workload of a large pool to the soak

Cause: pfsoak scaled the rates of jobs with the hosts but not the limits of the teams, so that the limits bound before the room, and its steps had 40 tasks at most and were cancelled within 9 s.

--- a/cmd/pfsoak/internal/app/callers.go
+++ b/cmd/pfsoak/internal/app/callers.go
@@ -63,7 +63,7 @@
 		firstEntry := random.IntN(len(c.entries))
 		cancelAfter := time.Duration(0)
 		if cl := c.env.workload.Classes[class]; cl.LongRunning || random.Float64() < cl.CancelShare {
-			cancelAfter = time.Second + time.Duration(random.Int64N(int64(8*time.Second)))
+			cancelAfter = time.Second + time.Duration(random.Int64N(int64(max(cl.CancelAfter, longRunningTime))))
 		}
 		c.group.Go(func() { c.followJob(stop, class, spec, firstEntry, cancelAfter) })
 	}
--- a/cmd/pfsoak/internal/app/environment.go
+++ b/cmd/pfsoak/internal/app/environment.go
@@ -62,17 +62,25 @@
 // domainNames are the failure domains, over which entries and hosts are spread in turn.
 var domainNames = []string{"soak-a", "soak-b", "soak-c"}
 
-// newWorkload returns the workload of a test run: the job classes of a planning service on a pool of the given size. The mean
-// run time of tasks is limited to maxRunTime.
-func newWorkload(seed uint64, hosts int, maxRunTime time.Duration) model.Day {
+// newWorkload returns the workload of a test run: the job classes of a planning service on a pool of the given size, or those
+// of a large pool. The mean run time of tasks is limited to maxRunTime.
+func newWorkload(seed uint64, hosts int, large bool, maxRunTime time.Duration) model.Day {
 	workload := model.PlanningDay(seed)
 	workload.Hosts, workload.Racks = hosts, max(1, hosts/4)
+	workload.ScaleLimits(hosts)
 	for i := range workload.Classes {
 		c := &workload.Classes[i]
 		// The rates of PlanningDay are meant for 48 hosts.
 		c.Rate *= float64(hosts) / 48 * loadFactor
 		c.RunTime = min(c.RunTime, maxRunTime)
-		c.Queue.Host, c.Queue.Prefix, c.Queue.Service = queueHost, "/"+c.Name+"/", "pool"
+		c.CancelAfter = longRunningTime
+	}
+	if large {
+		workload = model.LargePoolDay(seed, hosts)
+	}
+	for i := range workload.Classes {
+		q := &workload.Classes[i].Queue
+		q.Host, q.Prefix, q.Service = queueHost, "/"+workload.Classes[i].Name+"/", "pool"
 	}
 	for i := range workload.Teams {
 		workload.Teams[i].Keys = []string{fmt.Sprintf("%s-%d", keyPrefix, i)}
@@ -87,6 +95,8 @@
 	shortRunTime = 3 * time.Second
 	// longRunTime is the limit beside faults of links. Many tasks then outlast a lease.
 	longRunTime = 6 * time.Second
+	// longRunningTime is the time within which callers cancel long-running jobs, except those of a large pool.
+	longRunningTime = 8 * time.Second
 )
 
 // newEnvironment returns the environment of a test run. The links of the entries with the given names get proxies. The orders
--- a/cmd/pfsoak/internal/app/soak.go
+++ b/cmd/pfsoak/internal/app/soak.go
@@ -34,6 +34,8 @@
 	Program string        `long:"program" description:"path of the entry daemon; if it is not set, the daemon is built from the checkout"`
 	Basic   bool          `long:"basic" description:"inject no faults of links, no stutters and no series of changes of the owner"`
 	Links   bool          `long:"links" description:"inject only the faults that --basic leaves out"`
+	Large   bool          `long:"large" description:"use the workload of a large pool, whose long-running steps have up to 120 tasks; best with 100 hosts or more"`
+	Calm    bool          `long:"calm" description:"inject only faults of the adviser"`
 	Logs    string        `long:"logs" description:"folder in which the logs of the entries are kept; if it is not set, they are removed after a test run without a violation"`
 }
 
@@ -88,10 +90,10 @@
 	}
 	// Each group of faults has its own random numbers, so that a seed keeps its faults when another group is added.
 	var faults []fault
-	if !o.Links {
+	if !o.Links && !o.Calm {
 		faults = t.drawFaults(rand.New(rand.NewPCG(seed, 11)), o.Length)
 	}
-	if !o.Basic {
+	if !o.Basic && !o.Calm {
 		faults = append(faults, t.drawLinkFaults(rand.New(rand.NewPCG(seed, 13)), o.Length)...)
 	}
 	out.faults = t.injectFaults(ctx, faults)
@@ -115,12 +117,12 @@
 		names = append(names, fmt.Sprintf("entry-%d", n))
 	}
 	runTime, linked := longRunTime, names
-	if o.Basic {
+	if o.Basic || o.Calm {
 		// One proxy for each pair of entry and host takes too many descriptors at the size of a large pool.
 		runTime, linked = shortRunTime, nil
 	}
 	var err error
-	if t.env, err = newEnvironment(ctx, seed, newWorkload(seed, o.Hosts, runTime), linked, t.log, hostLog); err != nil {
+	if t.env, err = newEnvironment(ctx, seed, newWorkload(seed, o.Hosts, o.Large, runTime), linked, t.log, hostLog); err != nil {
 		return err
 	}
 	for n, name := range names {
--- a/fold/model/day.go
+++ b/fold/model/day.go
@@ -18,6 +18,10 @@
 	Queue       fold.Queue
 	// Steps is the mean number of steps of a job, and Width is the mean number of tasks of a step.
 	Steps, Width float64
+	// MaxWidth is the maximum number of tasks of a step, and WidthDeviation is the standard deviation of the logarithm of this
+	// number. If MaxWidth is 0, both have default values.
+	MaxWidth       int
+	WidthDeviation float64
 	// RunTime is the mean run time of a task.
 	RunTime time.Duration
 	// CPU and Memory are the mean size of a task.
@@ -147,3 +151,40 @@
 		},
 	}
 }
+
+// planningHosts is the number of hosts for which the limits of the teams of PlanningDay are meant.
+const planningHosts = 48
+
+// ScaleLimits raises the limits of the teams of PlanningDay for a larger pool, so that the room and not the limits decides
+// what runs.
+func (d *Day) ScaleLimits(hosts int) {
+	factor := max(1, float64(hosts)/planningHosts)
+	for i := range d.Teams {
+		limit := &d.Teams[i].Limit
+		limit.CPU, limit.Memory = int64(factor*float64(limit.CPU)), int64(factor*float64(limit.Memory))
+	}
+}
+
+// largePoolHosts is the number of hosts for which the rates of LargePoolDay are meant.
+const largePoolHosts = 350
+
+// LargePoolDay returns a day with the classes of PlanningDay as they are on a pool of hundreds of hosts: wider steps of larger
+// tasks, slower advice, and long-running jobs that are not cancelled soon. The rates are those for the given number of hosts.
+func LargePoolDay(seed uint64, hosts int) Day {
+	d := PlanningDay(seed)
+	d.Hosts, d.Racks = hosts, max(1, hosts/8)
+	d.ScaleLimits(hosts)
+	share := float64(hosts) / largePoolHosts
+	check, rebuild, watch := &d.Classes[0], &d.Classes[1], &d.Classes[2]
+	check.Rate, check.Width, check.MaxWidth, check.WidthDeviation, check.CPU, check.Memory = 32*share, 9.5, 57, 0.8, 8900, 13000
+	rebuild.Rate, rebuild.Width, rebuild.MaxWidth, rebuild.WidthDeviation, rebuild.CPU, rebuild.Memory = 4.1*share, 14, 68, 0.6, 18000, 26000
+	watch.Rate, watch.Width, watch.MaxWidth, watch.WidthDeviation, watch.CPU, watch.Memory = share, 20, 120, 0.8, 18000, 18000
+	watch.CancelAfter = 30 * time.Second
+	check.Queue.Advice.CallTime, check.Queue.Advice.TimePerHost = 25*time.Millisecond, 360*time.Microsecond
+	rebuild.Queue.Advice.CallTime, rebuild.Queue.Advice.TimePerHost = 390*time.Millisecond, 5600*time.Microsecond
+	for i := range d.Teams {
+		// Teams that use half of their limit may have to wait.
+		d.Teams[i].Limit = d.Teams[i].Limit.Times(2)
+	}
+	return d
+}
--- a/fold/model/idle.go
+++ b/fold/model/idle.go
@@ -299,7 +299,7 @@
 // roomFor returns the room for a step on the hosts that the adviser approves.
 func (u poolUse) roomFor(job *judgedJob, index int) room {
 	found := room{}
-	step := &job.spec.Steps[index]
+	step := job.tasks[index][0].step
 	for _, h := range job.approved[index] {
 		free, ok := u.free[h]
 		if !ok {
--- a/fold/model/idle_test.go
+++ b/fold/model/idle_test.go
@@ -218,3 +218,37 @@
 		})
 	}
 }
+
+// Guards against a large pool whose long-running steps are as narrow as those of a small one, or whose teams reach their
+// limits before the hosts are full.
+func TestLargePoolDay(t *testing.T) {
+	const jobs = 400
+	day := model.LargePoolDay(3, 350)
+	live := model.NewLive(day, hclog.NewNullLogger(), func(string) flow.Record { return flow.Record{} })
+	t.Cleanup(func() { _ = live.Close() })
+	tasks, widest, limited := 0, 0, 0
+	for range jobs {
+		step := live.DrawJob(watchClass).Steps[0]
+		tasks, widest = tasks+step.Count, max(widest, step.Count)
+		if step.PerHost == 1 {
+			limited++
+		}
+	}
+	if mean := float64(tasks) / jobs; mean < 17 || mean > 23 || widest < 60 || widest > 120 {
+		t.Errorf("long-running steps have %.1f tasks on average and %d at most", mean, widest)
+	}
+	if share := float64(limited) / jobs; share < 0.6 || share > 0.8 {
+		t.Errorf("%.2f of the long-running steps run one task on a host", share)
+	}
+	hosts, _ := live.Hosts()
+	var capacity, limits fold.Resources
+	for _, h := range hosts {
+		capacity = capacity.Add(h.Capacity)
+	}
+	for _, team := range day.Teams {
+		limits = limits.Add(team.Limit)
+	}
+	if !capacity.Times(2).Fits(limits) {
+		t.Errorf("the limits of the teams add up to %s, the hosts have %s", limits, capacity)
+	}
+}
--- a/fold/model/live.go
+++ b/fold/model/live.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -255,10 +256,34 @@
 // DrawJob makes a random job of a class.
 func (l *Live) DrawJob(class int) flow.Job {
 	var spec flow.Job
-	l.update(func(w *World) { spec = w.drawJob(class).spec })
+	l.update(func(w *World) {
+		job := w.drawJob(class)
+		if job.class.MaxWidth > 0 {
+			w.redrawWidths(job)
+		}
+		spec = job.spec
+	})
 	return spec
 }
 
+// redrawWidths draws the numbers of tasks of a job again, whose class has a distribution of its own for them. Steps of
+// long-running jobs that limit their tasks per host run one on a host.
+func (w *World) redrawWidths(j *jobTruth) {
+	j.size = 0
+	for s := range j.spec.Steps {
+		for _, t := range j.tasks[s] {
+			delete(w.tasks, t.id)
+		}
+		step := &j.spec.Steps[s]
+		step.Count = min(j.class.MaxWidth, max(1, int(math.Round(w.logNormal(j.class.Width, j.class.WidthDeviation)))))
+		if step.LongRunning && step.PerHost > 0 {
+			step.PerHost = 1
+		}
+		j.tasks[s] = w.drawTasks(j, s, w.logNormal(float64(j.class.RunTime), 0.5))
+	}
+	w.objective(j)
+}
+
 // RecordRefused records that every submission of a job was refused, so that it must never run.
 func (l *Live) RecordRefused(id string) {
 	l.update(func(*World) { l.refused[id] = true })
