Let the adviser of the soak answer late

Cause: the adviser of pfsoak answered every call at its stated time and any number of calls at once, and the hosts took any ticket, so that a run could not show what late answers do.

Change: each entry has an adviser that serves its calls one at a time, also those that the entry has given up, and refuses a call beside 32 that wait. A host refuses a start without a valid ticket. One to three times in a run, the answers are 0.1 to 2 s late for 2 to 7 s, for all entries or for one. A delay of up to 1 s excuses nothing; a longer one excuses work that waits, but no other violation. If the folder of the logs is given, the faults of runs without a violation are printed too.

Evidence: TestEntryAdviser.

--- a/cmd/pfsoak/internal/app/entry.go
+++ b/cmd/pfsoak/internal/app/entry.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"plantainfold.example/fold/model"
 	"plantainfold.example/fold/node"
 )
 
@@ -26,6 +27,7 @@
 	// storeProxy and adviserProxy forward connections from the entry to the platform, and callerProxy forwards connections
 	// from callers to the entry.
 	storeProxy, adviserProxy, callerProxy *proxy
+	adviser                               *model.EntryAdviser
 
 	mu sync.Mutex
 	// process is the current process; it is nil if none is running.
--- a/cmd/pfsoak/internal/app/environment.go
+++ b/cmd/pfsoak/internal/app/environment.go
@@ -45,10 +45,9 @@
 	// storeFaults sets the fault of the store.
 	storeFaults *plat.Faults
 	// servers are the servers of the simulated platform and its hosts.
-	servers        []*httptest.Server
-	adviserAddress string
-	rules          fold.Rules
-	links          *links
+	servers []*httptest.Server
+	rules   fold.Rules
+	links   *links
 	// domains holds the failure domain of each host by its id.
 	domains map[string]string
 
@@ -107,11 +106,6 @@
 		links: newLinks(linked), domains: make(map[string]string), hostServers: make(map[string]*httptest.Server), unlisted: make(map[string]int),
 	}
 	e.live = model.NewLive(e.workload, hostLog, e.newestRecord)
-	server, err := e.startServer(ctx, stand.Adviser(e.live))
-	if err != nil {
-		return nil, err
-	}
-	e.adviserAddress = server.Listener.Addr().String()
 	up, _ := e.live.Hosts()
 	for i, h := range up {
 		e.domains[h.ID] = domainNames[i%len(domainNames)]
@@ -185,6 +179,15 @@
 	return server.Listener.Addr().String(), nil
 }
 
+// startAdviser starts the server of the adviser for an entry and returns its address.
+func (e *environment) startAdviser(ctx context.Context, adviser *model.EntryAdviser) (string, error) {
+	server, err := e.startServer(ctx, stand.Adviser(adviser))
+	if err != nil {
+		return "", err
+	}
+	return server.Listener.Addr().String(), nil
+}
+
 // giveAddress lets a host listen at a new address and no longer at its previous one.
 func (e *environment) giveAddress(ctx context.Context, id string) error {
 	server, err := e.startServer(ctx, stand.Host(e.live, func() fold.Host { return fold.Host{ID: id} }))
--- a/cmd/pfsoak/internal/app/fault.go
+++ b/cmd/pfsoak/internal/app/fault.go
@@ -16,8 +16,10 @@
 	// start is the time before inject is called, and duration is the time from then until revert is called.
 	start, duration time.Duration
 	name            string
-	inject          func(ctx context.Context)
-	revert          func()
+	// ofAdviser is set for faults of the adviser.
+	ofAdviser bool
+	inject    func(ctx context.Context)
+	revert    func()
 }
 
 const (
@@ -29,6 +31,12 @@
 	quickRestart = 100 * time.Millisecond
 	// faultDurationSpread is the difference between the longest and the shortest duration of a fault.
 	faultDurationSpread = 5 * time.Second
+	// minAdviserDelay is the shortest delay of the answers of the adviser, and adviserDelaySpread is the difference to the
+	// longest.
+	minAdviserDelay    = 100 * time.Millisecond
+	adviserDelaySpread = 1900 * time.Millisecond
+	// maxUnexcusedDelay is the longest delay of the answers of the adviser that excuses no work that waits.
+	maxUnexcusedDelay = time.Second
 )
 
 // faultDuration draws the duration of a fault.
@@ -176,3 +184,35 @@
 	f.name, f.revert = fmt.Sprintf("hosts %+v", injected), func() {}
 	f.inject = func(context.Context) { t.env.live.InjectFault(injected) }
 }
+
+// drawAdviserFaults returns the faults of the adviser in a test run, whose answers are late for all entries or for one.
+func (t *testRun) drawAdviserFaults(random *rand.Rand, length time.Duration) []fault {
+	var faults []fault
+	for range 1 + random.IntN(3) {
+		delay := minAdviserDelay + time.Duration(random.Int64N(int64(adviserDelaySpread)))
+		f := fault{
+			start:    warmUpTime + time.Duration(random.Int64N(int64(length-warmUpTime))),
+			duration: 2*time.Second + faultDuration(random), ofAdviser: true,
+		}
+		affected, name := t.entries, "all"
+		if e := t.entries[random.IntN(len(t.entries))]; random.IntN(3) == 0 {
+			affected, name = []*entry{e}, e.settings.Name
+		}
+		f.name = fmt.Sprintf("answers of the adviser to %s are late by %s", name, delay.Round(time.Millisecond))
+		f.inject = func(context.Context) {
+			if delay > maxUnexcusedDelay {
+				t.env.live.ExcuseWaiting(f.duration)
+			}
+			setAdviserDelay(affected, delay)
+		}
+		f.revert = func() { setAdviserDelay(affected, 0) }
+		faults = append(faults, f)
+	}
+	return faults
+}
+
+func setAdviserDelay(entries []*entry, delay time.Duration) {
+	for _, e := range entries {
+		e.adviser.SetDelay(delay)
+	}
+}
--- a/cmd/pfsoak/internal/app/main.go
+++ b/cmd/pfsoak/internal/app/main.go
@@ -55,13 +55,13 @@
 		}
 		_, _ = fmt.Fprintf(stdout, "seed %d: %d faults, %d jobs, %d accepted, %d ended, %d without a place, %d refusals, %d without an answer, %d starts, %d violations\n",
 			seed, len(out.faults), out.jobs, out.accepted, out.ended, out.unplaced, out.refusals, out.unanswered, out.starts, len(out.violations))
-		if len(out.violations) == 0 {
-			if !kept {
-				_ = os.RemoveAll(dir)
-			}
+		if len(out.violations) == 0 && !kept {
+			_ = os.RemoveAll(dir)
 			continue
 		}
-		failedRuns++
+		if len(out.violations) > 0 {
+			failedRuns++
+		}
 		_, _ = fmt.Fprintf(stdout, "  logs in %s\n", dir)
 		for _, line := range out.faults {
 			_, _ = fmt.Fprintln(stdout, "  fault:", line)
--- a/cmd/pfsoak/internal/app/soak.go
+++ b/cmd/pfsoak/internal/app/soak.go
@@ -22,6 +22,10 @@
 	// maxIdleTime is how long an accepted job may stay idle without a break after all faults have ended, in the sense of
 	// model.Live.Idle. The platform allows an entry 12 s to serve again.
 	maxIdleTime = 12 * time.Second
+	// smallEntryCores is the size of most entries of a large pool, which supervise few hosts each. One entry in
+	// largeEntryDivisor is larger.
+	smallEntryCores   = 0.192
+	largeEntryDivisor = 6
 )
 
 // options are the command-line options.
@@ -96,6 +100,9 @@
 	if !o.Basic && !o.Calm {
 		faults = append(faults, t.drawLinkFaults(rand.New(rand.NewPCG(seed, 13)), o.Length)...)
 	}
+	if !o.Links {
+		faults = append(faults, t.drawAdviserFaults(rand.New(rand.NewPCG(seed, 17)), o.Length)...)
+	}
 	out.faults = t.injectFaults(ctx, faults)
 	senders.Wait()
 	t.env.live.RecordTrafficEnd()
@@ -130,10 +137,19 @@
 		if err != nil {
 			return errors.Join(err, t.close())
 		}
-		e, err := newEntry(ctx, o.Program, dir, name, domainNames[n%len(domainNames)], store, t.env.adviserAddress)
+		adviser := t.env.live.NewEntryAdviser()
+		adviserAddress, err := t.env.startAdviser(ctx, adviser)
 		if err != nil {
 			return errors.Join(err, t.close())
 		}
+		e, err := newEntry(ctx, o.Program, dir, name, domainNames[n%len(domainNames)], store, adviserAddress)
+		if err != nil {
+			return errors.Join(err, t.close())
+		}
+		e.adviser = adviser
+		if o.Large && n >= o.Entries/largeEntryDivisor {
+			e.settings.Cores = smallEntryCores
+		}
 		t.entries = append(t.entries, e)
 		if err := t.env.links.addTarget(ctx, name, e.settings.Peers); err != nil {
 			return errors.Join(err, t.close())
@@ -169,8 +185,8 @@
 		group.Go(func() {
 			time.Sleep(f.start)
 			// Violations after a recorded fault may be excused. Reloads and graceful stops excuse no violation, so they are
-			// not recorded. Only graceful stops last graceTime.
-			disturbs := f.name != "reload" && f.duration != graceTime
+			// not recorded. Only graceful stops last graceTime. Faults of the adviser record themselves.
+			disturbs := f.name != "reload" && f.duration != graceTime && !f.ofAdviser
 			if disturbs {
 				t.env.live.RecordFault(f.duration)
 			}
--- a/fold/model/idle.go
+++ b/fold/model/idle.go
@@ -29,7 +29,7 @@
 	began time.Time
 	// active is set once sampling has begun.
 	active bool
-	// calmFrom is when the last fault ended, as far as its end was reported.
+	// calmFrom is when the last fault ended or will end, as far as this was reported.
 	calmFrom fold.Instant
 	// finished is when the traffic and all faults had ended, or 0.
 	finished fold.Instant
@@ -75,7 +75,7 @@
 // JudgeIdle begins to check that work does not wait. Work that waits during the first seconds is excused as after a fault.
 func (l *Live) JudgeIdle() {
 	l.update(func(w *World) {
-		l.judge.calmFrom = w.now
+		l.judge.calmFrom = max(l.judge.calmFrom, w.now)
 		if !l.judge.active {
 			l.judge.active = true
 			l.judge.sample()
@@ -90,7 +90,12 @@
 
 // RecordFaultEnd records that a fault has ended now, which can be later than the duration that was given to RecordFault.
 func (l *Live) RecordFaultEnd() {
-	l.update(func(w *World) { l.judge.calmFrom = w.now })
+	l.ExcuseWaiting(0)
+}
+
+// ExcuseWaiting excuses work that waits for d, as during a fault. It excuses no other violation.
+func (l *Live) ExcuseWaiting(d time.Duration) {
+	l.update(func(w *World) { l.judge.calmFrom = max(l.judge.calmFrom, w.now.Add(d)) })
 }
 
 // RecordTrafficEnd records that no more jobs arrive and that all faults have ended.
--- a/fold/model/idle_test.go
+++ b/fold/model/idle_test.go
@@ -1,12 +1,14 @@
 package model_test
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/flow"
@@ -37,6 +39,7 @@
 	for i := range day.Classes {
 		day.Classes[i].FailedRunShare, day.Classes[i].FailingJobShare, day.Classes[i].GangShare, day.Classes[i].PerHostShare = 0, 0, 0, 0
 		day.Classes[i].ApprovedShare = 1
+		day.Classes[i].Queue.Advice = &fold.AdvicePolicy{Validity: time.Second}
 	}
 	if change != nil {
 		change(&day)
@@ -62,7 +65,11 @@
 	h := w.hosts[hostIndex]
 	task := flow.TaskName{Job: job.ID, Index: index}.String()
 	lease := func() int64 { return time.Since(w.begun).Milliseconds() + 5000 }
-	if err := w.live.Start(w.t.Context(), h, fold.StartRequest{Task: task, Run: 1, Fence: 1, LeaseEnd: lease()}); err != nil {
+	advice, err := w.live.Advise(w.t.Context(), job.ID+".0.0", []string{h.ID})
+	if err != nil || len(advice.Approvals) != 1 {
+		w.t.Fatalf("approvals %v, error %v", advice.Approvals, err)
+	}
+	if err := w.live.Start(w.t.Context(), h, fold.StartRequest{Task: task, Run: 1, Fence: 1, LeaseEnd: lease(), Ticket: advice.Approvals[0].Ticket}); err != nil {
 		w.t.Fatal(err)
 	}
 	go func() {
@@ -252,3 +259,60 @@
 		t.Errorf("the limits of the teams add up to %s, the hosts have %s", limits, capacity)
 	}
 }
+
+// Guards against an adviser that serves the calls of an entry side by side, that forgets those which the entry has given up,
+// that ignores its delay, or that lets any number of calls wait; and against hosts that take any ticket.
+func TestEntryAdviser(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newIdleWorld(t, func(d *model.Day) {
+			d.Classes[watchClass].Queue.Advice = &fold.AdvicePolicy{CallTime: 90 * time.Millisecond, TimePerHost: 10 * time.Millisecond, Validity: time.Second}
+		})
+		job := w.live.DrawJob(watchClass)
+		adviser, other := w.live.NewEntryAdviser(), w.live.NewEntryAdviser()
+		host := w.hosts[0]
+		ask := func(a *model.EntryAdviser, patience time.Duration) (fold.Advice, error) {
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			defer cancel()
+			return a.Advise(ctx, job.ID+".0.0", []string{host.ID})
+		}
+		if _, err := ask(adviser, 50*time.Millisecond); err == nil {
+			t.Error("an answer arrives before its time")
+		}
+		begun := time.Now()
+		if _, err := ask(adviser, time.Minute); err != nil || time.Since(begun) != 150*time.Millisecond {
+			t.Errorf("a call after one that was given up takes %s, error %v", time.Since(begun), err)
+		}
+		adviser.SetDelay(400 * time.Millisecond)
+		begun = time.Now()
+		advice, err := ask(adviser, time.Minute)
+		if err != nil || time.Since(begun) != 500*time.Millisecond {
+			t.Errorf("a call with a delay takes %s, error %v", time.Since(begun), err)
+		}
+		begun = time.Now()
+		if _, err := ask(other, time.Minute); err != nil || time.Since(begun) != 100*time.Millisecond {
+			t.Errorf("a call of another entry takes %s, error %v", time.Since(begun), err)
+		}
+		start := func(ticket string) error {
+			return w.live.Start(t.Context(), host, fold.StartRequest{Task: job.ID + ".0.0.0", Run: 1, Fence: 1, LeaseEnd: 1 << 40, Ticket: ticket})
+		}
+		ticket := advice.Approvals[0].Ticket
+		time.Sleep(800 * time.Millisecond)
+		if err := start("x" + ticket); !errorx.IsOfType(err, fold.BadTicket) {
+			t.Errorf("a start with a ticket for another step: error %v", err)
+		}
+		if err := start(ticket); err != nil {
+			t.Errorf("a start with a valid ticket: error %v", err)
+		}
+		time.Sleep(200 * time.Millisecond)
+		if err := start(ticket); !errorx.IsOfType(err, fold.BadTicket) {
+			t.Errorf("a start with an old ticket: error %v", err)
+		}
+		for range 33 {
+			go func() { _, _ = ask(adviser, time.Minute) }()
+		}
+		synctest.Wait()
+		if _, err := ask(adviser, time.Minute); !errorx.IsOfType(err, fold.Overload) {
+			t.Errorf("a call beside 32 that wait: error %v", err)
+		}
+	})
+}
--- a/fold/model/live.go
+++ b/fold/model/live.go
@@ -161,7 +161,10 @@
 		if name, ok := flow.ParseTaskName(r.Task); ok && l.refused[name.Job] {
 			h.world.addViolation("REFUSED", "%s starts although every submission of its job was refused", r.Task)
 		}
-		err := h.start(r)
+		err := h.checkTicket(r)
+		if err == nil {
+			err = h.start(r)
+		}
 		if err == nil {
 			l.judge.started[h.world.tasks[r.Task]] = true
 		}
@@ -228,29 +231,12 @@
 
 // Advise returns the hosts that the adviser approves, after the adviser's response time.
 func (l *Live) Advise(ctx context.Context, step string, hosts []string) (fold.Advice, error) {
-	name, ok := flow.ParseTaskName(step + ".0")
-	if !ok {
-		return fold.Advice{}, fold.Invalid.New("malformed step %q", step)
-	}
-	var policy fold.AdvicePolicy
-	share := 0.0
-	l.update(func(w *World) {
-		if j := w.byID[name.Job]; j != nil && j.class.Queue.Advice != nil {
-			policy, share = *j.class.Queue.Advice, j.class.ApprovedShare
-		}
-	})
-	select {
-	case <-ctx.Done():
-		return fold.Advice{}, fold.Unknown.Wrap(ctx.Err(), "the adviser does not answer")
-	case <-time.After(policy.CallTime + time.Duration(len(hosts))*policy.TimePerHost):
-	}
-	advice := fold.Advice{Validity: policy.Validity}
-	for _, id := range hosts {
-		if approves(step, id, share) {
-			advice.Approvals = append(advice.Approvals, fold.Approval{Host: id, Ticket: "ticket"})
-		}
+	policy, share, err := l.advicePolicy(step)
+	if err != nil {
+		return fold.Advice{}, err
 	}
-	return advice, nil
+	end := time.Now().Add(policy.CallTime + time.Duration(len(hosts))*policy.TimePerHost)
+	return l.adviseAt(ctx, end, step, hosts, policy, share)
 }
 
 // DrawJob makes a random job of a class.
