--- a/cmd/pfsoak/internal/app/soak.go
+++ b/cmd/pfsoak/internal/app/soak.go
@@ -40,6 +40,7 @@
 	Links   bool          `long:"links" description:"inject only the faults that --basic leaves out"`
 	Large   bool          `long:"large" description:"use the workload of a large pool, whose long-running steps have up to 120 tasks; best with 100 hosts or more"`
 	Calm    bool          `long:"calm" description:"inject only faults of the adviser"`
+	Level   string        `long:"level" default:"info" description:"log level of the entries"`
 	Logs    string        `long:"logs" description:"folder in which the logs of the entries are kept; if it is not set, they are removed after a test run without a violation"`
 }
 
@@ -147,6 +148,9 @@
 			return errors.Join(err, t.close())
 		}
 		e.adviser = adviser
+		if o.Level != "" {
+			e.settings.Level = o.Level
+		}
 		if o.Large && n >= o.Entries/largeEntryDivisor {
 			e.settings.Cores = smallEntryCores
 		}
--- a/fold/model/idle.go
+++ b/fold/model/idle.go
@@ -153,7 +153,7 @@
 func (j *idleJudge) checkTasks(job *judgedJob, use poolUse, calmFrom fold.Instant) {
 	var found *room
 	var since fold.Instant
-	waiting := 0
+	waiting, unstarted := 0, 0
 	for i, t := range job.tasks[0] {
 		state := &job.taskWaits[i]
 		if len(t.live) > 0 || j.started[t] {
@@ -178,10 +178,13 @@
 		if !state.reported && j.world.now.Sub(begin) >= idleTime {
 			state.reported = true
 			waiting, since = waiting+1, begin
+			if state.ran == 0 {
+				unstarted++
+			}
 		}
 	}
 	if waiting > 0 {
-		j.report(job, 0, fmt.Sprintf("%d of %d long-running tasks of", waiting, len(job.tasks[0])), since, *found, use)
+		j.report(job, 0, fmt.Sprintf("%d of %d long-running tasks (%d of them never ran) of", waiting, len(job.tasks[0]), unstarted), since, *found, use)
 	}
 }
 
