--- a/cmd/pfsoak/internal/app/callers.go
+++ b/cmd/pfsoak/internal/app/callers.go
@@ -63,7 +63,7 @@
 		firstEntry := random.IntN(len(c.entries))
 		cancelAfter := time.Duration(0)
 		if cl := c.env.workload.Classes[class]; cl.LongRunning || random.Float64() < cl.CancelShare {
-			cancelAfter = time.Second + time.Duration(random.Int64N(int64(8*time.Second)))
+			cancelAfter = time.Second + time.Duration(random.Int64N(int64(max(cl.CancelAfter, longRunningTime))))
 		}
 		c.group.Go(func() { c.followJob(stop, class, spec, firstEntry, cancelAfter) })
 	}
@@ -127,6 +127,7 @@
 		switch {
 		case err == nil && reply.Status == http.StatusOK:
 			c.update(func() { c.accepted[j.ID] = true })
+			c.env.live.RecordAccepted(j.ID)
 			return true
 		case err == nil && (reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests):
 			c.update(func() { c.refusals++ })
--- a/cmd/pfsoak/internal/app/environment.go
+++ b/cmd/pfsoak/internal/app/environment.go
@@ -45,10 +45,9 @@
 	// storeFaults sets the fault of the store.
 	storeFaults *plat.Faults
 	// servers are the servers of the simulated platform and its hosts.
-	servers        []*httptest.Server
-	adviserAddress string
-	rules          fold.Rules
-	links          *links
+	servers []*httptest.Server
+	rules   fold.Rules
+	links   *links
 	// domains holds the failure domain of each host by its id.
 	domains map[string]string
 
@@ -62,17 +61,25 @@
 // domainNames are the failure domains, over which entries and hosts are spread in turn.
 var domainNames = []string{"soak-a", "soak-b", "soak-c"}
 
-// newWorkload returns the workload of a test run: the job classes of a planning service on a pool of the given size. The mean
-// run time of tasks is limited to maxRunTime.
-func newWorkload(seed uint64, hosts int, maxRunTime time.Duration) model.Day {
+// newWorkload returns the workload of a test run: the job classes of a planning service on a pool of the given size, or those
+// of a large pool. The mean run time of tasks is limited to maxRunTime.
+func newWorkload(seed uint64, hosts int, large bool, maxRunTime time.Duration) model.Day {
 	workload := model.PlanningDay(seed)
 	workload.Hosts, workload.Racks = hosts, max(1, hosts/4)
+	workload.ScaleLimits(hosts)
 	for i := range workload.Classes {
 		c := &workload.Classes[i]
 		// The rates of PlanningDay are meant for 48 hosts.
 		c.Rate *= float64(hosts) / 48 * loadFactor
 		c.RunTime = min(c.RunTime, maxRunTime)
-		c.Queue.Host, c.Queue.Prefix, c.Queue.Service = queueHost, "/"+c.Name+"/", "pool"
+		c.CancelAfter = longRunningTime
+	}
+	if large {
+		workload = model.LargePoolDay(seed, hosts)
+	}
+	for i := range workload.Classes {
+		q := &workload.Classes[i].Queue
+		q.Host, q.Prefix, q.Service = queueHost, "/"+workload.Classes[i].Name+"/", "pool"
 	}
 	for i := range workload.Teams {
 		workload.Teams[i].Keys = []string{fmt.Sprintf("%s-%d", keyPrefix, i)}
@@ -87,21 +94,18 @@
 	shortRunTime = 3 * time.Second
 	// longRunTime is the limit beside faults of links. Many tasks then outlast a lease.
 	longRunTime = 6 * time.Second
+	// longRunningTime is the time within which callers cancel long-running jobs, except those of a large pool.
+	longRunningTime = 8 * time.Second
 )
 
-// newEnvironment returns the environment of a test run for entries with the given names. The orders to the hosts are logged
-// to hostLog.
-func newEnvironment(ctx context.Context, seed uint64, workload model.Day, entries []string, log, hostLog hclog.Logger) (*environment, error) {
+// newEnvironment returns the environment of a test run. The links of the entries with the given names get proxies. The orders
+// to the hosts are logged to hostLog.
+func newEnvironment(ctx context.Context, seed uint64, workload model.Day, linked []string, log, hostLog hclog.Logger) (*environment, error) {
 	e := &environment{
 		log: log, random: rand.New(rand.NewPCG(seed, 7)), workload: workload, table: plat.NewTable(), storeFaults: plat.NewFaults(fold.BootClock{}),
-		links: newLinks(entries), domains: make(map[string]string), hostServers: make(map[string]*httptest.Server), unlisted: make(map[string]int),
+		links: newLinks(linked), domains: make(map[string]string), hostServers: make(map[string]*httptest.Server), unlisted: make(map[string]int),
 	}
 	e.live = model.NewLive(e.workload, hostLog, e.newestRecord)
-	server, err := e.startServer(ctx, stand.Adviser(e.live))
-	if err != nil {
-		return nil, err
-	}
-	e.adviserAddress = server.Listener.Addr().String()
 	up, _ := e.live.Hosts()
 	for i, h := range up {
 		e.domains[h.ID] = domainNames[i%len(domainNames)]
@@ -175,6 +179,15 @@
 	return server.Listener.Addr().String(), nil
 }
 
+// startAdviser starts the server of the adviser for an entry and returns its address.
+func (e *environment) startAdviser(ctx context.Context, adviser *model.EntryAdviser) (string, error) {
+	server, err := e.startServer(ctx, stand.Adviser(adviser))
+	if err != nil {
+		return "", err
+	}
+	return server.Listener.Addr().String(), nil
+}
+
 // giveAddress lets a host listen at a new address and no longer at its previous one.
 func (e *environment) giveAddress(ctx context.Context, id string) error {
 	server, err := e.startServer(ctx, stand.Host(e.live, func() fold.Host { return fold.Host{ID: id} }))
--- a/cmd/pfsoak/internal/app/soak.go
+++ b/cmd/pfsoak/internal/app/soak.go
@@ -22,6 +22,10 @@
 	// maxIdleTime is how long an accepted job may stay idle without a break after all faults have ended, in the sense of
 	// model.Live.Idle. The platform allows an entry 12 s to serve again.
 	maxIdleTime = 12 * time.Second
+	// smallEntryCores is the size of most entries of a large pool, which supervise few hosts each. One entry in
+	// largeEntryDivisor is larger.
+	smallEntryCores   = 0.192
+	largeEntryDivisor = 6
 )
 
 // options are the command-line options.
@@ -34,6 +38,9 @@
 	Program string        `long:"program" description:"path of the entry daemon; if it is not set, the daemon is built from the checkout"`
 	Basic   bool          `long:"basic" description:"inject no faults of links, no stutters and no series of changes of the owner"`
 	Links   bool          `long:"links" description:"inject only the faults that --basic leaves out"`
+	Large   bool          `long:"large" description:"use the workload of a large pool, whose long-running steps have up to 120 tasks; best with 100 hosts or more"`
+	Calm    bool          `long:"calm" description:"inject only faults of the adviser"`
+	Level   string        `long:"level" default:"info" description:"log level of the entries"`
 	Logs    string        `long:"logs" description:"folder in which the logs of the entries are kept; if it is not set, they are removed after a test run without a violation"`
 }
 
@@ -64,17 +71,19 @@
 // runSeed performs the test run of a seed and returns its result.
 func runSeed(ctx context.Context, o options, seed uint64, dir string, log hclog.Logger) (out outcome, err error) {
 	t := &testRun{log: log}
-	hostLog, err := os.Create(filepath.Join(dir, "hosts.log"))
+	hostLog, err := newLogFile(filepath.Join(dir, "hosts.log"))
 	if err != nil {
 		return out, err
 	}
-	defer func() { _ = hostLog.Close() }()
+	defer func() { err = errors.Join(err, hostLog.Close()) }()
 	if err := t.connect(ctx, o, seed, dir, hclog.New(&hclog.LoggerOptions{Level: hclog.Debug, Output: hostLog})); err != nil {
 		return out, err
 	}
 	defer func() { err = errors.Join(err, t.close()) }()
 	t.startEntries(t.entries)
 	t.callers = newCallers(t.env, t.entries)
+	judging := time.AfterFunc(warmUpTime, t.env.live.JudgeIdle)
+	defer judging.Stop()
 	watching, stop := context.WithCancel(ctx)
 	defer stop()
 	go t.env.keepHostsRegistered(watching)
@@ -86,14 +95,18 @@
 	}
 	// Each group of faults has its own random numbers, so that a seed keeps its faults when another group is added.
 	var faults []fault
-	if !o.Links {
+	if !o.Links && !o.Calm {
 		faults = t.drawFaults(rand.New(rand.NewPCG(seed, 11)), o.Length)
 	}
-	if !o.Basic {
+	if !o.Basic && !o.Calm {
 		faults = append(faults, t.drawLinkFaults(rand.New(rand.NewPCG(seed, 13)), o.Length)...)
 	}
+	if !o.Links {
+		faults = append(faults, t.drawAdviserFaults(rand.New(rand.NewPCG(seed, 17)), o.Length)...)
+	}
 	out.faults = t.injectFaults(ctx, faults)
 	senders.Wait()
+	t.env.live.RecordTrafficEnd()
 	out.unplaced = t.finish(ctx, stop)
 	c := t.callers
 	if len(c.accepted) == 0 {
@@ -107,16 +120,17 @@
 
 // connect creates the environment and the entries, whose processes are not started.
 func (t *testRun) connect(ctx context.Context, o options, seed uint64, dir string, hostLog hclog.Logger) error {
-	runTime := longRunTime
-	if o.Basic {
-		runTime = shortRunTime
-	}
 	var names []string
 	for n := range o.Entries {
 		names = append(names, fmt.Sprintf("entry-%d", n))
 	}
+	runTime, linked := longRunTime, names
+	if o.Basic || o.Calm {
+		// One proxy for each pair of entry and host takes too many descriptors at the size of a large pool.
+		runTime, linked = shortRunTime, nil
+	}
 	var err error
-	if t.env, err = newEnvironment(ctx, seed, newWorkload(seed, o.Hosts, runTime), names, t.log, hostLog); err != nil {
+	if t.env, err = newEnvironment(ctx, seed, newWorkload(seed, o.Hosts, o.Large, runTime), linked, t.log, hostLog); err != nil {
 		return err
 	}
 	for n, name := range names {
@@ -124,10 +138,22 @@
 		if err != nil {
 			return errors.Join(err, t.close())
 		}
-		e, err := newEntry(ctx, o.Program, dir, name, domainNames[n%len(domainNames)], store, t.env.adviserAddress)
+		adviser := t.env.live.NewEntryAdviser()
+		adviserAddress, err := t.env.startAdviser(ctx, adviser)
 		if err != nil {
 			return errors.Join(err, t.close())
 		}
+		e, err := newEntry(ctx, o.Program, dir, name, domainNames[n%len(domainNames)], store, adviserAddress)
+		if err != nil {
+			return errors.Join(err, t.close())
+		}
+		e.adviser = adviser
+		if o.Level != "" {
+			e.settings.Level = o.Level
+		}
+		if o.Large && n >= o.Entries/largeEntryDivisor {
+			e.settings.Cores = smallEntryCores
+		}
 		t.entries = append(t.entries, e)
 		if err := t.env.links.addTarget(ctx, name, e.settings.Peers); err != nil {
 			return errors.Join(err, t.close())
@@ -163,13 +189,17 @@
 		group.Go(func() {
 			time.Sleep(f.start)
 			// Violations after a recorded fault may be excused. Reloads and graceful stops excuse no violation, so they are
-			// not recorded. Only graceful stops last graceTime.
-			if f.name != "reload" && f.duration != graceTime {
+			// not recorded. Only graceful stops last graceTime. Faults of the adviser record themselves.
+			disturbs := f.name != "reload" && f.duration != graceTime && !f.ofAdviser
+			if disturbs {
 				t.env.live.RecordFault(f.duration)
 			}
 			f.inject(ctx)
 			time.Sleep(f.duration)
 			f.revert()
+			if disturbs {
+				t.env.live.RecordFaultEnd()
+			}
 		})
 	}
 	group.Wait()
--- a/fold/model/live.go
+++ b/fold/model/live.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -20,12 +21,14 @@
 	// record reads the durable record of a job.
 	record func(id string) flow.Record
 
+	// calls holds functions that the loop calls. Under load, this delays hosts less than a lock that many goroutines wait for.
+	calls chan func()
+
 	mu sync.Mutex
 	w  *World
-	// wake notifies the loop of a change, which may have added an earlier event.
-	wake chan struct{}
 	// refused holds the jobs for which every submission was refused.
 	refused map[string]bool
+	judge   idleJudge
 }
 
 var (
@@ -38,14 +41,17 @@
 	w := newWorld(d)
 	w.realTime, w.log = true, log
 	w.build()
-	l := &Live{started: time.Now(), stop: make(chan struct{}), done: make(chan struct{}), record: record, w: w, wake: make(chan struct{}, 1), refused: make(map[string]bool)}
+	l := &Live{started: time.Now(), stop: make(chan struct{}), done: make(chan struct{}), record: record, w: w, calls: make(chan func()), refused: make(map[string]bool)}
+	l.judge = idleJudge{world: w, began: l.started, started: make(map[*taskTruth]bool)}
 	go l.run()
 	return l
 }
 
-// run is the loop that runs events when they are due.
+// run is the loop that runs events when they are due, and the functions that update passes to it.
 func (l *Live) run() {
 	defer close(l.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		l.mu.Lock()
 		l.advance()
@@ -54,11 +60,13 @@
 			wait = min(wait, l.w.events[0].at.Sub(l.w.now))
 		}
 		l.mu.Unlock()
+		timer.Reset(wait)
 		select {
 		case <-l.stop:
 			return
-		case <-l.wake:
-		case <-time.After(wait):
+		case call := <-l.calls:
+			call()
+		case <-timer.C:
 		}
 	}
 }
@@ -68,15 +76,21 @@
 	l.w.runUntil(time.Since(l.started))
 }
 
-// update advances the world to the present, calls fn on it and wakes the loop.
+// update advances the world to the present and calls fn on it.
 func (l *Live) update(fn func(w *World)) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.advance()
-	fn(l.w)
+	called := make(chan struct{})
+	call := func() {
+		defer close(called)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.advance()
+		fn(l.w)
+	}
 	select {
-	case l.wake <- struct{}{}:
-	default:
+	case l.calls <- call:
+		<-called
+	case <-l.done:
+		call()
 	}
 }
 
@@ -147,7 +161,14 @@
 		if name, ok := flow.ParseTaskName(r.Task); ok && l.refused[name.Job] {
 			h.world.addViolation("REFUSED", "%s starts although every submission of its job was refused", r.Task)
 		}
-		return h.start(r)
+		err := h.checkTicket(r)
+		if err == nil {
+			err = h.start(r)
+		}
+		if err == nil {
+			l.judge.started[h.world.tasks[r.Task]] = true
+		}
+		return err
 	})
 }
 
@@ -210,38 +231,45 @@
 
 // Advise returns the hosts that the adviser approves, after the adviser's response time.
 func (l *Live) Advise(ctx context.Context, step string, hosts []string) (fold.Advice, error) {
-	name, ok := flow.ParseTaskName(step + ".0")
-	if !ok {
-		return fold.Advice{}, fold.Invalid.New("malformed step %q", step)
+	policy, share, err := l.advicePolicy(step)
+	if err != nil {
+		return fold.Advice{}, err
 	}
-	var policy fold.AdvicePolicy
-	share := 0.0
-	l.update(func(w *World) {
-		if j := w.byID[name.Job]; j != nil && j.class.Queue.Advice != nil {
-			policy, share = *j.class.Queue.Advice, j.class.ApprovedShare
-		}
-	})
-	select {
-	case <-ctx.Done():
-		return fold.Advice{}, fold.Unknown.Wrap(ctx.Err(), "the adviser does not answer")
-	case <-time.After(policy.CallTime + time.Duration(len(hosts))*policy.TimePerHost):
-	}
-	advice := fold.Advice{Validity: policy.Validity}
-	for _, id := range hosts {
-		if approves(step, id, share) {
-			advice.Approvals = append(advice.Approvals, fold.Approval{Host: id, Ticket: "ticket"})
-		}
-	}
-	return advice, nil
+	end := time.Now().Add(policy.CallTime + time.Duration(len(hosts))*policy.TimePerHost)
+	return l.adviseAt(ctx, end, step, hosts, policy, share)
 }
 
 // DrawJob makes a random job of a class.
 func (l *Live) DrawJob(class int) flow.Job {
 	var spec flow.Job
-	l.update(func(w *World) { spec = w.drawJob(class).spec })
+	l.update(func(w *World) {
+		job := w.drawJob(class)
+		if job.class.MaxWidth > 0 {
+			w.redrawWidths(job)
+		}
+		spec = job.spec
+	})
 	return spec
 }
 
+// redrawWidths draws the numbers of tasks of a job again, whose class has a distribution of its own for them. Steps of
+// long-running jobs that limit their tasks per host run one on a host.
+func (w *World) redrawWidths(j *jobTruth) {
+	j.size = 0
+	for s := range j.spec.Steps {
+		for _, t := range j.tasks[s] {
+			delete(w.tasks, t.id)
+		}
+		step := &j.spec.Steps[s]
+		step.Count = min(j.class.MaxWidth, max(1, int(math.Round(w.logNormal(j.class.Width, j.class.WidthDeviation)))))
+		if step.LongRunning && step.PerHost > 0 {
+			step.PerHost = 1
+		}
+		j.tasks[s] = w.drawTasks(j, s, w.logNormal(float64(j.class.RunTime), 0.5))
+	}
+	w.objective(j)
+}
+
 // RecordRefused records that every submission of a job was refused, so that it must never run.
 func (l *Live) RecordRefused(id string) {
 	l.update(func(*World) { l.refused[id] = true })
