End an entry's call to the adviser when the owner's time is over

Calls to the adviser that the owner had given up went on at the entry that made them.

Cause: an entry made the owner's call to the adviser with a context that ends only when the entry stops. When the owner gave the call up, the entry's call went on without a deadline.

Ruled out: the owner's own calls; they end with the owner's context.

Change: the request carries the time that the owner waits, as the requests about jobs do, and the entry ends its call then. Entries that do not know the field ignore it, and a request without it has no deadline, as before. The entries of the simulation serve this call now.

--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -246,9 +246,7 @@
 	}
 	transport := peer.New(n.settings.Name, n.incarnation, key, n.log)
 	transport.ObserveCalls(n.Traffic)
-	peer.Handle(transport, adviseCall, func(ctx context.Context, _ string, q adviceRequest) (fold.Advice, error) {
-		return n.parts.Adviser.Advise(ctx, q.Step, q.Hosts)
-	})
+	n.registerAdviceCalls(transport)
 	n.registerOwnerCalls(transport)
 	n.registerRelayCalls(transport)
 	n.peers.setTransport(transport)
--- a/fold/node/peers.go
+++ b/fold/node/peers.go
@@ -58,8 +58,12 @@
 
 // adviceRequest is the request of an advise call.
 type adviceRequest struct {
-	Step  string   `json:"step"`
+	// Step is the step to place.
+	Step string `json:"step"`
+	// Hosts are the ids of the hosts that the adviser is asked about.
 	Hosts []string `json:"hosts"`
+	// TimeLeft is how long the owner waits for the answer, or 0 if it has no deadline.
+	TimeLeft time.Duration `json:"left,omitempty"`
 }
 
 // peers tracks the other entries.
@@ -410,5 +414,18 @@
 
 // Advise asks the entry to call the adviser.
 func (r remoteAdviceCaller) Advise(ctx context.Context, step string, hosts []string) (fold.Advice, error) {
-	return peer.Call[adviceRequest, fold.Advice](ctx, r.transport, r.address, adviseCall, adviceRequest{Step: step, Hosts: hosts})
+	return peer.Call[adviceRequest, fold.Advice](ctx, r.transport, r.address, adviseCall, adviceRequest{Step: step, Hosts: hosts, TimeLeft: timeLeft(ctx)})
+}
+
+// registerAdviceCalls registers the handler of the calls to the adviser that this entry makes for the owner.
+func (n *Node) registerAdviceCalls(transport *peer.Transport) {
+	peer.Handle(transport, adviseCall, func(ctx context.Context, _ string, q adviceRequest) (fold.Advice, error) {
+		if q.TimeLeft > 0 {
+			// The owner no longer waits then, and the adviser would serve the next call of this entry after this one.
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, q.TimeLeft)
+			defer cancel()
+		}
+		return n.parts.Adviser.Advise(ctx, q.Step, q.Hosts)
+	})
 }
--- a/fold/node/simulation_test.go
+++ b/fold/node/simulation_test.go
@@ -207,6 +207,7 @@
 	own, stopOwning := context.WithCancel(work)
 	e.stopWork, e.stopOwning = stopWork, stopOwning
 	e.transport = peer.New(name, n.incarnation, []byte("0123456789abcdef0123456789abcdef"), log)
+	n.registerAdviceCalls(e.transport)
 	n.registerOwnerCalls(e.transport)
 	n.registerRelayCalls(e.transport)
 	n.peers.setTransport(e.transport)
