Let concurrent calls share the connection to a peer

Calls to a peer without a connection each opened one: 20 calls at the same time opened 20 connections, and all stayed open until the process ended.

Cause: linkTo looked for a connection, released the lock, and dialled. Each call replaced the entry of the one before in the map of connections; the replaced ones were served until the peer closed them, but never used again. This happens each time a connection to a busy peer breaks.

Change: calls wait for the connection that is being opened. The deadline of the call that opened it does not end the dial. A dial that takes longer than 0.5 s is no longer waited for by new calls, which open another one, so a lost SYN delays them no longer than before; of two that succeed, the later one is closed.

--- a/fold/peer/node.go
+++ b/fold/peer/node.go
@@ -17,7 +17,12 @@
 // Path is the URL path of the WebSocket handler.
 const Path = "/v1/peer"
 
-const handshakeTimeout = 2 * time.Second
+const (
+	handshakeTimeout = 2 * time.Second
+	// sharedDialTime is how long calls wait for a connection that is being opened for another call. After that, the next call
+	// opens a further one, because bytes of the first may have been lost.
+	sharedDialTime = 500 * time.Millisecond
+)
 
 // handler handles the calls of one kind and returns the answer. The argument from is the name of the calling peer.
 type handler func(ctx context.Context, from string, body cbor.RawMessage) (any, error)
@@ -37,8 +42,11 @@
 	// secure returns the TLS configuration for dialing. If it is nil, connections are not encrypted.
 	secure func() (*tls.Config, error)
 
-	mu      sync.Mutex
-	links   map[string]*link
+	mu sync.Mutex
+	// links holds the connections that this entry has opened, by address.
+	links map[string]*link
+	// dials holds the last connection that is being opened to each address.
+	dials   map[string]*pendingDial
 	closed  bool
 	serving sync.WaitGroup
 	stop    context.Context
@@ -56,6 +64,7 @@
 		handlers:    make(map[string]handler),
 		observe:     func(string, int, int) {},
 		links:       make(map[string]*link),
+		dials:       make(map[string]*pendingDial),
 		stop:        stop,
 		cancel:      cancel,
 	}
@@ -151,30 +160,75 @@
 	return true
 }
 
-// linkTo returns the connection to an address. It opens one if there is none.
+// pendingDial is a connection that is being opened.
+type pendingDial struct {
+	began time.Time
+	// done is closed when link and err are set.
+	done chan struct{}
+	link *link
+	err  error
+}
+
+// linkTo returns the connection to an address. If there is none, it opens one, which calls at the same time share.
 func (n *Transport) linkTo(ctx context.Context, address string) (*link, error) {
 	n.mu.Lock()
-	l, ok := n.links[address]
-	n.mu.Unlock()
-	if ok && !l.isClosed() {
+	if l, ok := n.links[address]; ok && !l.isClosed() {
+		n.mu.Unlock()
 		return l, nil
 	}
-	l, err := n.dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	if !n.acquire() {
-		l.close()
+	if n.closed {
+		n.mu.Unlock()
 		return nil, fold.Refuse(fold.Unavailable, "use another entry", "this entry is stopping")
 	}
+	d := n.dials[address]
+	if d == nil || time.Since(d.began) > sharedDialTime {
+		d = &pendingDial{began: time.Now(), done: make(chan struct{})}
+		n.dials[address] = d
+		n.serving.Add(1)
+		go func() {
+			defer n.serving.Done()
+			n.open(address, d)
+		}()
+	}
+	n.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.link, d.err
+	case <-ctx.Done():
+		return nil, fold.Unavailable.Wrap(ctx.Err(), "connect to peer %s", address)
+	}
+}
+
+// open opens a connection, passes it to the calls that wait for it, and serves it until it is closed. The deadlines of these
+// calls do not apply, because later calls use the connection too.
+func (n *Transport) open(address string, d *pendingDial) {
+	l, err := n.dial(n.stop, address)
 	n.mu.Lock()
-	n.links[address] = l
+	if n.dials[address] == d {
+		delete(n.dials, address)
+	}
+	current, ok := n.links[address]
+	used := err == nil && !n.closed
+	switch {
+	case ok && !current.isClosed():
+		// A dial that began at another time has succeeded first.
+		used = false
+		d.link = current
+	case used:
+		n.links[address], d.link = l, l
+	case err == nil:
+		d.err = fold.Refuse(fold.Unavailable, "use another entry", "this entry is stopping")
+	default:
+		d.err = err
+	}
 	n.mu.Unlock()
-	go func() {
-		defer n.serving.Done()
+	close(d.done)
+	switch {
+	case used:
 		l.run()
-	}()
-	return l, nil
+	case l != nil:
+		l.close()
+	}
 }
 
 func (n *Transport) dial(ctx context.Context, address string) (*link, error) {
