Replace connections to peers on which nothing arrives

Calls to a peer failed for good after the connection to it had gone silent, although new connections worked.

Cause: a connection was replaced only after a read or write error. When bytes vanish without an error, calls timed out one after the other on the same connection. That holds for the pings, the calls to the adviser through the entry, the orders and events of a relay, and each new relay session, which uses the same connection to the owner. A connection that takes no more bytes was closed by the write timeout, but only once a write had failed.

Evidence: TestSilentConnectionIsReplaced, in virtual time with a proxy that swallows the bytes of open connections.

Ruled out: TCP_USER_TIMEOUT and TCP keep-alive as the remedy. They see nothing when something on the path acknowledges the bytes, and do not cover a blocked reader.

Change: a connection with unanswered calls is checked every 150 ms. After 0.3 s without a received byte the peer is pinged; the WebSocket library answers pings, also in older entries, so a call that takes long is no reason to give up the connection. After 0.6 s new calls use a new connection, and the pending ones may still be answered on the old one. After 2.4 s it is closed. Silence is counted in checks, so that a pause of the own process does not count. TestLongCallIsAnswered and TestShortSilenceLosesNoAnswer guard the calls that must not be lost: an answer after 30 s, and a peer that is frozen for 1.5 s.

--- a/fold/peer/link.go
+++ b/fold/peer/link.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -20,6 +22,16 @@
 	maxConcurrentCalls = 256
 	// writeTimeout is the maximum time for writing one frame to a connection.
 	writeTimeout = 2 * time.Second
+	// silenceTick is the time between two checks of a connection with unanswered calls. Silence is counted in checks, because
+	// a process that was paused itself finds the answers only after it goes on.
+	silenceTick = 150 * time.Millisecond
+	// pingTicks is the number of checks without a received byte after which the peer is pinged.
+	pingTicks = 2
+	// retireTicks is the number of checks without a received byte after which new calls use a new connection. It lets the
+	// next event message of a relay session reach the owner before the permission of the session ends.
+	retireTicks = 4
+	// closeTicks is the number of checks without a received byte after which the connection is closed and its calls fail.
+	closeTicks = 16
 	// traceHeader is the W3C trace context header.
 	traceHeader = "traceparent"
 )
@@ -30,6 +42,8 @@
 	conn *websocket.Conn
 	// peerName is the name of the peer.
 	peerName string
+	// received reports whether bytes have arrived since the last check.
+	received atomic.Bool
 	// closed is closed when the connection is closed.
 	closed chan struct{}
 	once   sync.Once
@@ -41,6 +55,12 @@
 	lastID uint64
 	// pending maps the ID of each unanswered call to the channel that receives its answer.
 	pending map[uint64]chan frame
+	// watched reports whether the connection is checked for silence.
+	watched bool
+	// silentTicks is the number of checks since bytes have arrived.
+	silentTicks int
+	// retired is true if no new calls use the connection. It is closed after the last pending call.
+	retired bool
 }
 
 func newLink(n *Transport, conn *websocket.Conn, peerName string) *link {
@@ -61,7 +81,7 @@
 	defer l.close()
 	for {
 		var f frame
-		if err := readMessage(l.node.stop, l.conn, &f); err != nil {
+		if err := l.read(&f); err != nil {
 			return
 		}
 		if f.Kind == "" {
@@ -82,6 +102,34 @@
 	}
 }
 
+// read reads a frame and records that bytes arrive.
+func (l *link) read(f *frame) error {
+	_, r, err := l.conn.Reader(l.node.stop)
+	if err != nil {
+		return err
+	}
+	b, err := io.ReadAll(receivedReader{r, &l.received})
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(b, f)
+}
+
+// receivedReader records that bytes arrive.
+type receivedReader struct {
+	io.Reader
+	received *atomic.Bool
+}
+
+// Read reads from the connection.
+func (r receivedReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if n > 0 {
+		r.received.Store(true)
+	}
+	return n, err
+}
+
 // call sends a call and waits for its answer.
 func (l *link) call(ctx context.Context, kind string, body cbor.RawMessage) (cbor.RawMessage, error) {
 	carrier := propagation.MapCarrier{}
@@ -149,13 +197,74 @@
 	l.lastID++
 	answer := make(chan frame, 1)
 	l.pending[l.lastID] = answer
+	if !l.watched {
+		l.watched, l.silentTicks = true, 0
+		l.received.Store(false)
+		time.AfterFunc(silenceTick, l.checkSilence)
+	}
 	return l.lastID, answer
 }
 
 func (l *link) removePending(id uint64) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	delete(l.pending, id)
+	unused := l.retired && len(l.pending) == 0
+	l.mu.Unlock()
+	if unused {
+		l.close()
+	}
+}
+
+// checkSilence detects that bytes of the connection vanish without an error. It repeats until a call is answered and no other
+// one is pending; a call that has ended without an answer is no reason to stop.
+func (l *link) checkSilence() {
+	if l.isClosed() {
+		return
+	}
+	l.mu.Lock()
+	l.silentTicks++
+	if l.received.Swap(false) {
+		l.silentTicks = 0
+		l.watched = len(l.pending) > 0
+	}
+	ticks, watched := l.silentTicks, l.watched
+	l.mu.Unlock()
+	if !watched {
+		return
+	}
+	switch ticks {
+	case pingTicks:
+		go l.ping()
+	case retireTicks:
+		l.retire()
+	case closeTicks:
+		l.node.log.Warn("Closed a connection to a peer on which nothing arrives.", "peer", l.peerName, "after", (closeTicks * silenceTick).String())
+		l.close()
+		return
+	}
+	time.AfterFunc(silenceTick, l.checkSilence)
+}
+
+// ping makes the peer send bytes, also if it takes long to answer a call.
+func (l *link) ping() {
+	ctx, cancel := context.WithTimeout(l.node.stop, closeTicks*silenceTick)
+	defer cancel()
+	if err := l.conn.Ping(ctx); err == nil {
+		l.received.Store(true)
+	}
+}
+
+// retire makes new calls use a new connection. The pending calls may still be answered on this one.
+func (l *link) retire() {
+	l.node.forget(l)
+	l.mu.Lock()
+	l.retired = true
+	unused := len(l.pending) == 0
+	l.mu.Unlock()
+	l.node.log.Debug("Nothing arrives on a connection to a peer; new calls use another one.", "peer", l.peerName, "for", (retireTicks * silenceTick).String())
+	if unused {
+		l.close()
+	}
 }
 
 func (l *link) deliver(f frame) {
--- a/fold/peer/node.go
+++ b/fold/peer/node.go
@@ -231,6 +231,17 @@
 	}
 }
 
+// forget makes new calls use a new connection instead of l.
+func (n *Transport) forget(l *link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, current := range n.links {
+		if current == l {
+			delete(n.links, address)
+		}
+	}
+}
+
 func (n *Transport) dial(ctx context.Context, address string) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
--- a/fold/peer/proxy_test.go
+++ b/fold/peer/proxy_test.go
@@ -15,20 +15,32 @@
 	"plantainfold.example/fold/peer"
 )
 
-// proxy connects entries of a test in memory. It can swallow or hold the bytes of its open connections.
+// proxy connects entries of a test in memory. It can swallow, hold or block the bytes of its open connections.
 type proxy struct {
 	accepted chan net.Conn
 	done     chan struct{}
 
 	mu sync.Mutex
-	// silent tells for each opened connection whether its bytes are swallowed.
-	silent []*bool
+	// faults holds the fault of each opened connection.
+	faults []*fault
 	// heldUntil is when held bytes move on.
 	heldUntil time.Time
 	// open counts the connections that neither side has closed.
 	open int
 }
 
+// fault is what happens to the bytes of a connection.
+type fault int
+
+const (
+	// noFault forwards bytes.
+	noFault fault = iota
+	// swallowed drops bytes.
+	swallowed
+	// blocked does not take bytes, so that writes to the connection block.
+	blocked
+)
+
 func newProxy() *proxy {
 	return &proxy{accepted: make(chan net.Conn), done: make(chan struct{})}
 }
@@ -36,31 +48,45 @@
 func (p *proxy) dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	near, nearEnd := net.Pipe()
 	farEnd, far := net.Pipe()
+	gone := make(chan struct{})
+	closed := sync.OnceFunc(func() {
+		_, _ = nearEnd.Close(), farEnd.Close()
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		close(gone)
+	})
 	// Other calls can dial during the time on the way.
 	time.Sleep(time.Millisecond)
 	select {
-	case p.accepted <- far:
+	case p.accepted <- proxyConn{far, closed}:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	silent := new(bool)
+	state := new(fault)
 	p.mu.Lock()
-	p.silent = append(p.silent, silent)
+	p.faults = append(p.faults, state)
 	p.open++
 	p.mu.Unlock()
-	closed := sync.OnceFunc(func() {
-		_, _ = nearEnd.Close(), farEnd.Close()
-		p.mu.Lock()
-		p.open--
-		p.mu.Unlock()
-	})
-	go p.forward(nearEnd, farEnd, silent, closed)
-	go p.forward(farEnd, nearEnd, silent, closed)
-	return near, nil
+	go p.forward(nearEnd, farEnd, state, closed, gone)
+	go p.forward(farEnd, nearEnd, state, closed, gone)
+	return proxyConn{near, closed}, nil
+}
+
+// proxyConn is a side's end of a connection, which the proxy closes with it.
+type proxyConn struct {
+	net.Conn
+	closed func()
+}
+
+// Close closes the connection.
+func (c proxyConn) Close() error {
+	c.closed()
+	return c.Conn.Close()
 }
 
 // forward moves bytes until one side closes the connection.
-func (p *proxy) forward(from, to net.Conn, silent *bool, closed func()) {
+func (p *proxy) forward(from, to net.Conn, state *fault, closed func(), gone <-chan struct{}) {
 	defer closed()
 	buffer := make([]byte, 64<<10)
 	for {
@@ -69,10 +95,15 @@
 			return
 		}
 		p.mu.Lock()
-		swallow, hold := *silent, time.Until(p.heldUntil)
+		now, hold := *state, time.Until(p.heldUntil)
 		p.mu.Unlock()
-		if swallow {
+		switch now {
+		case noFault:
+		case swallowed:
 			continue
+		case blocked:
+			<-gone
+			return
 		}
 		time.Sleep(hold)
 		if _, err := to.Write(buffer[:n]); err != nil {
@@ -81,12 +112,12 @@
 	}
 }
 
-// silence swallows all further bytes of the open connections.
-func (p *proxy) silence() {
+// harm gives the open connections a fault.
+func (p *proxy) harm(next fault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, silent := range p.silent {
-		*silent = true
+	for _, state := range p.faults {
+		*state = next
 	}
 }
 
@@ -100,7 +131,7 @@
 func (p *proxy) counts() (dialled, open int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.silent), p.open
+	return len(p.faults), p.open
 }
 
 func (p *proxy) Accept() (net.Conn, error) {
