Test waiting jobs with a late adviser and silent links in whole entries

No test played a queue with advice through whole entries and relays; the hosts of the simulation approved nothing and the entries did not serve calls to the adviser.

Change: the simulation can have an adviser that serves the calls of an entry in turn, tickets that hosts check, hosts without random delays, and connections between entries whose bytes vanish. A process that is killed ends its relay session.

--- a/fold/node/simulation_test.go
+++ b/fold/node/simulation_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -32,6 +33,32 @@
 type pipeNetwork struct {
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
+	// silent holds for each connection whether its bytes vanish.
+	silent []*atomic.Bool
+}
+
+// pipeConn is one end of a connection. Its bytes can vanish.
+type pipeConn struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+// Write sends bytes or loses them.
+func (c pipeConn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// silence makes the bytes of all present connections vanish and returns their number.
+func (p *pipeNetwork) silence() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, silent := range p.silent {
+		silent.Store(true)
+	}
+	return len(p.silent)
 }
 
 func (p *pipeNetwork) dial(ctx context.Context, _, address string) (net.Conn, error) {
@@ -42,9 +69,13 @@
 		return nil, syscall.ECONNREFUSED
 	}
 	near, far := net.Pipe()
+	silent := &atomic.Bool{}
+	p.mu.Lock()
+	p.silent = append(p.silent, silent)
+	p.mu.Unlock()
 	select {
-	case l.accepted <- far:
-		return near, nil
+	case l.accepted <- pipeConn{far, silent}:
+		return pipeConn{near, silent}, nil
 	case <-l.closed:
 		return nil, syscall.ECONNREFUSED
 	case <-ctx.Done():
@@ -102,6 +133,12 @@
 	steps []flow.Step
 	// maxRow is Settings.Row of the entries.
 	maxRow int
+	// adviser returns the adviser as an entry reaches it.
+	adviser func(entry string) fold.Adviser
+	// queue is the queue of the jobs.
+	queue fold.Queue
+	// calm makes the hosts answer all orders within milliseconds.
+	calm bool
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -119,6 +156,8 @@
 func newSimulation(t *testing.T, seed uint64) *simulation {
 	s := &simulation{t: t, table: plat.NewTable(), net: &pipeNetwork{listeners: make(map[string]*pipeListener)}, random: rand.New(rand.NewPCG(seed, 7))}
 	s.hosts = newSimulatedHosts(s)
+	s.adviser = func(string) fold.Adviser { return s.hosts }
+	s.queue = simulatedQueue
 	size := fold.Resources{CPU: 500, Memory: 10}
 	s.steps = []flow.Step{{Count: 2, Size: size, Estimate: 300}, {Count: 2, Size: size, Estimate: 900, After: []int{0}}}
 	client := http.DefaultClient.Transport
@@ -198,7 +237,7 @@
 	e := &simulatedEntry{sim: s, owned: make(chan struct{}), crashed: make(chan struct{})}
 	log := hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.Debug, Output: s, TimeFormat: "05.000"})
 	settings := Settings{Name: name, Peers: name + ":1", Lease: 6000, Stop: 900, Grace: 4000, Cores: cores, Row: s.maxRow}
-	n, err := New(settings, Parts{Table: simulatedTable{s.table, e}, Log: simulatedTable{s.table, e}, Rules: simulatedRules{}, Roster: s.hosts, Runner: simulatedRunner{e}, Adviser: s.hosts}, virtualClock{}, log)
+	n, err := New(settings, Parts{Table: simulatedTable{s.table, e}, Log: simulatedTable{s.table, e}, Rules: simulatedRules{queue: s.queue}, Roster: s.hosts, Runner: simulatedRunner{e}, Adviser: s.adviser(name)}, virtualClock{}, log)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -261,6 +300,7 @@
 		e.remove()
 		close(e.crashed)
 		e.stopWork()
+		e.closeRelay()
 		_ = e.listener.Close()
 		_ = e.transport.Close()
 	})
@@ -302,7 +342,7 @@
 	if err != nil {
 		return
 	}
-	job := flow.Job{ID: fmt.Sprintf("%016x", n), Team: "crews", Queue: simulatedQueue, Spec: "s", Accepted: time.Now().UnixMilli(), Steps: s.steps}
+	job := flow.Job{ID: fmt.Sprintf("%016x", n), Team: "crews", Queue: s.queue, Spec: "s", Accepted: time.Now().UnixMilli(), Steps: s.steps}
 	s.running.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
@@ -353,10 +393,12 @@
 var simulatedQueue = fold.Queue{Name: "planning", Service: "pool", Attempts: 2, SlackFactor: 2, Target: time.Second}
 
 // simulatedRules is a configuration that does not change.
-type simulatedRules struct{}
+type simulatedRules struct {
+	queue fold.Queue
+}
 
-func (simulatedRules) Read(context.Context) (fold.Rules, int64, error) {
-	return fold.Rules{Revision: 1, Queues: []fold.Queue{simulatedQueue}, Teams: []fold.TeamRule{{Name: "crews"}}}, 1, nil
+func (r simulatedRules) Read(context.Context) (fold.Rules, int64, error) {
+	return fold.Rules{Revision: 1, Queues: []fold.Queue{r.queue}, Teams: []fold.TeamRule{{Name: "crews"}}}, 1, nil
 }
 
 func (r simulatedRules) Next(ctx context.Context, _ int64, wait time.Duration) (fold.Rules, int64, bool, error) {
@@ -472,6 +514,7 @@
 	s := e.sim
 	delay := s.between(time.Millisecond, 4*time.Millisecond)
 	switch kind := s.intN(60); {
+	case s.calm:
 	case kind == 0:
 		delay = s.between(200*time.Millisecond, 1500*time.Millisecond)
 	case kind < 16:
@@ -556,6 +599,10 @@
 	taskTimes [2]time.Duration
 	// late holds the delay of the answers to Hold calls, by host.
 	late map[string]time.Duration
+	// began and ended hold when the first run of each task began and when its last one ended.
+	began, ended map[string]time.Time
+	// checkTicket checks the ticket of a start, unless it is nil.
+	checkTicket func(host string, q fold.StartRequest) error
 	// starts counts the started runs. twice is the first task that ran twice.
 	starts int
 	twice  string
@@ -571,7 +618,7 @@
 )
 
 func newSimulatedHosts(s *simulation) *simulatedHosts {
-	h := &simulatedHosts{sim: s, hosts: make(map[string]*simulatedHost), version: 1, wake: make(chan struct{}), doneOn: make(map[string]string), taskTimes: [2]time.Duration{300 * time.Millisecond, 900 * time.Millisecond}}
+	h := &simulatedHosts{sim: s, hosts: make(map[string]*simulatedHost), version: 1, wake: make(chan struct{}), doneOn: make(map[string]string), began: make(map[string]time.Time), ended: make(map[string]time.Time), taskTimes: [2]time.Duration{300 * time.Millisecond, 900 * time.Millisecond}}
 	for i := range simulatedHostCount {
 		id := fmt.Sprintf("host-%d", i)
 		h.hosts[id] = newSimulatedHost(id, 1)
@@ -709,6 +756,7 @@
 // addEnd ends a run. The caller holds the lock.
 func (h *simulatedHosts) addEnd(o *simulatedHost, task string, run int, kind fold.EndKind) {
 	delete(o.runs, task)
+	h.ended[task] = time.Now()
 	o.refused[task] = max(o.refused[task], run)
 	o.lastEnd++
 	o.ends = append(o.ends, fold.HostEnd{Number: o.lastEnd, Task: task, Run: run, Kind: kind})
@@ -772,7 +820,15 @@
 	if !time.Now().Before(o.leaseEnd) {
 		return fold.OrderLate.New("late")
 	}
+	if h.checkTicket != nil {
+		if err := h.checkTicket(id, q); err != nil {
+			return err
+		}
+	}
 	h.starts++
+	if _, ok := h.began[q.Task]; !ok {
+		h.began[q.Task] = time.Now()
+	}
 	h.sim.note("HOST %s (born %d) starts %s run %d of epoch %d", id, o.incarnation, q.Task, q.Run, q.Fence)
 	for _, other := range h.hosts {
 		h.expire(other)
