Limit the concurrent calls of a peer for each kind

A peer that was handling 256 requests of callers of an entry refused that entry's calls as a relay and its pings too.

Cause: one limit for all calls on a connection. Requests to record a job wait for the table, so 256 of them gather while the table is slow; the orders and events of the relay are then refused with Overload, its permission lapses, and its hosts start nothing.

Evidence: TestCallsOfOneKindDoNotExhaustOthers, 256 calls of a kind that are not answered and one of another kind. Before: `overload: peer is already handling 256 calls`. After: it is answered, and call 257 of the first kind is refused as before. Whether it has happened in a deployment is not known; an entry has to hand in 256 requests within the time that the table stalls.

Change: a limit of 256 for each kind of call.

Command: go test ./fold/peer

--- a/fold/peer/link.go
+++ b/fold/peer/link.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	// maxConcurrentCalls is the maximum number of calls of a peer that are handled at the same time on one connection.
+	// maxConcurrentCalls is the maximum number of calls of a kind that are handled at the same time on one connection. Calls
+	// of other kinds are not counted, because requests of callers must not make the peer refuse those of a relay.
 	maxConcurrentCalls = 256
 	// writeTimeout is the maximum time for writing one frame to a connection.
 	writeTimeout = 2 * time.Second
@@ -47,8 +48,8 @@
 	// closed is closed when the connection is closed.
 	closed chan struct{}
 	once   sync.Once
-	// slots holds one element for each call that is being handled.
-	slots chan struct{}
+	// slots holds, by kind, one element for each call that is being handled.
+	slots map[string]chan struct{}
 
 	mu sync.Mutex
 	// lastID is the ID of the last call that was sent.
@@ -64,12 +65,16 @@
 }
 
 func newLink(n *Transport, conn *websocket.Conn, peerName string) *link {
+	slots := make(map[string]chan struct{}, len(n.handlers))
+	for kind := range n.handlers {
+		slots[kind] = make(chan struct{}, maxConcurrentCalls)
+	}
 	return &link{
 		node:     n,
 		conn:     conn,
 		peerName: peerName,
 		closed:   make(chan struct{}),
-		slots:    make(chan struct{}, maxConcurrentCalls),
+		slots:    slots,
 		pending:  make(map[uint64]chan frame),
 	}
 }
@@ -88,16 +93,22 @@
 			l.deliver(f)
 			continue
 		}
+		fn, ok := l.node.handlers[f.Kind]
+		if !ok {
+			_ = l.send(frame{ID: f.ID, Error: fold.ToWire(fold.Refuse(fold.Invalid, "update the entry", "unknown call %q", f.Kind))})
+			continue
+		}
+		slots := l.slots[f.Kind]
 		select {
-		case l.slots <- struct{}{}:
+		case slots <- struct{}{}:
 			handlers.Add(1)
 			go func() {
 				defer handlers.Done()
-				defer func() { <-l.slots }()
-				l.handle(f)
+				defer func() { <-slots }()
+				l.handle(f, fn)
 			}()
 		default:
-			_ = l.send(frame{ID: f.ID, Error: fold.ToWire(fold.Refuse(fold.Overload, "retry later", "peer is already handling %d calls", maxConcurrentCalls))})
+			_ = l.send(frame{ID: f.ID, Error: fold.ToWire(fold.Refuse(fold.Overload, "retry later", "peer is already handling %d calls %q", maxConcurrentCalls, f.Kind))})
 		}
 	}
 }
@@ -150,12 +161,7 @@
 	}
 }
 
-func (l *link) handle(f frame) {
-	fn, ok := l.node.handlers[f.Kind]
-	if !ok {
-		_ = l.send(frame{ID: f.ID, Error: fold.ToWire(fold.Refuse(fold.Invalid, "update the entry", "unknown call %q", f.Kind))})
-		return
-	}
+func (l *link) handle(f frame, fn handler) {
 	carrier := propagation.MapCarrier{traceHeader: f.Trace}
 	ctx := otel.GetTextMapPropagator().Extract(l.node.stop, carrier)
 	ctx, span := otel.Tracer("peer").Start(ctx, "peer "+f.Kind)
