End calls to a peer in time when the connection takes no bytes

A call to a peer could take 2 s although its deadline was 0.25 s.

Cause: the call wrote its frame itself, within the limit of a write of 2 s that holds for all frames, because a frame that is cut off breaks the connection. When the peer reads no more and the buffers are full, the pings of the owner and of the other entries, and with them the list of the entries that respond, came late.

Change: the frame is written in the background; a call that has ended before its frame was written has an unknown outcome, as one whose frame was sent.

--- a/fold/peer/link.go
+++ b/fold/peer/link.go
@@ -147,10 +147,16 @@
 	otel.GetTextMapPropagator().Inject(ctx, carrier)
 	id, answer := l.addPending()
 	defer l.removePending(id)
-	if err := l.send(frame{ID: id, Kind: kind, Trace: carrier[traceHeader], Body: body}); err != nil {
-		return nil, fold.Unknown.Wrap(err, "send %s to %s", kind, l.peerName)
-	}
+	// The deadline of a call cannot limit the write, because a frame that is cut off breaks the connection for all calls.
+	failed := make(chan error, 1)
+	go func() {
+		if err := l.send(frame{ID: id, Kind: kind, Trace: carrier[traceHeader], Body: body}); err != nil {
+			failed <- err
+		}
+	}()
 	select {
+	case err := <-failed:
+		return nil, fold.Unknown.Wrap(err, "send %s to %s", kind, l.peerName)
 	case f := <-answer:
 		l.node.observe(kind, len(body), len(f.Body))
 		return f.Body, f.Error.Err()
