Keep connections to peers that answer slowly

Calls to an entry whose answers take more than 0.6 s would fail again and again: the connection counts as silent before the answer to a ping arrives, and a new one takes three round trips to open, longer than its limit.

Evidence: TestSlowPeerKeepsItsConnection, delays each way of 200, 350 and 500 ms. After: at most 2 connections, and all calls after the first three are answered.

Change: the limits of silence grow with the usual delay of the peer, known from its answers to pings and from the opening of the connection. A connection that was given up is used again if bytes arrive before it is replaced. The proxy of the tests delays bytes without holding up those behind them.

--- a/fold/peer/link.go
+++ b/fold/peer/link.go
@@ -33,6 +33,11 @@
 	retireTicks = 4
 	// closeTicks is the number of checks without a received byte after which the connection is closed and its calls fail.
 	closeTicks = 16
+	// delayFactor is the multiple of the peer's usual delay by which retireTicks and closeTicks are extended, so that a peer
+	// that answers slowly keeps its connection.
+	delayFactor = 2
+	// delayDecay is the share by which the usual delay approaches a shorter one.
+	delayDecay = 0.125
 	// traceHeader is the W3C trace context header.
 	traceHeader = "traceparent"
 )
@@ -41,8 +46,8 @@
 type link struct {
 	node *Transport
 	conn *websocket.Conn
-	// peerName is the name of the peer.
-	peerName string
+	// peerName is the name of the peer. address is the address that was dialled, or empty for an accepted connection.
+	peerName, address string
 	// received reports whether bytes have arrived since the last check.
 	received atomic.Bool
 	// closed is closed when the connection is closed.
@@ -60,7 +65,10 @@
 	watched bool
 	// silentTicks is the number of checks since bytes have arrived.
 	silentTicks int
-	// retired is true if no new calls use the connection. It is closed after the last pending call.
+	// usualDelay is how long the peer took recently to answer a ping, or to open the connection.
+	usualDelay time.Duration
+	// retired is true if no new calls use the connection. If bytes arrive before it is replaced, it is used again; otherwise
+	// it is closed after the last pending call.
 	retired bool
 }
 
@@ -219,12 +227,8 @@
 
 func (l *link) removePending(id uint64) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	delete(l.pending, id)
-	unused := l.retired && len(l.pending) == 0
-	l.mu.Unlock()
-	if unused {
-		l.close()
-	}
 }
 
 // checkSilence detects that bytes of the connection vanish without an error. It repeats until a call is answered and no other
@@ -233,13 +237,19 @@
 	if l.isClosed() {
 		return
 	}
+	received := l.received.Swap(false)
+	if received && l.isRetired() && !l.node.reinstate(l) && !l.hasPending() {
+		l.close()
+		return
+	}
 	l.mu.Lock()
 	l.silentTicks++
-	if l.received.Swap(false) {
+	if received {
 		l.silentTicks = 0
-		l.watched = len(l.pending) > 0
+		l.watched = len(l.pending) > 0 || l.retired
 	}
 	ticks, watched := l.silentTicks, l.watched
+	extra := int(delayFactor * l.usualDelay / silenceTick)
 	l.mu.Unlock()
 	if !watched {
 		return
@@ -247,10 +257,10 @@
 	switch ticks {
 	case pingTicks:
 		go l.ping()
-	case retireTicks:
+	case retireTicks + extra:
 		l.retire()
-	case closeTicks:
-		l.node.log.Warn("Closed a connection to a peer on which nothing arrives.", "peer", l.peerName, "after", (closeTicks * silenceTick).String())
+	case closeTicks + extra:
+		l.node.log.Warn("Closed a connection to a peer on which nothing arrives.", "peer", l.peerName, "after", (time.Duration(ticks) * silenceTick).String())
 		l.close()
 		return
 	}
@@ -261,22 +271,43 @@
 func (l *link) ping() {
 	ctx, cancel := context.WithTimeout(l.node.stop, closeTicks*silenceTick)
 	defer cancel()
+	began := time.Now()
 	if err := l.conn.Ping(ctx); err == nil {
+		l.recordDelay(time.Since(began))
 		l.received.Store(true)
 	}
 }
 
+// recordDelay records how long the peer took to answer. The usual delay follows a longer one at once and a shorter one slowly.
+func (l *link) recordDelay(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if delay < l.usualDelay {
+		delay = l.usualDelay - time.Duration(delayDecay*float64(l.usualDelay-delay))
+	}
+	l.usualDelay = delay
+}
+
+func (l *link) isRetired() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.retired
+}
+
+func (l *link) hasPending() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.pending) > 0
+}
+
 // retire makes new calls use a new connection. The pending calls may still be answered on this one.
 func (l *link) retire() {
 	l.node.forget(l)
 	l.mu.Lock()
 	l.retired = true
-	unused := len(l.pending) == 0
+	ticks := l.silentTicks
 	l.mu.Unlock()
-	l.node.log.Debug("Nothing arrives on a connection to a peer; new calls use another one.", "peer", l.peerName, "for", (retireTicks * silenceTick).String())
-	if unused {
-		l.close()
-	}
+	l.node.log.Debug("Nothing arrives on a connection to a peer; new calls use another one.", "peer", l.peerName, "for", (time.Duration(ticks) * silenceTick).String())
 }
 
 func (l *link) deliver(f frame) {
--- a/fold/peer/node.go
+++ b/fold/peer/node.go
@@ -203,6 +203,10 @@
 // calls do not apply, because later calls use the connection too.
 func (n *Transport) open(address string, d *pendingDial) {
 	l, err := n.dial(n.stop, address)
+	if err == nil {
+		l.address = address
+		l.recordDelay(time.Since(d.began))
+	}
 	n.mu.Lock()
 	if n.dials[address] == d {
 		delete(n.dials, address)
@@ -235,13 +239,26 @@
 func (n *Transport) forget(l *link) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for address, current := range n.links {
-		if current == l {
-			delete(n.links, address)
-		}
+	if n.links[l.address] == l {
+		delete(n.links, l.address)
 	}
 }
 
+// reinstate makes new calls use l again unless there is another connection to its peer, and reports whether they do.
+func (n *Transport) reinstate(l *link) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	current, ok := n.links[l.address]
+	if l.address == "" || ok && !current.isClosed() {
+		return false
+	}
+	n.links[l.address] = l
+	l.mu.Lock()
+	l.retired = false
+	l.mu.Unlock()
+	return true
+}
+
 func (n *Transport) dial(ctx context.Context, address string) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
--- a/fold/peer/proxy_test.go
+++ b/fold/peer/proxy_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -25,6 +26,8 @@
 	faults []*fault
 	// heldUntil is when held bytes move on.
 	heldUntil time.Time
+	// delay is how long bytes are on their way.
+	delay time.Duration
 	// open counts the connections that neither side has closed.
 	open int
 }
@@ -85,9 +88,28 @@
 	return c.Conn.Close()
 }
 
+// maxChunks limits the chunks of bytes that are on their way in a direction of a connection.
+const maxChunks = 1024
+
+// chunk is bytes that arrive at a time.
+type chunk struct {
+	bytes []byte
+	at    time.Time
+}
+
 // forward moves bytes until one side closes the connection.
 func (p *proxy) forward(from, to net.Conn, state *fault, closed func(), gone <-chan struct{}) {
 	defer closed()
+	chunks := make(chan chunk, maxChunks)
+	defer close(chunks)
+	go func() {
+		for c := range chunks {
+			time.Sleep(time.Until(c.at))
+			if _, err := to.Write(c.bytes); err != nil {
+				closed()
+			}
+		}
+	}()
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -95,7 +117,7 @@
 			return
 		}
 		p.mu.Lock()
-		now, hold := *state, time.Until(p.heldUntil)
+		now, hold := *state, max(p.delay, time.Until(p.heldUntil))
 		p.mu.Unlock()
 		switch now {
 		case noFault:
@@ -105,10 +127,7 @@
 			<-gone
 			return
 		}
-		time.Sleep(hold)
-		if _, err := to.Write(buffer[:n]); err != nil {
-			return
-		}
+		chunks <- chunk{bytes: bytes.Clone(buffer[:n]), at: time.Now().Add(hold)}
 	}
 }
 
@@ -128,6 +147,13 @@
 	p.heldUntil = time.Now().Add(length)
 }
 
+// setDelay sets how long bytes are on their way.
+func (p *proxy) setDelay(delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = delay
+}
+
 func (p *proxy) counts() (dialled, open int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/fold/peer/silent_test.go
+++ b/fold/peer/silent_test.go
@@ -87,3 +87,32 @@
 		}
 	})
 }
+
+// Guards against a peer that is no longer reached because each connection to it is replaced before it has answered.
+func TestSlowPeerKeepsItsConnection(t *testing.T) {
+	for _, delay := range []time.Duration{200 * time.Millisecond, 350 * time.Millisecond, 500 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			testPair(t, func(t *testing.T, p *proxy, client *peer.Transport) {
+				if err := ask(t.Context(), client, time.Second, 0); err != nil {
+					t.Fatal(err)
+				}
+				p.setDelay(delay)
+				// The delay is noticed with the first calls.
+				for range 3 {
+					_ = ask(t.Context(), client, 2*delay+time.Second, 0)
+				}
+				for range 20 {
+					if err := ask(t.Context(), client, 2*delay+300*time.Millisecond, 0); err != nil {
+						t.Error(err)
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				if dialled, open := p.counts(); dialled > 2 || open != 1 {
+					t.Errorf("%d connections were opened and %d are open, want at most 2 and 1", dialled, open)
+				}
+				p.setDelay(0)
+				time.Sleep(2 * delay)
+			})
+		})
+	}
+}
