Ask the adviser about a wide step in several calls at a time

Callers would see some tasks of a wide long-running step wait for longer than allowed.

Cause: a step had one call to the adviser in flight, about 40 hosts at most, of which about 14 are approved. With one task per host, 100 tasks need seven calls or more, one after the other. With an adviser that is 0.4 s late that takes over 9 s.

Change: up to four calls wait for answers at a time, about different hosts. A further one is made only if the last one names as many hosts as a call may, and for the tasks that the pending ones are not expected to place. Gangs keep a single call, since they need all tickets at once.

--- a/fold/core/advice.go
+++ b/fold/core/advice.go
@@ -16,8 +16,8 @@
 	approved []*host
 	// approvedIDs holds the ids of the hosts that the adviser has approved; an approval does not change.
 	approvedIDs, deniedIDs map[string]bool
-	// pendingCall is the number of the call whose answer the step waits for, or 0.
-	pendingCall uint64
+	// pending lists the calls whose answers the step waits for. They name different hosts.
+	pending []pendingCall
 	// lastWaiting is the number of waiting tasks at the last call. unsuccessful is the number of consecutive calls after
 	// which no task started.
 	lastWaiting, unsuccessful int
@@ -33,6 +33,31 @@
 	expiredTickets int
 }
 
+// pendingCall is a call whose answer a step waits for.
+type pendingCall struct {
+	number uint64
+	hosts  []string
+	// slots is the expected number of tasks that the hosts of the call take.
+	slots float64
+}
+
+// maxStepCalls is the maximum number of calls whose answers a step waits for.
+const maxStepCalls = 4
+
+// mayCall reports whether another call may be made. Further ones are made only if the hosts of the pending ones do not suffice.
+func (p *part) mayCall() bool {
+	pending := p.advice.pending
+	if len(pending) == 0 {
+		return true
+	}
+	return !p.step.Gang && len(pending) < maxStepCalls && len(pending[len(pending)-1].hosts) >= maxCallHosts
+}
+
+// isPending reports whether a pending call names the host.
+func (a *approvals) isPending(host string) bool {
+	return slices.ContainsFunc(a.pending, func(call pendingCall) bool { return slices.Contains(call.hosts, host) })
+}
+
 // adviceAnswer describes an answer of the adviser, or a call without one, for the log.
 type adviceAnswer struct {
 	at              fold.Instant
@@ -190,7 +215,7 @@
 // adviceCall returns the call that a part needs now, if any, and marks it as in flight.
 func (c *Cell) adviceCall(p *part, slow bool) (AdviceCall, bool) {
 	policy := p.job.queue.Advice
-	if policy == nil || p.waitingTasks == 0 && !c.needsCopies(p) || p.advice.pendingCall != 0 || c.now < p.advice.nextCall || p.job.state.Final() {
+	if policy == nil || p.waitingTasks == 0 && !c.needsCopies(p) || !p.mayCall() || c.now < p.advice.nextCall || p.job.state.Final() {
 		return AdviceCall{}, false
 	}
 	if !slow && policy.CallTime+minCallHosts*policy.TimePerHost > maxQuickCall {
@@ -200,20 +225,23 @@
 		return AdviceCall{}, false
 	}
 	share := c.capacityShare(p)
-	if c.callsSuffice(p, share) || c.now < p.advice.lastCall.Add(c.callBackoff(p)) {
+	first := len(p.advice.pending) == 0
+	if c.callsSuffice(p, share) || first && c.now < p.advice.lastCall.Add(c.callBackoff(p)) {
 		return AdviceCall{}, false
 	}
-	hosts := c.chooseCallHosts(p)
+	hosts, slots := c.chooseCallHosts(p)
 	if len(hosts) == 0 {
 		return AdviceCall{}, false
 	}
-	if p.waitingTasks < p.advice.lastWaiting || p.advice.lastCall == 0 {
+	switch {
+	case p.waitingTasks < p.advice.lastWaiting || p.advice.lastCall == 0:
 		p.advice.unsuccessful = 0
-	} else {
+	case first:
 		p.advice.unsuccessful++
 	}
 	c.lastCall++
-	p.advice.pendingCall, p.advice.lastCall, p.advice.lastWaiting = c.lastCall, c.now, p.waitingTasks
+	p.advice.pending = append(p.advice.pending, pendingCall{number: c.lastCall, hosts: hosts, slots: slots})
+	p.advice.lastCall, p.advice.lastWaiting = c.now, p.waitingTasks
 	call := AdviceCall{
 		number: c.lastCall,
 		Step:   p.stepName(), Hosts: hosts, Duration: policy.CallTime + time.Duration(len(hosts))*policy.TimePerHost,
@@ -294,10 +322,14 @@
 	preempts bool
 }
 
-// chooseCallHosts returns the ids of hosts with room for the waiting tasks of a part: hosts near its data first, then hosts
-// approved earlier, then those with most slots.
-func (c *Cell) chooseCallHosts(p *part) []string {
+// chooseCallHosts returns the ids of hosts with room for the waiting tasks of a part, and the expected number of tasks that they
+// take: hosts near its data first, then hosts approved earlier, then those with most slots. It leaves out the hosts of pending
+// calls.
+func (c *Cell) chooseCallHosts(p *part) (hosts []string, slots float64) {
 	need := float64(max(1, p.waitingTasks))
+	for _, call := range p.advice.pending {
+		need -= call.slots
+	}
 	minValidity := time.Duration(0)
 	if p.step.Gang {
 		// A gang needs all tickets at the same time, so tickets that expire soon are renewed together with the missing
@@ -307,6 +339,9 @@
 	var candidates []candidate
 	potential := 0.0
 	for _, h := range c.openApproved(p) {
+		if p.advice.isPending(h.info.ID) {
+			continue
+		}
 		slots, validity := c.slots(p, h, h.info.Capacity.Sub(h.used)), minValidity
 		if n := float64(p.reservedOn(h)); n > slots {
 			// The room appears when the runs that were stopped for it have ended.
@@ -322,12 +357,12 @@
 		}
 	}
 	if need <= 0 {
-		return nil
+		return nil, 0
 	}
 	candidates, more := c.addUnasked(p, candidates, need)
 	if p.step.Gang && potential+more < float64(p.waitingTasks) {
 		// Tickets are useless for a gang that does not fit as a whole.
-		return nil
+		return nil, 0
 	}
 	if c.mayPreempt(p) && (p.step.LongRunning || len(candidates) == 0) {
 		candidates = c.addPreemptible(p, candidates, need)
@@ -335,8 +370,6 @@
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.preference(p), a.preference(p)), cmp.Compare(b.slots, a.slots))
 	})
-	var hosts []string
-	slots := 0.0
 	for _, option := range candidates {
 		if len(hosts) >= maxCallHosts || slots >= need*callHeadroom && len(hosts) >= minCallHosts {
 			break
@@ -344,7 +377,7 @@
 		slots += option.slots
 		hosts = append(hosts, option.host.info.ID)
 	}
-	return hosts
+	return hosts, slots
 }
 
 // candidateFactor bounds the search for hosts: it stops at this multiple of the hosts and slots that a call needs, and the
@@ -364,7 +397,7 @@
 	}
 	for i := range hosts {
 		h := hosts[(first+i)%len(hosts)]
-		if !h.acceptsWork(c.now) || !p.allowed(h) || p.advice.deniedIDs[h.info.ID] || p.advice.approvedIDs[h.info.ID] {
+		if !h.acceptsWork(c.now) || !p.allowed(h) || p.advice.deniedIDs[h.info.ID] || p.advice.approvedIDs[h.info.ID] || p.advice.isPending(h.info.ID) {
 			continue
 		}
 		slots := c.slots(p, h, h.info.Capacity.Sub(h.used))
@@ -396,7 +429,7 @@
 	}
 	approvalRate := c.approvalRate(p.job.queue.Name)
 	for _, h := range c.openHostsFor(p) {
-		if listed[h] || !h.acceptsWork(c.now) || !p.allowed(h) || p.advice.deniedIDs[h.info.ID] || p.permitted(h, c.now) {
+		if listed[h] || !h.acceptsWork(c.now) || !p.allowed(h) || p.advice.deniedIDs[h.info.ID] || p.permitted(h, c.now) || p.advice.isPending(h.info.ID) {
 			continue
 		}
 		slots := c.slots(p, h, h.info.Capacity.Sub(h.used).Add(c.preemptibleCapacity(p, h)))
@@ -462,10 +495,8 @@
 
 // ReleaseAdviceCall lets the step of a call whose answer is overdue be asked about again. The answer may still arrive.
 func (c *Cell) ReleaseAdviceCall(call AdviceCall) {
-	if call.part.advice.pendingCall != call.number {
-		return
-	}
-	call.part.advice.pendingCall = 0
+	a := &call.part.advice
+	a.pending = slices.DeleteFunc(a.pending, func(p pendingCall) bool { return p.number == call.number })
 	c.callsInFlight = slices.DeleteFunc(c.callsInFlight, func(other AdviceCall) bool { return other.number == call.number })
 	c.sumRequestedShares()
 }
@@ -475,7 +506,7 @@
 func (c *Cell) ApplyAdvice(call AdviceCall, advice fold.Advice, issued fold.Instant, err error) {
 	p := call.part
 	expires := issued.Add(cmp.Or(advice.Validity, call.validity))
-	released := p.advice.pendingCall != call.number
+	released := !slices.ContainsFunc(p.advice.pending, func(p pendingCall) bool { return p.number == call.number })
 	c.ReleaseAdviceCall(call)
 	p.advice.lastAnswer = adviceAnswer{at: c.now, asked: len(call.Hosts), approved: len(advice.Approvals), err: err}
 	if err != nil {
--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -74,7 +74,7 @@
 	open map[string][]*host
 	// openCapacity is the total capacity of the open hosts, by service.
 	openCapacity map[string]openCapacity
-	// callsInFlight lists the calls to the adviser for whose answers parts wait, at most one for each part.
+	// callsInFlight lists the calls to the adviser for whose answers parts wait.
 	callsInFlight []AdviceCall
 	// lastCall is the number of the last call to the adviser.
 	lastCall uint64
--- a/fold/core/explain.go
+++ b/fold/core/explain.go
@@ -29,7 +29,7 @@
 		fields := []any{
 			"step", p.stepName(), "queue", p.job.queue.Name, "team", p.job.spec.Team, "tasks", p.waitingTasks, "live", p.liveRunCount(),
 			"since", c.now.Sub(p.readyAt).String(), "rank", c.rank(p), "hosts", reasons.open, "full", reasons.full, "denied", reasons.denied,
-			"unasked", reasons.unasked, "limit", reasons.limit, "record", !p.fitsRecord(), "asking", p.advice.pendingCall != 0,
+			"unasked", reasons.unasked, "limit", reasons.limit, "record", !p.fitsRecord(), "asking", len(p.advice.pending) > 0,
 		}
 		c.log.Info("Tasks wait.", append(fields, c.explainAdvice(p)...)...)
 	}
--- a/fold/drive/adviser_test.go
+++ b/fold/drive/adviser_test.go
@@ -116,7 +116,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const tasks = 6
 		adviser := newLateAdviser(8*time.Second, 0)
-		d, hosts := startLateAdviser(t, adviser)
+		d, hosts := startLateAdviser(t, adviser, 100)
 		submitWatchJobs(t, d, 1, tasks)
 		time.Sleep(time.Minute)
 		hosts.mu.Lock()
@@ -131,11 +131,11 @@
 	return &lateAdviser{policy: watchPolicy, late: late, delivery: delivery, free: make(map[string]time.Time), issued: make(map[string]time.Time)}
 }
 
-// startLateAdviser runs an owner with as many entries as a pool of 350 hosts has.
-func startLateAdviser(t *testing.T, adviser *lateAdviser) (*drive.Driver, *fakeHosts) {
+// startLateAdviser runs an owner of a number of hosts with as many entries as a pool of 350 hosts has.
+func startLateAdviser(t *testing.T, adviser *lateAdviser, count int) (*drive.Driver, *fakeHosts) {
 	t.Helper()
 	const entries = 37
-	hosts := newFakeHosts(100, time.Hour)
+	hosts := newFakeHosts(count, time.Hour)
 	var callers []drive.AdviceCaller
 	for n := range entries {
 		callers = append(callers, adviceCaller{name: fmt.Sprintf("entry-%02d", n), adviser: adviser})
@@ -172,7 +172,7 @@
 	t.Helper()
 	const jobs, tasks = 12, 6
 	adviser := newLateAdviser(late, delivery)
-	d, hosts := startLateAdviser(t, adviser)
+	d, hosts := startLateAdviser(t, adviser, 100)
 	submitted := submitWatchJobs(t, d, jobs, tasks)
 	time.Sleep(30 * time.Second)
 	hosts.mu.Lock()
