Renew the permission of relays while answers are late

Callers saw work wait while answers between the owner and its relays took hundreds of milliseconds, and an owner had to supervise all hosts of the pool itself.

Cause: a relay has one event message under way at a time. With a round trip r the next message comes up to r + 0.2 s after the last one, and its answer r later. The permission of one second, counted from the sending, is thus missing for a part of the time from r = 0.4 s on, and for all of it where answers take longer than the timeout of the call, 0.7 s: these are dropped and the message is repeated. The owner ends a session after 0.65 s without a call, so constant delays from 0.3 s each way on (0.25 s if they grow slowly) ended all sessions, although both sides live.

Change: while no message of the last 0.3 s is answered, a relay sends messages without events at most every 100 ms, with number 0, which renew the permission. Their answers contain no orders, so that orders are not repeated on slow links. An event message is repeated after 0.5 s, and the calls before go on for 1.5 s: a late answer still confirms that the events have arrived. Only answers within 1 s, which can contain a valid permission, keep the session: without one for 3 s it ends, and its hosts go to other supervisors. The owner answers a repeated message after the first one was handled, so that the next message does not overtake it.

The last message of an entry that leaves is one with events.

--- a/fold/drive/supervisor.go
+++ b/fold/drive/supervisor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"plantainfold.example/fold"
@@ -81,6 +82,8 @@
 	id    uint64
 	entry RelayEntry
 	clock fold.Clock
+	// handling is held while an event message is handled. It is locked before the lock of the supervision.
+	handling sync.Mutex
 
 	// queue holds the orders that wait for the next batch. The lock of the supervision guards it and all fields below.
 	queue relay.Orders
@@ -202,7 +205,8 @@
 	return len(s.queue.Releases) > 0 || s.lastBatch.Number > lastNumber && len(s.lastBatch.Orders.Releases) > 0
 }
 
-// HandleEvents handles an event message of a session. A repeated message, which has the same number, is handled once.
+// HandleEvents handles an event message of a session. A repeated message, which has the same number, is handled once. The
+// answer to a message with number 0, which only renews the permission, contains no batch.
 // The hosts of a relay that is leaving are assigned to other supervisors.
 func (d *Driver) HandleEvents(id, number, lastNumber uint64, events relay.Events, leaving bool) relay.Permit {
 	l := &d.supervision
@@ -216,11 +220,9 @@
 	if !events.Empty() {
 		s.lastEvents = s.lastContact
 	}
-	fresh := number > s.eventsNumber
-	s.eventsNumber = max(s.eventsNumber, number)
 	l.mu.Unlock()
-	if fresh && !events.Empty() {
-		d.handleEvents(s, events)
+	if number > 0 {
+		d.handleEventsOnce(s, number, events)
 	}
 	if leaving {
 		d.endSession(s, "the entry of the relay is leaving")
@@ -239,12 +241,27 @@
 	}
 	s.permittedUntil = max(s.permittedUntil, now.Add(renew))
 	permit := relay.Permit{RenewFor: renew, OwnerTime: now}
-	if s.lastBatch.Number <= lastNumber || now.Sub(s.batchSent) >= resendAfter {
+	if number > 0 && (s.lastBatch.Number <= lastNumber || now.Sub(s.batchSent) >= resendAfter) {
 		permit.Batch = s.batchAfter(lastNumber, now)
 	}
 	return permit
 }
 
+// handleEventsOnce handles the events of a message unless the message was handled before. A repeated message is answered after
+// the first one was handled, because the next one must not overtake it.
+func (d *Driver) handleEventsOnce(s *session, number uint64, events relay.Events) {
+	s.handling.Lock()
+	defer s.handling.Unlock()
+	l := &d.supervision
+	l.mu.Lock()
+	fresh := number > s.eventsNumber
+	s.eventsNumber = max(s.eventsNumber, number)
+	l.mu.Unlock()
+	if fresh && !events.Empty() {
+		d.handleEvents(s, events)
+	}
+}
+
 // renewFor returns how long leases may be renewed, counted from now.
 func (d *Driver) renewFor(now fold.Instant) time.Duration {
 	d.mu.Lock()
--- a/fold/relay/session.go
+++ b/fold/relay/session.go
@@ -21,14 +21,21 @@
 	// minEventsInterval is the shortest time between two event messages, so that under load each of them carries more
 	// events.
 	minEventsInterval = 15 * time.Millisecond
-	// ownerCallTimeout limits a call to the owner, in addition to the wait for orders.
-	ownerCallTimeout = 700 * time.Millisecond
+	// renewalInterval is the time between two messages that only renew the permission. They are sent while answers are late.
+	renewalInterval = 100 * time.Millisecond
+	// ownerCallTimeout limits a call to the owner, in addition to the wait for orders. An answer that is too late for a
+	// permission still confirms that events have arrived.
+	ownerCallTimeout = 1500 * time.Millisecond
+	// usefulRoundTrip is the longest round trip after which an answer can contain a valid permission.
+	usefulRoundTrip = time.Second
+	// repeatDelay is the delay before an unanswered event message is sent again. The calls before it go on.
+	repeatDelay = 500 * time.Millisecond
 	// ownerRetryDelay is the delay before a failed call to the owner is tried again.
 	ownerRetryDelay = 50 * time.Millisecond
 	// maxOrderAge is the age up to which orders are sent to hosts. Older ones are refused, because the owner may have ended
 	// the session by then.
 	maxOrderAge = time.Second
-	// ownerTimeout is how long the owner may leave event messages unanswered before the session ends.
+	// ownerTimeout is how long the owner may leave event messages unanswered, or answer them too late, before the session ends.
 	ownerTimeout = 3 * time.Second
 )
 
@@ -65,7 +72,8 @@
 	// applied. A batch with number 0 contains no orders.
 	Orders(ctx context.Context, lastNumber uint64) (Batch, error)
 	// SendEvents sends an event message. The owner handles a message once, even if it arrives again under the same number. If
-	// leaving is true, the session ends. The answer may contain the batch that follows batch lastNumber.
+	// leaving is true, the session ends. The answer may contain the batch that follows batch lastNumber. A message with number 0
+	// contains no events, and its answer no batch; it only renews the permission.
 	SendEvents(ctx context.Context, number, lastNumber uint64, events Events, leaving bool) (Permit, error)
 }
 
@@ -89,7 +97,10 @@
 	ownerTime fold.Instant
 	// ownerClock relates the owner's clock to this entry's clock.
 	ownerClock clockRelation
-	// lastContact is when the owner last answered an event message, or when the session was opened.
+	// lastSent is when a message was last sent to the owner. lastAnswered is when the newest message that it has answered was
+	// sent.
+	lastSent, lastAnswered fold.Instant
+	// lastContact is when the owner last answered an event message within usefulRoundTrip, or when the session was opened.
 	lastContact fold.Instant
 	// eventsSent holds the times at which event messages were first sent, by number. Messages to which new batches cannot refer
 	// are removed.
@@ -141,6 +152,7 @@
 	s.log.Info("Started a session to supervise hosts for the owner.")
 	var group sync.WaitGroup
 	group.Go(s.followOrders)
+	group.Go(s.renewPermission)
 	s.reportEvents()
 	s.cancel()
 	group.Wait()
@@ -238,8 +250,10 @@
 	}
 }
 
-// sendEvents sends an event message until the owner answers it. It returns false if the session has ended.
+// sendEvents sends an event message until the owner answers it, and repeats it while it is unanswered. It returns false if the
+// session has ended.
 func (s *Session) sendEvents(number uint64, events Events) bool {
+	answered := make(chan Permit, 1)
 	for s.ctx.Err() == nil {
 		sent := s.clock.Now()
 		s.mu.Lock()
@@ -253,25 +267,75 @@
 			s.log.Warn("Ending the session because the owner does not answer.", "since", ownerTimeout.String())
 			return false
 		}
-		call, cancel := context.WithTimeout(s.ctx, ownerCallTimeout)
-		permit, err := s.owner.SendEvents(call, number, s.appliedBatchNumber(), events, s.leaving())
-		cancel()
-		if err != nil {
+		failed := make(chan struct{})
+		s.group.Go(func() {
+			permit, err := s.callOwner(sent, number, events)
+			if err != nil {
+				close(failed)
+				return
+			}
+			select {
+			case answered <- permit:
+			default:
+			}
+		})
+		select {
+		case <-s.ctx.Done():
+		case permit := <-answered:
+			return !permit.Ended
+		case <-failed:
 			s.pause(ownerRetryDelay)
-			continue
+		case <-s.clock.After(repeatDelay):
 		}
+	}
+	return false
+}
+
+// renewPermission renews the permission while answers to event messages are late, so that neither the permission nor the
+// session ends.
+func (s *Session) renewPermission() {
+	for s.ctx.Err() == nil {
+		s.pause(renewalInterval)
+		now := s.clock.Now()
 		s.mu.Lock()
-		s.lastContact = s.clock.Now()
-		s.permittedUntil = max(s.permittedUntil, sent.Add(permit.RenewFor))
-		s.ownerTime = max(s.ownerTime, permit.OwnerTime)
-		if !permit.Ended {
-			s.ownerClock.observe(sent, permit.OwnerTime)
-		}
+		due := now.Sub(s.lastSent) >= renewalInterval && now.Sub(s.lastAnswered) >= EventsInterval+renewalInterval
 		s.mu.Unlock()
-		s.apply(permit.Batch)
-		return !permit.Ended
+		if !due {
+			continue
+		}
+		s.group.Go(func() {
+			if permit, err := s.callOwner(now, 0, Events{}); err == nil && permit.Ended {
+				s.cancel()
+			}
+		})
 	}
-	return false
+}
+
+// callOwner sends an event message once and applies the answer. sent is a time before the call.
+func (s *Session) callOwner(sent fold.Instant, number uint64, events Events) (Permit, error) {
+	call, cancel := context.WithTimeout(s.ctx, ownerCallTimeout)
+	defer cancel()
+	s.mu.Lock()
+	s.lastSent = max(s.lastSent, sent)
+	s.mu.Unlock()
+	// The session ends with an event message, so that the last events are handled.
+	leaving := number > 0 && s.leaving()
+	permit, err := s.owner.SendEvents(call, number, s.appliedBatchNumber(), events, leaving)
+	if err != nil || permit.Ended {
+		return permit, err
+	}
+	now := s.clock.Now()
+	s.mu.Lock()
+	if number > 0 && now.Sub(sent) <= usefulRoundTrip {
+		s.lastContact = now
+	}
+	s.lastAnswered = max(s.lastAnswered, sent)
+	s.permittedUntil = max(s.permittedUntil, sent.Add(permit.RenewFor))
+	s.ownerTime = max(s.ownerTime, permit.OwnerTime)
+	s.ownerClock.observe(sent, permit.OwnerTime)
+	s.mu.Unlock()
+	s.apply(permit.Batch)
+	return permit, nil
 }
 
 func (s *Session) pause(wait time.Duration) {
