Let starts wait for the permission of the owner

Callers saw tasks wait where answers between the owner and its relays took up to 1.2 s: a whole batch of starts was refused because the permission had ended a moment before the next answer arrived. Such runs are planned, recorded and sent again, which takes two round trips more.

Cause: a start without permission was refused at once, although a call to a host has 200 ms and takes a few.

Change: a start waits for the permission within the time of its call. The time from the order to the start has the same limit as before, and the lease still begins before the permission is checked.

--- a/fold/relay/calls.go
+++ b/fold/relay/calls.go
@@ -9,8 +9,12 @@
 	"plantainfold.example/fold"
 )
 
-// callTimeout limits a call to a host. Hosts answer within milliseconds, and starts can be repeated safely.
-const callTimeout = 200 * time.Millisecond
+const (
+	// callTimeout limits a call to a host. Hosts answer within milliseconds, and starts can be repeated safely.
+	callTimeout = 200 * time.Millisecond
+	// permissionCheckInterval is the time between two checks whether a start is permitted.
+	permissionCheckInterval = 10 * time.Millisecond
+)
 
 // startRun sends a start to a host. It first waits for the host's clock, which the lease refers to.
 func (r *Relay) startRun(s Start) {
@@ -21,8 +25,8 @@
 		case <-ctx.Done():
 			return fold.Refuse(fold.Unavailable, "wait for the host", "the host %s has not answered this relay yet", s.Host)
 		}
-		now := r.parts.Clock.Now()
-		if !r.parts.Permitted() {
+		now, permitted := r.awaitPermission(ctx)
+		if !permitted {
 			// The process may have been suspended. A later owner assumes that no new leases were granted meanwhile.
 			return fold.Refuse(fold.Unavailable, "wait for the table", "the owner's permission to start runs was not renewed in time")
 		}
@@ -36,6 +40,21 @@
 	r.recordResult(s.Number, err)
 }
 
+// awaitPermission waits until runs may be started or ctx ends. It returns a time before the permission was checked. An answer of
+// the owner that renews the permission may come a little later than the start.
+func (r *Relay) awaitPermission(ctx context.Context) (now fold.Instant, permitted bool) {
+	for {
+		now = r.parts.Clock.Now()
+		if r.parts.Permitted() {
+			return now, true
+		}
+		r.pause(ctx, permissionCheckInterval)
+		if ctx.Err() != nil {
+			return now, false
+		}
+	}
+}
+
 // leaseForStart returns the lease for a start that was permitted at the given time or later. A silent or released host gets
 // none, because the owner relies on its leases ending.
 func (r *Relay) leaseForStart(c *contact, now fold.Instant) (fold.Host, int64, error) {
