--- a/fold/drive/supervisor.go
+++ b/fold/drive/supervisor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"plantainfold.example/fold"
@@ -81,6 +82,8 @@
 	id    uint64
 	entry RelayEntry
 	clock fold.Clock
+	// handling is held while an event message is handled. It is locked before the lock of the supervision.
+	handling sync.Mutex
 
 	// queue holds the orders that wait for the next batch. The lock of the supervision guards it and all fields below.
 	queue relay.Orders
@@ -217,11 +220,9 @@
 	if !events.Empty() {
 		s.lastEvents = s.lastContact
 	}
-	fresh := number > s.eventsNumber
-	s.eventsNumber = max(s.eventsNumber, number)
 	l.mu.Unlock()
-	if fresh && !events.Empty() {
-		d.handleEvents(s, events)
+	if number > 0 {
+		d.handleEventsOnce(s, number, events)
 	}
 	if leaving {
 		d.endSession(s, "the entry of the relay is leaving")
@@ -246,6 +247,21 @@
 	return permit
 }
 
+// handleEventsOnce handles the events of a message unless the message was handled before. A repeated message is answered after
+// the first one was handled, because the next one must not overtake it.
+func (d *Driver) handleEventsOnce(s *session, number uint64, events relay.Events) {
+	s.handling.Lock()
+	defer s.handling.Unlock()
+	l := &d.supervision
+	l.mu.Lock()
+	fresh := number > s.eventsNumber
+	s.eventsNumber = max(s.eventsNumber, number)
+	l.mu.Unlock()
+	if fresh && !events.Empty() {
+		d.handleEvents(s, events)
+	}
+}
+
 // renewFor returns how long leases may be renewed, counted from now.
 func (d *Driver) renewFor(now fold.Instant) time.Duration {
 	d.mu.Lock()
--- a/fold/relay/calls.go
+++ b/fold/relay/calls.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// callTimeout limits a call to a host in addition to the usual delay of its answers. Starts can be repeated safely.
+	// callTimeout limits a call to a host. Hosts answer within milliseconds, and starts can be repeated safely.
 	callTimeout = 200 * time.Millisecond
 	// permissionCheckInterval is the time between two checks whether a start is permitted.
 	permissionCheckInterval = 10 * time.Millisecond
--- a/fold/relay/session.go
+++ b/fold/relay/session.go
@@ -23,15 +23,19 @@
 	minEventsInterval = 15 * time.Millisecond
 	// renewalInterval is the time between two messages that only renew the permission. They are sent while answers are late.
 	renewalInterval = 100 * time.Millisecond
-	// ownerCallTimeout limits a call to the owner, in addition to the wait for orders. It exceeds the validity of a permission,
-	// because a late answer still confirms that events have arrived.
+	// ownerCallTimeout limits a call to the owner, in addition to the wait for orders. An answer that is too late for a
+	// permission still confirms that events have arrived.
 	ownerCallTimeout = 1500 * time.Millisecond
+	// usefulRoundTrip is the longest round trip after which an answer can contain a valid permission.
+	usefulRoundTrip = time.Second
+	// repeatDelay is the delay before an unanswered event message is sent again. The calls before it go on.
+	repeatDelay = 500 * time.Millisecond
 	// ownerRetryDelay is the delay before a failed call to the owner is tried again.
 	ownerRetryDelay = 50 * time.Millisecond
 	// maxOrderAge is the age up to which orders are sent to hosts. Older ones are refused, because the owner may have ended
 	// the session by then.
 	maxOrderAge = time.Second
-	// ownerTimeout is how long the owner may leave event messages unanswered before the session ends.
+	// ownerTimeout is how long the owner may leave event messages unanswered, or answer them too late, before the session ends.
 	ownerTimeout = 3 * time.Second
 )
 
@@ -96,7 +100,7 @@
 	// lastSent is when a message was last sent to the owner. lastAnswered is when the newest message that it has answered was
 	// sent.
 	lastSent, lastAnswered fold.Instant
-	// lastContact is when the owner last answered an event message, or when the session was opened.
+	// lastContact is when the owner last answered an event message within usefulRoundTrip, or when the session was opened.
 	lastContact fold.Instant
 	// eventsSent holds the times at which event messages were first sent, by number. Messages to which new batches cannot refer
 	// are removed.
@@ -246,8 +250,10 @@
 	}
 }
 
-// sendEvents sends an event message until the owner answers it. It returns false if the session has ended.
+// sendEvents sends an event message until the owner answers it, and repeats it while it is unanswered. It returns false if the
+// session has ended.
 func (s *Session) sendEvents(number uint64, events Events) bool {
+	answered := make(chan Permit, 1)
 	for s.ctx.Err() == nil {
 		sent := s.clock.Now()
 		s.mu.Lock()
@@ -261,15 +267,26 @@
 			s.log.Warn("Ending the session because the owner does not answer.", "since", ownerTimeout.String())
 			return false
 		}
-		permit, err := s.callOwner(sent, number, events)
-		if err != nil {
+		failed := make(chan struct{})
+		s.group.Go(func() {
+			permit, err := s.callOwner(sent, number, events)
+			if err != nil {
+				close(failed)
+				return
+			}
+			select {
+			case answered <- permit:
+			default:
+			}
+		})
+		select {
+		case <-s.ctx.Done():
+		case permit := <-answered:
+			return !permit.Ended
+		case <-failed:
 			s.pause(ownerRetryDelay)
-			continue
+		case <-s.clock.After(repeatDelay):
 		}
-		s.mu.Lock()
-		s.lastContact = s.clock.Now()
-		s.mu.Unlock()
-		return !permit.Ended
 	}
 	return false
 }
@@ -277,8 +294,6 @@
 // renewPermission renews the permission while answers to event messages are late, so that neither the permission nor the
 // session ends.
 func (s *Session) renewPermission() {
-	var group sync.WaitGroup
-	defer group.Wait()
 	for s.ctx.Err() == nil {
 		s.pause(renewalInterval)
 		now := s.clock.Now()
@@ -288,7 +303,7 @@
 		if !due {
 			continue
 		}
-		group.Go(func() {
+		s.group.Go(func() {
 			if permit, err := s.callOwner(now, 0, Events{}); err == nil && permit.Ended {
 				s.cancel()
 			}
@@ -309,7 +324,11 @@
 	if err != nil || permit.Ended {
 		return permit, err
 	}
+	now := s.clock.Now()
 	s.mu.Lock()
+	if number > 0 && now.Sub(sent) <= usefulRoundTrip {
+		s.lastContact = now
+	}
 	s.lastAnswered = max(s.lastAnswered, sent)
 	s.permittedUntil = max(s.permittedUntil, sent.Add(permit.RenewFor))
 	s.ownerTime = max(s.ownerTime, permit.OwnerTime)
