Show that a strong entry without the table changes the owner all the time

The owner hands over every three seconds while a much stronger entry answers pings. That entry cannot read the owner's row, so another weak entry takes over, and the pool has a new owner again three seconds later.

--- a/fold/node/simulation_test.go
+++ b/fold/node/simulation_test.go
@@ -146,6 +146,8 @@
 	// stallEnd is when the current stall of the table ends. stalled is the only entry that it concerns, or nil for all.
 	stallEnd time.Time
 	stalled  *simulatedEntry
+	// cut is an entry whose calls to the table get no answer, or nil.
+	cut *simulatedEntry
 	// entries are the entries that run and are not leaving.
 	entries []*simulatedEntry
 	// started counts the entries that were started, and submitted the jobs.
@@ -198,6 +200,20 @@
 	s.note("STALL %s for %s", nameOf(e), length)
 }
 
+// cutOff makes the table leave all calls of an entry without an answer.
+func (s *simulation) cutOff(e *simulatedEntry) {
+	s.mu.Lock()
+	s.cut = e
+	s.mu.Unlock()
+	s.note("CUT %s", nameOf(e))
+}
+
+func (s *simulation) isCut(e *simulatedEntry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cut != nil && s.cut == e
+}
+
 func nameOf(e *simulatedEntry) string {
 	if e == nil {
 		return "all"
@@ -422,7 +438,7 @@
 
 func (f simulatedTable) Commit(ctx context.Context, t fold.Txn) (int64, error) {
 	s := f.entry.sim
-	before, after, lost := s.between(time.Millisecond, 4*time.Millisecond), time.Millisecond, false
+	before, after, lost := s.between(time.Millisecond, 4*time.Millisecond), time.Millisecond, s.isCut(f.entry)
 	if left := s.stallLeft(f.entry); left > 0 {
 		switch s.intN(5) {
 		case 0:
@@ -457,6 +473,10 @@
 // delay delays a read.
 func (f simulatedTable) delay(ctx context.Context) error {
 	s := f.entry.sim
+	if s.isCut(f.entry) {
+		<-ctx.Done()
+		return fold.Unknown.Wrap(ctx.Err(), "no answer")
+	}
 	wait := s.between(time.Millisecond, 3*time.Millisecond)
 	if left := s.stallLeft(f.entry); left > 0 {
 		wait = min(left, s.between(60*time.Millisecond, 700*time.Millisecond))
