Free entries whose calls the adviser has lost

Jobs would wait for up to 22 s after an adviser that had lost calls answers again.

Cause: a call without an answer kept its entry from making another one until it was given up, and the limit for that doubled with each call that was given up, for all entries together. Calls lost by many entries raised it to 24 s at once.

Change: an entry makes another call once an answer is two seconds late, or twice as late as the last one, and the answer of the first call still counts for 12 s. An entry has eight calls without an answer at most.

--- a/fold/drive/advice.go
+++ b/fold/drive/advice.go
@@ -25,44 +25,57 @@
 	overdueFactor = 2
 	// usualDelayWeight is the weight of the newest answer in the moving average of the delay.
 	usualDelayWeight = 0.125
-	// minCallPatience and maxCallPatience are the bounds of the time by which an answer may be later than stated before the call
-	// is given up. The adviser may still serve the call, so until then its entry makes no other one.
-	minCallPatience = 3 * time.Second
-	maxCallPatience = 24 * time.Second
+	// minHoldDelay is how much later than stated an answer must be before its entry makes another call, if the last answer came in
+	// time. The adviser may still serve the first call, and serves the next one after it.
+	minHoldDelay = 2 * time.Second
+	// maxAnswerDelay is how much later than stated an answer may arrive.
+	maxAnswerDelay = 12 * time.Second
+	// maxUnanswered is the maximum number of calls of an entry without an answer. The adviser refuses calls beside 32 that wait.
+	maxUnanswered = 8
 	// askerRetryDelay is how long an entry is not used after its call failed.
 	askerRetryDelay = time.Second
 	// maxTicketAge is how old the tickets in an answer may be when it arrives.
 	maxTicketAge = 20 * time.Millisecond
 )
 
-// adviceCalls is the state of the calls to the adviser. Each entry makes one call at a time, because the adviser serves the
-// calls of an instance one after the other.
+// adviceCalls is the state of the calls to the adviser. An entry makes one call at a time as long as answers arrive, because the
+// adviser serves the calls of an instance one after the other.
 type adviceCalls struct {
+	// busy holds the entries that make no other call now. slowCalls is the number of them that make a slow one.
 	busy      map[string]bool
-	retryAt   map[string]fold.Instant
 	slowCalls int
-	// usualDelay is the moving average of how much later than stated answers arrive.
-	usualDelay time.Duration
-	// patience is how much later than stated an answer may arrive before the call is given up. It grows while calls are given
-	// up, so that an adviser that is late for long is not asked in vain.
-	patience time.Duration
-	report   adviceReport
+	// unanswered counts the calls without an answer, by entry.
+	unanswered map[string]int
+	retryAt    map[string]fold.Instant
+	// usualDelay is the moving average of how much later than stated answers arrive. lastDelay is that of the last answer.
+	usualDelay, lastDelay time.Duration
+	report                adviceReport
 }
 
-// recordDelay adjusts the limits to a call that was answered or given up. delay is how much longer than stated it took.
-func (s *adviceCalls) recordDelay(delay time.Duration, answered, timedOut bool) {
-	switch {
-	case answered:
-		s.usualDelay += time.Duration(usualDelayWeight * float64(max(0, delay)-s.usualDelay))
-		s.patience = min(max(minCallPatience, 2*delay), maxCallPatience)
-	case timedOut:
-		s.patience = min(2*s.patience, maxCallPatience)
-	}
+// recordDelay records how much later than stated an answer arrived.
+func (s *adviceCalls) recordDelay(delay time.Duration) {
+	s.lastDelay = max(0, delay)
+	s.usualDelay += time.Duration(usualDelayWeight * float64(s.lastDelay-s.usualDelay))
 }
 
 // overdueDelay returns how much later than stated an answer is overdue.
 func (s *adviceCalls) overdueDelay() time.Duration {
-	return min(minOverdueDelay+overdueFactor*s.usualDelay, s.patience)
+	return min(minOverdueDelay+overdueFactor*s.usualDelay, maxAnswerDelay)
+}
+
+// holdDelay returns how much later than stated an answer must be before its entry makes another call. An adviser that is late
+// for long gets no further calls before it has answered the ones before.
+func (s *adviceCalls) holdDelay() time.Duration {
+	return min(max(minHoldDelay, 2*s.lastDelay), maxAnswerDelay)
+}
+
+// inFlight returns the number of calls without an answer.
+func (s *adviceCalls) inFlight() int {
+	n := 0
+	for _, calls := range s.unanswered {
+		n += calls
+	}
+	return n
 }
 
 const (
@@ -108,7 +121,7 @@
 
 // runAdvice makes the calls that the cell wants through entries that are free, until ctx ends.
 func (d *Driver) runAdvice(ctx context.Context) {
-	state := &adviceCalls{busy: make(map[string]bool), retryAt: make(map[string]fold.Instant), patience: minCallPatience}
+	state := &adviceCalls{busy: make(map[string]bool), unanswered: make(map[string]int), retryAt: make(map[string]fold.Instant)}
 	done := make(chan func(), 64)
 	for {
 		d.dispatchAdvice(ctx, state, done)
@@ -126,7 +139,7 @@
 	askers := d.parts.AdviceCallers()
 	now := d.parts.Clock.Now()
 	for _, asker := range askers {
-		if state.busy[asker.Name()] || state.retryAt[asker.Name()] > now {
+		if name := asker.Name(); state.busy[name] || state.unanswered[name] >= maxUnanswered || state.retryAt[name] > now {
 			continue
 		}
 		slow := len(askers) < minEntriesForQuick || state.slowCalls < len(askers)-max(minQuickEntries, len(askers)/quickDivisor)
@@ -147,15 +160,33 @@
 func (d *Driver) callAdviser(ctx context.Context, state *adviceCalls, asker AdviceCaller, ask core.AdviceCall, done chan func()) {
 	name := asker.Name()
 	state.busy[name] = true
+	state.unanswered[name]++
 	isSlow := ask.Slow()
 	if isSlow {
 		state.slowCalls++
 	}
-	overdue, limit := ask.Duration+state.overdueDelay(), ask.Duration+state.patience
+	// The functions below run where dispatchAdvice does.
+	holds := true
+	freeEntry := func() {
+		if !holds {
+			return
+		}
+		holds = false
+		delete(state.busy, name)
+		if isSlow {
+			state.slowCalls--
+		}
+	}
+	overdue, hold := ask.Duration+state.overdueDelay(), ask.Duration+state.holdDelay()
 	d.spawn(func() {
 		sent := d.parts.Clock.Now()
-		call, cancel := context.WithTimeout(ctx, limit)
+		call, cancel := context.WithTimeout(ctx, ask.Duration+maxAnswerDelay)
 		d.spawn(func() { d.releaseOverdue(call, ask, overdue) })
+		d.spawn(func() {
+			if d.pause(call, hold) {
+				runLater(ctx, done, freeEntry)
+			}
+		})
 		advice, err := asker.Advise(call, ask.Step, ask.Hosts)
 		timedOut := call.Err() != nil && ctx.Err() == nil
 		cancel()
@@ -163,25 +194,31 @@
 		d.parts.Meter.Ask(took, err)
 		d.log.Debug("Called the adviser.", "step", ask.Step, "hosts", len(ask.Hosts), "approved", len(advice.Approvals), "by", name, "took", took.String(), "error", err)
 		d.updateCell(func(c *core.Cell) { c.ApplyAdvice(ask, advice, d.parts.Clock.Now().Add(-maxTicketAge), err) })
-		finish := func() {
-			state.recordDelay(took-ask.Duration, err == nil, timedOut)
-			state.report.add(ask.Step, name, took-ask.Duration, err)
-			state.report.logIfDue(d.log, d.parts.Clock.Now(), len(state.busy)-1)
-			delete(state.busy, name)
-			if isSlow {
-				state.slowCalls--
+		runLater(ctx, done, func() {
+			freeEntry()
+			if state.unanswered[name]--; state.unanswered[name] == 0 {
+				delete(state.unanswered, name)
+			}
+			if err == nil {
+				state.recordDelay(took - ask.Duration)
 			}
-			if err != nil {
+			state.report.add(ask.Step, name, took-ask.Duration, err)
+			state.report.logIfDue(d.log, d.parts.Clock.Now(), state.inFlight())
+			if err != nil && !timedOut {
 				state.retryAt[name] = d.parts.Clock.Now().Add(askerRetryDelay)
 			}
-		}
-		select {
-		case done <- finish:
-		case <-ctx.Done():
-		}
+		})
 	})
 }
 
+// runLater passes a function to the goroutine that dispatches calls, unless ctx ends.
+func runLater(ctx context.Context, done chan<- func(), fn func()) {
+	select {
+	case done <- fn:
+	case <-ctx.Done():
+	}
+}
+
 // releaseOverdue lets another call be made for the step of a call that is not answered within the given time. The context ends
 // with the call.
 func (d *Driver) releaseOverdue(call context.Context, ask core.AdviceCall, overdue time.Duration) {
