Make the first calls of all steps before further calls of wide ones

Cause: calls go to steps in the order of their ranks, so a wide step got up to four before a later step got its first one.

Change: further calls of a step come after the first calls of all others, also after those made ahead of time for steps that begin soon.

--- a/fold/core/advice.go
+++ b/fold/core/advice.go
@@ -174,15 +174,11 @@
 	validity time.Duration
 }
 
-// NextAdviceCall returns the most urgent call that is due. It skips slow calls unless slow is true.
+// NextAdviceCall returns the most urgent call that is due. It skips slow calls unless slow is true. Further calls of wide steps
+// come after the first calls of all other steps.
 func (c *Cell) NextAdviceCall(slow bool) (AdviceCall, bool) {
-	var held heldRoom
-	defer held.release()
-	for _, p := range c.active {
-		if call, ok := c.adviceCall(p, slow); ok {
-			return call, true
-		}
-		held.add(p)
+	if call, ok := c.nextActiveCall(slow, false); ok {
+		return call, true
 	}
 	for _, p := range c.active {
 		for _, n := range p.successors {
@@ -193,6 +189,22 @@
 			}
 		}
 	}
+	return c.nextActiveCall(slow, true)
+}
+
+// nextActiveCall returns the most urgent call for an active part. If further is true, it considers only the parts that wait for
+// the answer to another call, otherwise only the other parts.
+func (c *Cell) nextActiveCall(slow, further bool) (AdviceCall, bool) {
+	var held heldRoom
+	defer held.release()
+	for _, p := range c.active {
+		if further == (len(p.advice.pending) > 0) {
+			if call, ok := c.adviceCall(p, slow); ok {
+				return call, true
+			}
+		}
+		held.add(p)
+	}
 	return AdviceCall{}, false
 }
 
