Leave hosts with the supervisor that reaches them

What callers see: a host that only some entries reach answers, is taken from the entry that reaches it, is silent for half a second, and comes back, once for each entry. Starts on it are refused meanwhile.

Cause: balancing avoided only the supervisors that had failed to reach the host and went on to the next one.

Change: balancing leaves a host alone for a minute after any supervisor failed to reach it. If the owner itself has more hosts than it can supervise, it still hands them over after ten seconds.

--- a/fold/drive/reach_test.go
+++ b/fold/drive/reach_test.go
@@ -429,6 +429,46 @@
 	})
 }
 
+// Guards against hosts that are taken from the only relay that reaches them, because it has more hosts than others, and are
+// tried at one relay after the other.
+func TestHostsStayWithTheRelayThatReachesThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count, relays = 24, 4
+		hosts := newLinkedHosts(count)
+		d := startLinkedOwner(t, hosts, relays, 10, hosts.fakeHosts, 0)
+		time.Sleep(5 * time.Second)
+		submitJob(t, d, lastingJob(0, count))
+		time.Sleep(5 * time.Second)
+		hosts.setLinks(func(entry, address string) bool {
+			switch {
+			case address < "host-10":
+				return entry == "entry-0"
+			case address < "host-20":
+				return entry == "entry-1"
+			}
+			return entry == "entry-2" || entry == "entry-3"
+		})
+		time.Sleep(15 * time.Second)
+		before := 0
+		for n := range relays {
+			before += hosts.fruitlessCalls(fmt.Sprintf("entry-%d", n))
+		}
+		time.Sleep(time.Minute)
+		after := 0
+		for n := range relays {
+			after += hosts.fruitlessCalls(fmt.Sprintf("entry-%d", n))
+		}
+		// Two calls show that a host does not answer. Each of 20 hosts is tried at one other relay at most.
+		if n := after - before; n > 2*20 {
+			t.Errorf("%d calls in a minute reached no host, want at most %d", n, 2*20)
+		}
+		if left := hosts.unanswered(3 * time.Second); len(left) > 0 {
+			t.Errorf("%d hosts do not answer the owner: %v", len(left), left)
+		}
+		hosts.expectOnce(t)
+	})
+}
+
 // growingRoster lists hosts from the first up to a number that grows.
 type growingRoster struct {
 	*fakeHosts
--- a/fold/drive/supervision.go
+++ b/fold/drive/supervision.go
@@ -51,8 +51,8 @@
 	maxSilentMoves = 200
 	// silentRetryTime is how long a silent host is not assigned again to a supervisor that did not reach it.
 	silentRetryTime = 10 * time.Second
-	// balanceRetryTime is how long balancing does not assign a host to a supervisor that did not reach it. For hosts of this
-	// entry, if it has more than it can supervise, it is silentRetryTime.
+	// balanceRetryTime is how long balancing leaves a host alone after a supervisor did not reach it, because others may not
+	// reach it either. This entry hands over hosts beyond its capacity after silentRetryTime.
 	balanceRetryTime = time.Minute
 	// isolatedSilences is the number of hosts that must fall silent in a row before a supervisor counts as isolated.
 	isolatedSilences = 3
@@ -126,6 +126,16 @@
 	}
 }
 
+// failedAny reports whether any supervisor reported the host as silent within the given time.
+func (h *hostHistory) failedAny(now fold.Instant, within time.Duration) bool {
+	for s := range h.failedAt {
+		if h.failed(s, now, within) {
+			return true
+		}
+	}
+	return false
+}
+
 // failedSilent reports whether the supervisor has failed to reach the host since the host fell silent.
 func (h *hostHistory) failedSilent(supervisor string) bool {
 	at, ok := h.failedAt[supervisor]
@@ -514,12 +524,11 @@
 
 // balanceTarget returns the session that balancing assigns a host to, or nil if none is better. The caller holds the lock.
 func (l *supervision) balanceTarget(h fold.Host, a *assignment, load, answering map[supervisor]int, now fold.Instant) supervisor {
-	retryTime := balanceRetryTime
-	if a.supervisor == l.local && load[l.local] > l.local.capacity() {
-		retryTime = silentRetryTime
+	if a.history.failedAny(now, balanceRetryTime) && (a.supervisor != l.local || load[l.local] <= l.local.capacity()) {
+		return nil
 	}
 	candidate := l.leastLoaded(h, answering, func(s supervisor, _ int) (int64, bool) {
-		return 0, s != l.local && s != a.supervisor && load[s] < s.capacity() && l.usable(s, load[s], now) && !a.history.failed(s.name(), now, retryTime)
+		return 0, s != l.local && s != a.supervisor && load[s] < s.capacity() && l.usable(s, load[s], now) && !a.history.failed(s.name(), now, silentRetryTime)
 	})
 	if candidate != nil && a.supervisor != l.local && answering[candidate]+1 >= answering[a.supervisor] {
 		return nil
