Keep the pool when a stronger entry has lost the table

Callers saw a pool that changed its owner every 3 s while one strong entry had no contact to the table: each change loads all jobs again and refuses or delays calls in between.

Cause: an owner that is not fit ended its term as soon as a much stronger entry answered pings. Without the table that entry cannot take over, so another weak entry did, and ended its term for the same reason.

The owner now asks the stronger entries, in the loop that pings them, whether the table is healthy for them, and counts only those. The call is new; entries of an earlier version refuse it as unknown and count as before.

--- a/fold/node/ownercalls.go
+++ b/fold/node/ownercalls.go
@@ -31,6 +31,8 @@
 	inviteCall = "invite"
 	// closeCall asks an entry to refuse announcements of the previous owner. A new owner makes this call.
 	closeCall = "close"
+	// tableHealthyCall asks an entry whether the table is healthy for it (see tableHealthy).
+	tableHealthyCall = "healthy"
 )
 
 // ownerBackoffTime is how long this entry makes no calls to an owner that has failed to answer.
@@ -121,6 +123,9 @@
 	peer.Handle(transport, inviteCall, func(ctx context.Context, _ string, epoch int64) (bool, error) {
 		return n.tableHealthy(ctx) && n.acceptInvitation(epoch), nil
 	})
+	peer.Handle(transport, tableHealthyCall, func(ctx context.Context, _ string, _ struct{}) (bool, error) {
+		return n.tableHealthy(ctx), nil
+	})
 	peer.Handle(transport, stateCall, func(_ context.Context, _ string, id string) (jobState, error) {
 		d, err := n.loadedDriver()
 		if err != nil {
--- a/fold/node/peers.go
+++ b/fold/node/peers.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -85,6 +86,9 @@
 	lastContact map[string]fold.Instant
 	// registrations holds the last read registrations of all other entries, by name.
 	registrations map[string]registration
+	// strongerServed reports whether the table served an entry at the last refresh that is so much stronger that this one is
+	// not fit to own the pool.
+	strongerServed bool
 }
 
 // setTransport sets this entry's side of the connections to other entries.
@@ -139,6 +143,7 @@
 
 // follow keeps the registrations and the responding entries up to date until ctx ends.
 func (p *peers) follow(ctx context.Context) {
+	p.setStrongerServed(false)
 	for ctx.Err() == nil {
 		changed, err := p.refresh(ctx)
 		if err != nil && ctx.Err() == nil {
@@ -178,8 +183,8 @@
 	return entries, nil
 }
 
-// refresh reads the registrations, pings the entries without recent contact, and reports whether the set of responding
-// entries has changed.
+// refresh reads the registrations, pings the entries without recent contact, asks the stronger ones whether the table serves
+// them, and reports whether the set of responding entries has changed.
 func (p *peers) refresh(ctx context.Context) (changed bool, err error) {
 	entries, err := p.readRegistrations(ctx)
 	if err != nil {
@@ -214,9 +219,53 @@
 	changed = !maps.Equal(responding, p.responding)
 	p.responding = responding
 	p.mu.Unlock()
+	if served := p.askStronger(ctx); ctx.Err() == nil {
+		p.setStrongerServed(served)
+	}
 	return changed, nil
 }
 
+// maxStrongerAsked bounds how many entries askStronger asks at a time.
+const maxStrongerAsked = 16
+
+// askStronger reports whether the table serves a responding entry that is so much stronger that this one is not fit to own
+// the pool.
+func (p *peers) askStronger(ctx context.Context) bool {
+	transport := p.peerTransport()
+	if transport == nil {
+		return false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var served atomic.Bool
+	var group errgroup.Group
+	group.SetLimit(maxStrongerAsked)
+	for _, entry := range p.ranked() {
+		if p.self.Strength >= fitShare*entry.Strength || ctx.Err() != nil {
+			break
+		}
+		group.Go(func() error {
+			call, cancelCall := context.WithTimeout(ctx, pingTimeout)
+			defer cancelCall()
+			healthy, err := peer.Call[struct{}, bool](call, transport, entry.Address, tableHealthyCall, struct{}{})
+			// An entry of an earlier version does not know the call and refuses it as Invalid.
+			if err == nil && healthy || errorx.IsOfType(err, fold.Invalid) {
+				served.Store(true)
+				cancel()
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return served.Load()
+}
+
+func (p *peers) setStrongerServed(served bool) {
+	p.mu.Lock()
+	p.strongerServed = served
+	p.mu.Unlock()
+}
+
 // recentContact is how long an entry counts as responding after it has pinged this one. Entries that the owner's row does
 // not list ping once a second.
 const recentContact = 1300 * time.Millisecond
@@ -271,10 +320,12 @@
 	return incarnations, fitCount
 }
 
-// strongerExists reports whether another entry is so much stronger that this one is not fit to own the pool.
+// strongerExists reports whether the table serves another entry that is so much stronger that this one is not fit to own the
+// pool. An entry without the table could not take over.
 func (p *peers) strongerExists() bool {
-	ranked := p.ranked()
-	return len(ranked) > 0 && p.self.Strength < fitShare*ranked[0].Strength
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.strongerServed
 }
 
 // invite asks the responding entries, the strongest first, to take over from the owner of the epoch, until one accepts.
