Count late answers of the configuration feed

Callers saw all entries refuse jobs and report that they were not ready while the feed of the configuration answered 0.45 s or more after the wait that it was asked for.

Cause: a read of the feed was given up 0.4 s after its wait and then repeated. When each answer takes longer, none is received, and the age of the configuration grows without limit.

A read now goes on for 3 s, and its answer counts with the time at which it was sent. As before, another read starts, and another entry is asked, when 0.4 s have passed after the wait. At most three reads run at a time.

Readiness needs an age below 1.5 s.

--- a/fold/front/rules.go
+++ b/fold/front/rules.go
@@ -15,8 +15,11 @@
 const (
 	// pollWait bounds the wait for a new revision in one call, and thereby the age of the confirmed configuration.
 	pollWait = 700 * time.Millisecond
-	// pollMargin is the time that a call may take in addition to its wait, so that a dead connection is detected.
+	// pollMargin is the time that a call may take in addition to its wait before another one is started, so that a dead
+	// connection is detected.
 	pollMargin = 400 * time.Millisecond
+	// lateAnswerTimeout bounds a call. An answer that arrives after pollMargin and before this timeout still counts.
+	lateAnswerTimeout = 3 * time.Second
 	// pollRetryDelay is the delay after a failed call.
 	pollRetryDelay = 100 * time.Millisecond
 	// askOtherAge is the age of the configuration from which on another entry is asked for it.
@@ -43,6 +46,9 @@
 	version int64
 	// confirmedAt is when the call that last confirmed the configuration was sent.
 	confirmedAt fold.Instant
+
+	// calls are the calls that wait for a new revision.
+	calls sync.WaitGroup
 }
 
 // NewRules returns a follower of the source; changed is called with each new revision.
@@ -65,6 +71,7 @@
 
 // Run keeps the configuration up to date until ctx ends.
 func (r *Rules) Run(ctx context.Context) {
+	defer r.calls.Wait()
 	lost := false
 	for ctx.Err() == nil {
 		err := r.poll(ctx)
@@ -110,14 +117,35 @@
 	if index, _, _ := r.Current(); index == nil {
 		return r.Refresh(ctx)
 	}
+	notice, cancel := context.WithTimeout(ctx, pollWait+pollMargin)
+	defer cancel()
+	answer := make(chan error)
+	r.calls.Go(func() {
+		err := r.waitForChange(ctx)
+		select {
+		case answer <- err:
+		case <-notice.Done():
+			r.finishLate(ctx, err)
+		}
+	})
+	select {
+	case err := <-answer:
+		if errorx.IsOfType(err, fold.Outdated) {
+			return r.pollRow(ctx)
+		}
+		return err
+	case <-notice.Done():
+		return fold.Unknown.Wrap(notice.Err(), "no answer about the configuration yet")
+	}
+}
+
+// waitForChange waits up to pollWait for a new revision and applies the answer.
+func (r *Rules) waitForChange(ctx context.Context) error {
 	_, version, _ := r.Current()
 	sent := r.clock.Now()
-	call, cancel := context.WithTimeout(ctx, pollWait+pollMargin)
+	call, cancel := context.WithTimeout(ctx, lateAnswerTimeout)
 	defer cancel()
 	rules, next, changed, err := r.source.Next(call, version, pollWait)
-	if errorx.IsOfType(err, fold.Outdated) {
-		return r.pollRow(ctx)
-	}
 	if err != nil {
 		return err
 	}
@@ -125,6 +153,16 @@
 	return nil
 }
 
+// finishLate handles the result of a call that poll no longer waits for.
+func (r *Rules) finishLate(ctx context.Context, err error) {
+	if errorx.IsOfType(err, fold.Outdated) {
+		err = r.Refresh(ctx)
+	}
+	if err != nil && ctx.Err() == nil {
+		r.log.Debug("A late call for the configuration failed.", "error", err)
+	}
+}
+
 // pollRow reads the whole row instead of its changes, because the table no longer has those since the row was written. It then
 // waits, because the next call for changes would fail at once.
 func (r *Rules) pollRow(ctx context.Context) error {
