--- a/fold/drive/adviser_test.go
+++ b/fold/drive/adviser_test.go
@@ -116,7 +116,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const tasks = 6
 		adviser := newLateAdviser(8*time.Second, 0)
-		d, hosts := startLateAdviser(t, adviser, 100)
+		d, hosts := startAdvised(t, adviser, callersOf(adviser, poolEntries), 100)
 		submitWatchJobs(t, d, 1, tasks)
 		time.Sleep(time.Minute)
 		hosts.mu.Lock()
@@ -131,15 +131,22 @@
 	return &lateAdviser{policy: watchPolicy, late: late, delivery: delivery, free: make(map[string]time.Time), issued: make(map[string]time.Time)}
 }
 
-// startLateAdviser runs an owner of a number of hosts with as many entries as a pool of 350 hosts has.
-func startLateAdviser(t *testing.T, adviser *lateAdviser, count int) (*drive.Driver, *fakeHosts) {
-	t.Helper()
-	const entries = 37
-	hosts := newFakeHosts(count, time.Hour)
+// poolEntries is the number of entries of a pool of 350 hosts.
+const poolEntries = 37
+
+// callersOf returns callers of the adviser through a number of entries.
+func callersOf(adviser *lateAdviser, entries int) []drive.AdviceCaller {
 	var callers []drive.AdviceCaller
 	for n := range entries {
 		callers = append(callers, adviceCaller{name: fmt.Sprintf("entry-%02d", n), adviser: adviser})
 	}
+	return callers
+}
+
+// startAdvised runs an owner of a number of hosts that check the tickets of the adviser.
+func startAdvised(t *testing.T, adviser *lateAdviser, callers []drive.AdviceCaller, count int) (*drive.Driver, *fakeHosts) {
+	t.Helper()
+	hosts := newFakeHosts(count, time.Hour)
 	table := plat.NewTable()
 	d := startDriver(t, table, table, hosts, func(p *drive.Parts) {
 		p.Runner = ticketHosts{hosts, adviser}
@@ -172,7 +179,7 @@
 	t.Helper()
 	const jobs, tasks = 12, 6
 	adviser := newLateAdviser(late, delivery)
-	d, hosts := startLateAdviser(t, adviser, 100)
+	d, hosts := startAdvised(t, adviser, callersOf(adviser, poolEntries), 100)
 	submitted := submitWatchJobs(t, d, jobs, tasks)
 	time.Sleep(30 * time.Second)
 	hosts.mu.Lock()
--- a/fold/drive/adviseroutage_test.go
+++ b/fold/drive/adviseroutage_test.go
@@ -11,7 +11,6 @@
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/drive"
 	"plantainfold.example/fold/flow"
-	"plantainfold.example/fold/plat"
 )
 
 // losingCaller answers none of the calls that it gets while lost is set.
@@ -51,17 +50,11 @@
 	t.Helper()
 	var lost atomic.Bool
 	adviser := newLateAdviser(0, 0)
-	hosts := newFakeHosts(100, time.Hour)
-	var callers []drive.AdviceCaller
-	for n := range entries {
-		callers = append(callers, losingCaller{adviceCaller{name: fmt.Sprintf("entry-%02d", n), adviser: adviser}, &lost})
+	callers := callersOf(adviser, entries)
+	for n := range callers {
+		callers[n] = losingCaller{callers[n], &lost}
 	}
-	table := plat.NewTable()
-	d := startDriver(t, table, table, hosts, func(p *drive.Parts) {
-		p.Runner = ticketHosts{hosts, adviser}
-		p.AdviceCallers = func() []drive.AdviceCaller { return callers }
-	})
-	time.Sleep(5 * time.Second)
+	d, hosts := startAdvised(t, adviser, callers, 100)
 	lost.Store(true)
 	began := time.Now()
 	submitted := submitWatchJobs(t, d, jobs, tasks)
--- a/fold/drive/onelost_test.go
+++ b/fold/drive/onelost_test.go
@@ -7,9 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"plantainfold.example/fold/drive"
 	"plantainfold.example/fold/flow"
-	"plantainfold.example/fold/plat"
 )
 
 // Guards against a step that waits until a lost call is given up, although other entries could call the adviser.
@@ -21,21 +19,9 @@
 				var lost atomic.Bool
 				lost.Store(true)
 				adviser := newLateAdviser(0, 0)
-				hosts := newFakeHosts(100, time.Hour)
-				var callers []drive.AdviceCaller
-				for n := range entries {
-					var c drive.AdviceCaller = adviceCaller{name: fmt.Sprintf("entry-%02d", n), adviser: adviser}
-					if n == 0 {
-						c = losingCaller{c, &lost}
-					}
-					callers = append(callers, c)
-				}
-				table := plat.NewTable()
-				d := startDriver(t, table, table, hosts, func(p *drive.Parts) {
-					p.Runner = ticketHosts{hosts, adviser}
-					p.AdviceCallers = func() []drive.AdviceCaller { return callers }
-				})
-				time.Sleep(5 * time.Second)
+				callers := callersOf(adviser, entries)
+				callers[0] = losingCaller{callers[0], &lost}
+				d, hosts := startAdvised(t, adviser, callers, 100)
 				submitted := submitWatchJobs(t, d, jobs, tasks)
 				time.Sleep(30 * time.Second)
 				hosts.mu.Lock()
--- a/fold/drive/wide_test.go
+++ b/fold/drive/wide_test.go
@@ -16,7 +16,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				const tasks = 100
 				adviser := newLateAdviser(late, 0)
-				d, hosts := startLateAdviser(t, adviser, 350)
+				d, hosts := startAdvised(t, adviser, callersOf(adviser, poolEntries), 350)
 				submitted := submitWatchJobs(t, d, 1, tasks)[testJob(0, 0).ID]
 				time.Sleep(time.Minute)
 				hosts.mu.Lock()
--- a/fold/drive/wideshare_test.go
+++ b/fold/drive/wideshare_test.go
@@ -7,9 +7,7 @@
 	"time"
 
 	"plantainfold.example/fold"
-	"plantainfold.example/fold/drive"
 	"plantainfold.example/fold/flow"
-	"plantainfold.example/fold/plat"
 )
 
 // Guards against jobs with nothing running while wide steps use all calls to the adviser.
@@ -18,17 +16,7 @@
 		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				adviser := newLateAdviser(0, 0)
-				hosts := newFakeHosts(350, time.Hour)
-				var callers []drive.AdviceCaller
-				for n := range entries {
-					callers = append(callers, adviceCaller{name: fmt.Sprintf("entry-%02d", n), adviser: adviser})
-				}
-				table := plat.NewTable()
-				d := startDriver(t, table, table, hosts, func(p *drive.Parts) {
-					p.Runner = ticketHosts{hosts, adviser}
-					p.AdviceCallers = func() []drive.AdviceCaller { return callers }
-				})
-				time.Sleep(5 * time.Second)
+				d, hosts := startAdvised(t, adviser, callersOf(adviser, entries), 350)
 				queue := testQueue
 				queue.Name, queue.Advice = "watch", &watchPolicy
 				sent := time.Now()
