--- a/fold/relay/detection_test.go
+++ b/fold/relay/detection_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,7 +23,7 @@
 // delayedHost answers Hold calls late while delay is set.
 type delayedHost struct {
 	fold.Runner
-	delay *time.Duration
+	delay *atomic.Int64
 }
 
 func (h delayedHost) Hold(ctx context.Context, on fold.Host, q fold.HoldRequest) (fold.HoldReply, error) {
@@ -30,7 +31,7 @@
 	select {
 	case <-ctx.Done():
 		return fold.HoldReply{}, fold.Unknown.Wrap(ctx.Err(), "no answer")
-	case <-time.After(*h.delay):
+	case <-time.After(time.Duration(h.delay.Load())):
 		return reply, err
 	}
 }
@@ -45,19 +46,19 @@
 				if eventful {
 					runner = eventfulHost{h}
 				}
-				delay := time.Duration(0)
+				var delay atomic.Int64
 				r := relay.New(parts(delayedHost{runner, &delay}))
 				defer func() { _ = r.Close() }()
 				info := contact
 				info.MaxWait = time.Second
 				r.Apply(relay.Orders{Contacts: []relay.Contact{info}})
 				time.Sleep(5 * time.Second)
-				for delay < 1200*time.Millisecond {
+				for time.Duration(delay.Load()) < 1200*time.Millisecond {
 					// The answers become late little by little.
-					delay += 200 * time.Millisecond
+					delay.Add(int64(200 * time.Millisecond))
 					time.Sleep(4 * time.Second)
 				}
-				delay = 0
+				delay.Store(0)
 				time.Sleep(time.Minute)
 				r.Events(t.Context(), 0)
 				h.update(func(h *fakeHost) { h.silent = true })
