Start no tasks in evacuated failure domains

Cause: nothing read the rows op/evacuate/ZONE. Also, the follower of the configuration continued the feed of the table op from the version of the configuration's row.

Change: fold.Declared holds the configuration, the evacuated failure domains and the position of the feed. core closes the hosts of these domains for new runs, drops plans whose start was not sent and gives up starts without an answer. Entries without the store get the state from the owner.

--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -184,7 +185,11 @@
 	if rules.Revision < c.rules.Revision {
 		return
 	}
+	evacuationChanged := !slices.Equal(rules.Evacuated, c.rules.Evacuated)
 	c.rules = rules
+	if evacuationChanged {
+		c.setEvacuated()
+	}
 	clear(c.queues)
 	for _, q := range rules.Queues {
 		c.queues[q.Name] = q
--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -52,6 +52,8 @@
 	sentMaxWait time.Duration
 	// runsChanged reports whether runs of the host were added or removed since the last call of Orders.
 	runsChanged bool
+	// evacuated reports whether the operator has evacuated the failure domain of the host. Runs that are there go on.
+	evacuated bool
 	// silentSince is when the host stopped answering, or 0 if it answers.
 	silentSince fold.Instant
 
@@ -120,7 +122,7 @@
 			h.health.leavesAt = c.now.Add(info.Remaining)
 		}
 		h.info = info
-		h.listed, h.described = true, true
+		h.listed, h.described, h.evacuated = true, true, slices.Contains(c.rules.Evacuated, info.Domain)
 	}
 	c.hostsByID = slices.DeleteFunc(c.hostsByID, func(h *host) bool {
 		if inRoster[h.info.ID] {
@@ -196,7 +198,7 @@
 
 // acceptsWork reports whether the host takes new runs.
 func (h *host) acceptsWork(now fold.Instant) bool {
-	return h.listed && h.described && h.enforcesFence && !h.info.Draining && h.silentSince == 0 && len(h.forbiddenStarts) == 0 && !h.health.quarantined(now) &&
+	return h.listed && h.described && h.enforcesFence && !h.info.Draining && !h.evacuated && h.silentSince == 0 && len(h.forbiddenStarts) == 0 && !h.health.quarantined(now) &&
 		(h.lastUnknownRun == 0 || now.Sub(h.lastUnknownRun) > unknownRunPause)
 }
 
--- a/fold/core/orders.go
+++ b/fold/core/orders.go
@@ -176,9 +176,10 @@
 	}
 }
 
-// retryStart sends a start again. The host gives the same answer for a run that it has already started.
+// retryStart sends a start again, unless its host was evacuated meanwhile. The host gives the same answer for a run that it has
+// already started.
 func (c *Cell) retryStart(r *run) {
-	if r.tries < maxStartTries {
+	if r.tries < maxStartTries && !r.host.evacuated {
 		c.orderStart(r)
 		return
 	}
--- a/fold/front/front_test.go
+++ b/fold/front/front_test.go
@@ -51,13 +51,12 @@
 // rules is a rules source whose configuration never changes.
 type rules struct{}
 
-func (rules) Read(context.Context) (fold.Rules, int64, error) {
-	return fold.Rules{Revision: 1, Queues: []fold.Queue{{Name: "q", Host: "h", Prefix: "/p/"}}, Teams: []fold.TeamRule{{Name: "t", Keys: []string{"k"}}}}, 0, nil
+func (rules) Read(context.Context) (fold.Declared, error) {
+	return fold.Declared{Rules: fold.Rules{Revision: 1, Queues: []fold.Queue{{Name: "q", Host: "h", Prefix: "/p/"}}, Teams: []fold.TeamRule{{Name: "t", Keys: []string{"k"}}}}}, nil
 }
 
-func (r rules) Next(ctx context.Context, _ int64, _ time.Duration) (fold.Rules, int64, bool, error) {
-	now, version, err := r.Read(ctx)
-	return now, version, false, err
+func (rules) Next(_ context.Context, known fold.Declared, _ time.Duration) (fold.Declared, bool, error) {
+	return known, false, nil
 }
 
 func (rules) Check(version int64) fold.Check { return fold.Check{Key: "op/rules", Version: version} }
@@ -158,14 +157,14 @@
 	revision, reads atomic.Int64
 }
 
-func (o *outdatedRules) Read(context.Context) (fold.Rules, int64, error) {
+func (o *outdatedRules) Read(context.Context) (fold.Declared, error) {
 	o.reads.Add(1)
 	revision := o.revision.Load()
-	return fold.Rules{Revision: revision}, revision, nil
+	return fold.Declared{Rules: fold.Rules{Revision: revision}, Version: revision, Changed: revision, Position: revision}, nil
 }
 
-func (*outdatedRules) Next(context.Context, int64, time.Duration) (fold.Rules, int64, bool, error) {
-	return fold.Rules{}, 0, false, fold.Refuse(fold.Outdated, "read the table again", "the history is gone")
+func (*outdatedRules) Next(context.Context, fold.Declared, time.Duration) (fold.Declared, bool, error) {
+	return fold.Declared{}, false, fold.Refuse(fold.Outdated, "read the table again", "the history is gone")
 }
 
 // Guards against a configuration, for example a lowered limit or a withdrawn key, that never comes into force because the feed
--- a/fold/front/latefeed_test.go
+++ b/fold/front/latefeed_test.go
@@ -27,30 +27,30 @@
 	running, most int
 }
 
-func (l *lateRules) Read(context.Context) (fold.Rules, int64, error) {
+func (l *lateRules) Read(context.Context) (fold.Declared, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return fold.Rules{Revision: l.revision}, l.revision, nil
+	return fold.Declared{Rules: fold.Rules{Revision: l.revision}, Version: l.revision, Changed: l.revision, Position: l.revision}, nil
 }
 
-func (l *lateRules) Next(ctx context.Context, after int64, wait time.Duration) (fold.Rules, int64, bool, error) {
+func (l *lateRules) Next(ctx context.Context, known fold.Declared, wait time.Duration) (fold.Declared, bool, error) {
 	l.count(1)
 	defer l.count(-1)
 	if l.delay < 0 {
 		<-ctx.Done()
-		return fold.Rules{}, 0, false, fold.Unknown.Wrap(ctx.Err(), "no answer")
+		return fold.Declared{}, false, fold.Unknown.Wrap(ctx.Err(), "no answer")
 	}
 	time.Sleep(wait)
-	rules, version, _ := l.Read(ctx)
+	declared, _ := l.Read(ctx)
 	select {
 	case <-ctx.Done():
-		return fold.Rules{}, 0, false, fold.Unknown.Wrap(ctx.Err(), "no answer")
+		return fold.Declared{}, false, fold.Unknown.Wrap(ctx.Err(), "no answer")
 	case <-time.After(l.delay):
 	}
 	if l.outdated {
-		return fold.Rules{}, 0, false, fold.Outdated.New("the changes are no longer available")
+		return fold.Declared{}, false, fold.Outdated.New("the changes are no longer available")
 	}
-	return rules, version, version > after, nil
+	return declared, declared.Changed > known.Changed, nil
 }
 
 func (l *lateRules) count(n int) {
@@ -121,9 +121,9 @@
 		r := front.NewRules(source, virtualClock{}, hclog.NewNullLogger(), func(fold.Rules) {})
 		begin := time.Now()
 		asked := make(chan time.Duration, 100)
-		r.SetFallback(func(context.Context, int64) (*fold.Rules, int64, time.Duration, error) {
+		r.SetFallback(func(context.Context, int64) (fold.Declared, time.Duration, error) {
 			asked <- time.Since(begin)
-			return nil, 0, 0, errors.New("no other entry")
+			return fold.Declared{}, 0, errors.New("no other entry")
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/fold/front/rules.go
+++ b/fold/front/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,36 +29,42 @@
 	readTimeout = 700 * time.Millisecond
 )
 
+// AskOther asks another entry for what the operator has declared, if that changed after the position. It returns the state and
+// its age. The rules of the state are empty if they did not change.
+type AskOther func(ctx context.Context, changed int64) (fold.Declared, time.Duration, error)
+
 // Rules follows the declared configuration.
 type Rules struct {
 	source fold.RulesSource
 	clock  fold.Clock
 	log    hclog.Logger
-	// changed is called with each new revision.
+	// changed is called with each new revision and each change of the evacuated failure domains.
 	changed func(fold.Rules)
-	// askOther asks another entry for a configuration newer than the version. It returns that configuration or nil, and the
-	// version and the age of what the other entry knows.
-	askOther func(ctx context.Context, version int64) (*fold.Rules, int64, time.Duration, error)
+	// askOther asks another entry for a state that changed after the given position, see AskOther.
+	askOther AskOther
 
 	mu sync.Mutex
 	// index is the newest configuration, or nil before the first is read.
 	index *book.Index
-	// version is the version of its row.
-	version int64
+	// declared is the newest known state. The index is made from its rules.
+	declared fold.Declared
 	// confirmedAt is when the call that last confirmed the configuration was sent.
 	confirmedAt fold.Instant
 
+	// applying is held while a state is put into force, so that changed is called in the order of the states.
+	applying sync.Mutex
 	// calls are the calls that wait for a new revision.
 	calls sync.WaitGroup
 }
 
-// NewRules returns a follower of the source; changed is called with each new revision.
+// NewRules returns a follower of the source; changed is called with each new revision and each change of the
+// evacuated failure domains.
 func NewRules(source fold.RulesSource, clock fold.Clock, log hclog.Logger, changed func(fold.Rules)) *Rules {
 	return &Rules{source: source, clock: clock, log: log.Named("rules"), changed: changed}
 }
 
 // SetFallback sets the function that asks another entry while the source does not answer.
-func (r *Rules) SetFallback(askOther func(ctx context.Context, version int64) (*fold.Rules, int64, time.Duration, error)) {
+func (r *Rules) SetFallback(askOther AskOther) {
 	r.askOther = askOther
 }
 
@@ -66,7 +73,14 @@
 func (r *Rules) Current() (*book.Index, int64, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.index, r.version, r.clock.Now().Sub(r.confirmedAt)
+	return r.index, r.declared.Version, r.clock.Now().Sub(r.confirmedAt)
+}
+
+// Declared returns the newest known state.
+func (r *Rules) Declared() fold.Declared {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.declared
 }
 
 // Run keeps the configuration up to date until ctx ends.
@@ -96,21 +110,23 @@
 
 // refreshFromOther applies the configuration of another entry if this entry's copy is older than askOtherAge.
 func (r *Rules) refreshFromOther(ctx context.Context) {
-	index, version, age := r.Current()
+	index, _, age := r.Current()
 	if r.askOther == nil || index == nil || age < askOtherAge {
 		return
 	}
 	sent := r.clock.Now()
-	rules, otherVersion, otherAge, err := r.askOther(ctx, version)
+	known := r.Declared()
+	other, otherAge, err := r.askOther(ctx, known.Changed)
 	if err != nil {
 		r.log.Debug("Could not get the configuration from another entry.", "error", err)
 		return
 	}
-	if rules == nil {
-		r.apply(index.Rules(), otherVersion, false, sent.Add(-otherAge))
-		return
+	if other.Changed == known.Changed {
+		other.Rules, other.Version = known.Rules, known.Version
 	}
-	r.apply(*rules, otherVersion, true, sent.Add(-otherAge))
+	// The position of this entry's feed must not skip changes that the other entry has not seen.
+	other.Position = min(other.Position, other.Changed)
+	r.apply(other, sent.Add(-otherAge))
 }
 
 func (r *Rules) poll(ctx context.Context) error {
@@ -141,15 +157,14 @@
 
 // waitForChange waits up to pollWait for a new revision and applies the answer.
 func (r *Rules) waitForChange(ctx context.Context) error {
-	_, version, _ := r.Current()
 	sent := r.clock.Now()
 	call, cancel := context.WithTimeout(ctx, lateAnswerTimeout)
 	defer cancel()
-	rules, next, changed, err := r.source.Next(call, version, pollWait)
+	declared, _, err := r.source.Next(call, r.Declared(), pollWait)
 	if err != nil {
 		return err
 	}
-	r.apply(rules, next, changed, sent)
+	r.apply(declared, sent)
 	return nil
 }
 
@@ -182,31 +197,41 @@
 	sent := r.clock.Now()
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	rules, version, err := r.source.Read(call)
+	declared, err := r.source.Read(call)
 	if err != nil {
 		return err
 	}
-	r.apply(rules, version, true, sent)
+	r.apply(declared, sent)
 	return nil
 }
 
-// apply puts a configuration into force unless its version is older than the current one. The argument sent is the time at
-// which it was requested.
-func (r *Rules) apply(rules fold.Rules, version int64, changed bool, sent fold.Instant) {
+// apply puts a state into force unless an entry or the feed has shown a newer one before. The argument sent is the time at which
+// it was requested.
+func (r *Rules) apply(declared fold.Declared, sent fold.Instant) {
+	r.applying.Lock()
+	defer r.applying.Unlock()
 	r.mu.Lock()
-	if version < r.version {
+	if declared.Changed < r.declared.Changed || r.index != nil && declared.Rules.Revision < r.declared.Rules.Revision {
 		r.mu.Unlock()
 		return
 	}
-	r.version = version
+	known := r.declared
+	declared.Position = max(declared.Position, known.Position)
+	r.declared = declared
 	r.confirmedAt = max(r.confirmedAt, sent)
-	newer := changed && (r.index == nil || rules.Revision > r.index.Rules().Revision)
-	if newer {
-		r.index = book.New(rules)
+	newRules := r.index == nil || declared.Rules.Revision > known.Rules.Revision
+	newEvacuation := !slices.Equal(declared.Rules.Evacuated, known.Rules.Evacuated)
+	if newRules || newEvacuation {
+		r.index = book.New(declared.Rules)
 	}
 	r.mu.Unlock()
-	if newer {
-		r.log.Info("Configuration in force.", "revision", rules.Revision, "queues", len(rules.Queues), "teams", len(rules.Teams))
-		r.changed(rules)
+	if newRules {
+		r.log.Info("Configuration in force.", "revision", declared.Rules.Revision, "queues", len(declared.Rules.Queues), "teams", len(declared.Rules.Teams))
+	}
+	if newEvacuation {
+		r.log.Info("The evacuated failure domains changed.", "domains", declared.Rules.Evacuated, "before", known.Rules.Evacuated)
+	}
+	if newRules || newEvacuation {
+		r.changed(declared.Rules)
 	}
 }
--- a/fold/front/slowfeed_test.go
+++ b/fold/front/slowfeed_test.go
@@ -29,12 +29,12 @@
 	}
 }
 
-func (s slowRules) Read(ctx context.Context) (fold.Rules, int64, error) {
-	return fold.Rules{Revision: 1}, 1, s.sleep(ctx, 0)
+func (s slowRules) Read(ctx context.Context) (fold.Declared, error) {
+	return fold.Declared{Rules: fold.Rules{Revision: 1}, Version: 1, Changed: 1, Position: 1}, s.sleep(ctx, 0)
 }
 
-func (s slowRules) Next(ctx context.Context, _ int64, wait time.Duration) (fold.Rules, int64, bool, error) {
-	return fold.Rules{}, 1, false, s.sleep(ctx, wait)
+func (s slowRules) Next(ctx context.Context, known fold.Declared, wait time.Duration) (fold.Declared, bool, error) {
+	return known, false, s.sleep(ctx, wait)
 }
 
 func (slowRules) Check(int64) fold.Check { return fold.Check{} }
--- a/fold/node/simulation_test.go
+++ b/fold/node/simulation_test.go
@@ -413,16 +413,17 @@
 	queue fold.Queue
 }
 
-func (r simulatedRules) Read(context.Context) (fold.Rules, int64, error) {
-	return fold.Rules{Revision: 1, Queues: []fold.Queue{r.queue}, Teams: []fold.TeamRule{{Name: "crews"}}}, 1, nil
+func (r simulatedRules) Read(context.Context) (fold.Declared, error) {
+	rules := fold.Rules{Revision: 1, Queues: []fold.Queue{r.queue}, Teams: []fold.TeamRule{{Name: "crews"}}}
+	return fold.Declared{Rules: rules, Version: 1, Changed: 1, Position: 1}, nil
 }
 
-func (r simulatedRules) Next(ctx context.Context, _ int64, wait time.Duration) (fold.Rules, int64, bool, error) {
+func (r simulatedRules) Next(ctx context.Context, known fold.Declared, wait time.Duration) (fold.Declared, bool, error) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
 	}
-	return fold.Rules{}, 1, false, ctx.Err()
+	return known, false, ctx.Err()
 }
 
 func (simulatedRules) Check(version int64) fold.Check {
--- a/fold/node/snapshot.go
+++ b/fold/node/snapshot.go
@@ -14,10 +14,8 @@
 
 // snapshot is an entry's copy of the table's configuration and owner, for an entry that cannot reach the table.
 type snapshot struct {
-	// Rules is the configuration, or nil if the asking entry already has it.
-	Rules *fold.Rules `json:"rules,omitempty"`
-	// Version is the version of the configuration's row.
-	Version int64 `json:"version"`
+	// Declared is what the operator has declared. It has no rules if the asking entry already has them.
+	Declared fold.Declared `json:"declared"`
 	// RulesAge is the time since the table confirmed the configuration.
 	RulesAge time.Duration `json:"rulesage"`
 	// Owner is the owner's row.
@@ -28,13 +26,12 @@
 	OwnerAge time.Duration `json:"ownerage"`
 }
 
-// snapshotFor returns this entry's snapshot for an entry that has the given version of the configuration.
+// snapshotFor returns this entry's snapshot for an entry whose configuration last changed at the given position of the feed.
 func (n *Node) snapshotFor(known int64) snapshot {
-	index, version, age := n.rules.Current()
-	out := snapshot{Version: version, RulesAge: age}
-	if index != nil && version > known {
-		rules := index.Rules()
-		out.Rules = &rules
+	_, _, age := n.rules.Current()
+	out := snapshot{Declared: n.rules.Declared(), RulesAge: age}
+	if out.Declared.Changed <= known {
+		out.Declared.Rules = fold.Rules{}
 	}
 	n.mu.Lock()
 	out.Owner, out.OwnerVersion, out.OwnerAge = n.ownerRow.owner, n.ownerRow.version, n.clock.Now().Sub(n.ownerRow.readAt)
@@ -49,25 +46,25 @@
 }
 
 // fetchSnapshot asks the owner of the pool for a snapshot and applies its owner's row.
-func (n *Node) fetchSnapshot(ctx context.Context, known int64) (rules *fold.Rules, version int64, age time.Duration, err error) {
+func (n *Node) fetchSnapshot(ctx context.Context, known int64) (declared fold.Declared, age time.Duration, err error) {
 	n.mu.Lock()
 	s := n.ownerRow
 	n.mu.Unlock()
 	transport := n.peers.peerTransport()
 	if transport == nil || s.owner.Address == "" || s.owner.Entry == n.settings.Name {
-		return nil, 0, 0, fold.Refuse(fold.Unavailable, "wait for the table", "cannot ask another entry for the configuration: no other owner is known")
+		return fold.Declared{}, 0, fold.Refuse(fold.Unavailable, "wait for the table", "cannot ask another entry for the configuration: no other owner is known")
 	}
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	sent := n.clock.Now()
 	reply, err := peer.Call[int64, snapshot](ctx, transport, s.owner.Address, snapshotCall, known)
 	if err != nil {
-		return nil, 0, 0, err
+		return fold.Declared{}, 0, err
 	}
 	n.mu.Lock()
 	if readAt := sent.Add(-reply.OwnerAge); reply.Owner.Epoch >= n.ownerRow.owner.Epoch && readAt > n.ownerRow.readAt {
 		n.ownerRow.owner, n.ownerRow.readAt = reply.Owner, readAt
 	}
 	n.mu.Unlock()
-	return reply.Rules, reply.Version, reply.RulesAge, nil
+	return reply.Declared, reply.RulesAge, nil
 }
--- a/fold/node/standin_test.go
+++ b/fold/node/standin_test.go
@@ -42,18 +42,18 @@
 	r.current, r.version = next, version
 }
 
-func (r *rules) Read(context.Context) (fold.Rules, int64, error) {
+func (r *rules) Read(context.Context) (fold.Declared, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.current, r.version, nil
+	return fold.Declared{Rules: r.current, Version: r.version, Changed: r.version, Position: r.version}, nil
 }
 
-func (r *rules) Next(ctx context.Context, after int64, wait time.Duration) (fold.Rules, int64, bool, error) {
-	if _, _, err := r.table.Changes(ctx, "op/", after, wait); err != nil {
-		return fold.Rules{}, 0, false, err
+func (r *rules) Next(ctx context.Context, known fold.Declared, wait time.Duration) (fold.Declared, bool, error) {
+	if _, _, err := r.table.Changes(ctx, "op/", known.Position, wait); err != nil {
+		return known, false, err
 	}
-	current, version, _ := r.Read(ctx)
-	return current, version, version > after, nil
+	declared, _ := r.Read(ctx)
+	return declared, declared.Changed > known.Changed, nil
 }
 
 func (r *rules) Check(version int64) fold.Check {
--- a/fold/rulebook.go
+++ b/fold/rulebook.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// RulesSource reads the declared configuration.
+// RulesSource reads what the operator has declared.
 type RulesSource interface {
-	// Read returns the newest revision and the version of its row. It returns a NotFound error if no configuration has been
-	// declared yet.
-	Read(ctx context.Context) (Rules, int64, error)
-	// Next waits up to wait for a revision that is newer than the row version after. It returns the row version to pass to
-	// the next call and reports whether there was a newer revision.
-	Next(ctx context.Context, after int64, wait time.Duration) (rules Rules, version int64, changed bool, err error)
+	// Read returns the newest state. It returns a NotFound error if no configuration has been declared yet.
+	Read(ctx context.Context) (Declared, error)
+	// Next waits up to wait for changes after the position of the known state. It returns the known state with these changes and
+	// with the position to continue from, and reports whether there were any. An Outdated error means that the changes are no
+	// longer available.
+	Next(ctx context.Context, known Declared, wait time.Duration) (declared Declared, changed bool, err error)
 	// Check returns the transaction condition that the row of the configuration still has the version.
 	Check(version int64) Check
 }
--- a/fold/rules.go
+++ b/fold/rules.go
@@ -48,10 +48,23 @@
 	Teams    []TeamRule
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int64
+	// Evacuated lists, in order, the failure domains whose hosts get no new work.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// CapacityChecked maps the name of a service to true if its hosts reject runs that exceed their capacity.
 	CapacityChecked map[string]bool `json:"Guarded"`
 }
 
+// Declared is what the operator has declared, as of one position of the feed.
+type Declared struct {
+	Rules Rules
+	// Version is the version of the row of the configuration.
+	Version int64
+	// Changed is the position of the last known change. Of two states the one with the higher value is newer.
+	Changed int64
+	// Position is the position from which the feed continues.
+	Position int64
+}
+
 // RowChange is the state of a row after a change. The row does not exist any more if Deleted is true.
 type RowChange struct {
 	Row
