Share reads of the configuration among callers

Cause: each request on an entry without a recent configuration read the whole row itself and gave up after 700 ms. One such read takes a small entry of 0.192 cores and 10 Mbit/s most of that time; several at the same time share its link and processor, so none of them ended in time.

Change: callers share one read. A result that is too old to accept or refuse a request by leads to a refusal with a retry time.

--- a/fold/front/front.go
+++ b/fold/front/front.go
@@ -108,7 +108,13 @@
 	if refreshErr := f.rules.Refresh(ctx); refreshErr != nil {
 		return access{}, f.withRetryAfter(fold.Unavailable.Wrap(refreshErr, "cannot read the configuration; the request was not carried out"))
 	}
-	return f.lookUp(c)
+	a, err = f.lookUp(c)
+	// The read may have begun long before this request.
+	_, _, age = f.rules.Current()
+	if err == nil && age >= maxAgeToAccept || err != nil && age >= maxAgeToRefuse {
+		return access{}, f.withRetryAfter(fold.Refuse(fold.Unavailable, "retry later", "reading the configuration took too long; the request was not carried out"))
+	}
+	return a, err
 }
 
 func (f *Front) lookUp(c Caller) (access, error) {
--- a/fold/front/rules.go
+++ b/fold/front/rules.go
@@ -25,7 +25,7 @@
 	pollRetryDelay = 100 * time.Millisecond
 	// askOtherAge is the age of the configuration from which on another entry is asked for it.
 	askOtherAge = 400 * time.Millisecond
-	// readTimeout bounds a call to the table for a caller, and a read of the configuration.
+	// readTimeout bounds a call to the table for a caller, and the wait for a read of the configuration.
 	readTimeout = 700 * time.Millisecond
 )
 
@@ -51,16 +51,22 @@
 	// confirmedAt is when the call that last confirmed the configuration was sent.
 	confirmedAt fold.Instant
 
+	// reading is the read of the whole configuration that is under way, or nil.
+	reading *wholeRead
+	// ended is done when Run has ended. Reads of the whole configuration end then.
+	ended context.Context
+	end   context.CancelFunc
 	// applying is held while a state is put into force, so that changed is called in the order of the states.
 	applying sync.Mutex
-	// calls are the calls that wait for a new revision.
+	// calls are the calls that wait for a new revision and the reads of the whole configuration.
 	calls sync.WaitGroup
 }
 
 // NewRules returns a follower of the source; changed is called with each new revision and each change of the
 // evacuated failure domains.
 func NewRules(source fold.RulesSource, clock fold.Clock, log hclog.Logger, changed func(fold.Rules)) *Rules {
-	return &Rules{source: source, clock: clock, log: log.Named("rules"), changed: changed}
+	ended, end := context.WithCancel(context.Background())
+	return &Rules{source: source, clock: clock, log: log.Named("rules"), changed: changed, ended: ended, end: end}
 }
 
 // SetFallback sets the function that asks another entry while the source does not answer.
@@ -85,7 +91,7 @@
 
 // Run keeps the configuration up to date until ctx ends.
 func (r *Rules) Run(ctx context.Context) {
-	defer r.calls.Wait()
+	defer r.close()
 	lost := false
 	for ctx.Err() == nil {
 		err := r.poll(ctx)
@@ -192,19 +198,6 @@
 	return nil
 }
 
-// Refresh reads the newest configuration from the source.
-func (r *Rules) Refresh(ctx context.Context) error {
-	sent := r.clock.Now()
-	call, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	declared, err := r.source.Read(call)
-	if err != nil {
-		return err
-	}
-	r.apply(declared, sent)
-	return nil
-}
-
 // apply puts a state into force unless an entry or the feed has shown a newer one before. The argument sent is the time at which
 // it was requested.
 func (r *Rules) apply(declared fold.Declared, sent fold.Instant) {
