Learn the speeds of hosts from the runs of one step

Cause: on hosts of speeds 0.8, 1 and 1.25 a wide urgent step waits for its slowest task on a slow host while fast hosts have room, because placement knows free room only.

Change: with the setting "speeds" (off by default), the owner compares the completed runs of a step with each other and keeps a speed per incarnation of a host. Urgent tasks prefer fast hosts, batch tasks with slack prefer slow ones. Log line, gauges.

Each round examines as many hosts as before.

--- a/fold/core/bench_test.go
+++ b/fold/core/bench_test.go
@@ -13,8 +13,9 @@
 )
 
 // crowdedCell returns a cell with full hosts and many waiting jobs, and a function that runs one round of decisions.
-func crowdedCell(hosts, waiting int) (*core.Cell, func()) {
+func crowdedCell(hosts, waiting int, options core.Options) (*core.Cell, func()) {
 	cell := core.New(core.Times{Lease: 6 * time.Second, Stop: 900 * time.Millisecond, RenewWithoutTable: 4 * time.Second}, hclog.NewNullLogger())
+	cell.SetOptions(options)
 	now, wall := fold.Instant(time.Hour), int64(1e9)
 	cell.SetTime(now, wall)
 	policy := &fold.AdvicePolicy{CallTime: 25 * time.Millisecond, TimePerHost: 300 * time.Microsecond, Validity: 2500 * time.Millisecond}
@@ -69,25 +70,48 @@
 // owner then has no time left for calls, and urgent work waits behind the backlog.
 func TestRoundsAreCheapInACrowd(t *testing.T) {
 	const hosts, rounds = 350, 20
-	cell, round := crowdedCell(hosts, 400)
-	round()
-	before := cell.Stats().Considered
-	for range rounds {
+	var counts []int64
+	for _, options := range []core.Options{{}, {Speeds: true}} {
+		cell, round := crowdedCell(hosts, 400, options)
 		round()
+		before := cell.Stats().Considered
+		for range rounds {
+			round()
+		}
+		got := (cell.Stats().Considered - before) / rounds
+		if got > hosts {
+			t.Errorf("options %+v: a round examines %d hosts for 400 waiting jobs, want at most each of %d once", options, got, hosts)
+		}
+		counts = append(counts, got)
 	}
-	if got := (cell.Stats().Considered - before) / rounds; got > hosts {
-		t.Errorf("a round examines %d hosts for 400 waiting jobs, want at most each of %d once", got, hosts)
+	if counts[1] > counts[0] {
+		t.Errorf("a round examines %d hosts with speeds, %d without", counts[1], counts[0])
 	}
 }
 
 // BenchmarkDecideCrowded measures a round of decisions while jobs wait for full hosts.
 func BenchmarkDecideCrowded(b *testing.B) {
-	for _, waiting := range []int{50, 200, 400} {
-		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
-			_, round := crowdedCell(350, waiting)
-			round()
-			for b.Loop() {
+	for _, options := range []core.Options{{}, {Speeds: true}} {
+		for _, waiting := range []int{50, 200, 400} {
+			b.Run(fmt.Sprintf("speeds=%v/%d", options.Speeds, waiting), func(b *testing.B) {
+				_, round := crowdedCell(350, waiting, options)
 				round()
+				for b.Loop() {
+					round()
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkUnevenPool measures a simulated pool in which runs end all the time, with and without speeds.
+func BenchmarkUnevenPool(b *testing.B) {
+	for _, options := range []core.Options{{}, {Speeds: true}} {
+		b.Run(fmt.Sprintf("speeds=%v", options.Speeds), func(b *testing.B) {
+			for b.Loop() {
+				p := newUnevenPool(b, 3, thirds(90)...)
+				p.cell.SetOptions(options)
+				p.runMixed(5 * time.Second)
 			}
 		})
 	}
--- a/fold/core/callhosts.go
+++ b/fold/core/callhosts.go
@@ -63,7 +63,7 @@
 		candidates = c.addPreemptible(p, candidates, need)
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.preference(p), a.preference(p)), cmp.Compare(b.slots, a.slots))
+		return cmp.Or(cmp.Compare(b.preference(p), a.preference(p)), cmp.Compare(b.speedSlots(p), a.speedSlots(p)))
 	})
 	for _, option := range candidates {
 		if len(hosts) >= maxCallHosts || slots >= need*callHeadroom && len(hosts) >= minCallHosts {
@@ -154,6 +154,11 @@
 	return rank
 }
 
+// speedSlots returns the slots of a candidate, weighted with the speed of the host if the part prefers fast or slow hosts.
+func (a candidate) speedSlots(p *part) float64 {
+	return a.slots * (1 - p.speedPreference*a.host.speed.placement)
+}
+
 // slots returns how many of the part's waiting tasks fit into the free resources of the host.
 func (c *Cell) slots(p *part, h *host, free fold.Resources) float64 {
 	claim := p.step.Claim()
--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -28,8 +28,9 @@
 
 // Cell is the state of all hosts and jobs of one pool. It is not safe for concurrent use.
 type Cell struct {
-	times Times
-	log   hclog.Logger
+	times   Times
+	log     hclog.Logger
+	options Options
 
 	// now is the current time of the steady clock. startedAt is the first time that was set; no earlier owner has
 	// committed after it.
@@ -110,7 +111,9 @@
 	allowUnrecorded bool
 	// lastExplained is the time at which the log last listed the reasons for waiting tasks.
 	lastExplained fold.Instant
-	stats         Stats
+	// speedsLoggedAt is when the speeds of hosts were last logged.
+	speedsLoggedAt fold.Instant
+	stats          Stats
 }
 
 // Stats counts events since the cell was created.
@@ -119,6 +122,8 @@
 	Starts, Stops, Lost, Refused, Done, Failed, Preempted, Copies int64
 	// Considered counts the hosts examined to place tasks.
 	Considered int64
+	// Compared counts the runs that were compared with others of their step to learn the speeds of hosts.
+	Compared int64
 }
 
 // openCapacity is the free and the total capacity of the open hosts of a service.
--- a/fold/core/core_test.go
+++ b/fold/core/core_test.go
@@ -20,7 +20,7 @@
 
 // fixture holds a cell, its time and its hosts.
 type fixture struct {
-	t    *testing.T
+	t    testing.TB
 	cell *core.Cell
 	now  fold.Instant
 	wall int64
@@ -28,7 +28,7 @@
 	hosts []fold.Host
 }
 
-func newFixture(t *testing.T, rules fold.Rules, hosts ...fold.Host) *fixture {
+func newFixture(t testing.TB, rules fold.Rules, hosts ...fold.Host) *fixture {
 	t.Helper()
 	b := &fixture{t: t, now: fold.Instant(time.Hour), wall: 1e9, hosts: hosts}
 	b.cell = core.New(core.Times{Lease: leaseTime, Stop: 900 * time.Millisecond, RenewWithoutTable: 4 * time.Second}, hclog.NewNullLogger())
--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -32,6 +32,7 @@
 	c.startUnrecorded()
 	c.adjustPaces()
 	c.logWaiting()
+	c.logSpeeds()
 }
 
 // sortActive removes finished parts from the active ones and sorts the rest by rank, due time and job id.
@@ -45,6 +46,9 @@
 	})
 	for _, p := range c.active {
 		p.rank = c.rank(p)
+		if c.options.Speeds {
+			p.speedPreference = p.speedWeight(p.rank/classSpan, c.now)
+		}
 	}
 	slices.SortStableFunc(c.active, func(a, b *part) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.job.due, b.job.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
@@ -108,7 +112,8 @@
 	for _, n := range p.successors {
 		longest = max(longest, n.step.Estimate)
 	}
-	return time.Duration(float64(p.step.Estimate+longest)*c.runTimeFactor(p.job.queue.Name).factor()) * time.Millisecond
+	p.remaining = time.Duration(float64(p.step.Estimate+longest)*c.runTimeFactor(p.job.queue.Name).factor()) * time.Millisecond
+	return p.remaining
 }
 
 // updateOpenHosts recomputes the open hosts, which accept new work, and their capacity, by service.
@@ -280,6 +285,7 @@
 			continue
 		}
 		c.stats.Copies++
+		t.copied = true
 		// The copy is only planned here; its start is sent as described at Decide. The key "stalled" holds the host of the
 		// other run, which may be making progress.
 		c.log.Info("Started a copy.", "task", t.name().String(), "stalled", t.runs[0].host.info.ID, "host", h.info.ID, "percent", t.runs[0].percent)
@@ -421,8 +427,8 @@
 	return false
 }
 
-// Penalties that score adds for a host. Without them, a task that is not a fill task gets a score of at most 1, which is that
-// of a host whose processors all stay free.
+// Penalties that score adds for a host. Without them and the speed of the host, a task that is not a fill task gets a score of
+// at most 1, which is that of a host whose processors all stay free.
 const (
 	// penaltyRemote applies to hosts outside the rack that holds the data.
 	penaltyRemote = 3.0
@@ -455,6 +461,7 @@
 			score += penaltyLastAttempt
 		}
 	}
+	score += p.speedPreference * h.speed.placement
 	hasTargets, hasFill := h.runKinds()
 	if p.step.Fill && hasTargets || p.step.Target > 0 && hasFill {
 		score += penaltyInterference
--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -136,6 +136,9 @@
 	c.log.Debug("Run ended.", "task", e.Task, "run", e.Run, "host", h.info.ID, "how", string(e.Kind))
 	startedAt := fold.Instant(0)
 	if r != nil {
+		if e.Kind == fold.EndDone {
+			c.observeRun(r)
+		}
 		startedAt = r.startedAt
 		c.detach(r)
 	}
--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -59,6 +59,11 @@
 	// acknowledged to the host. nextAck becomes lastAck when the records now being written are durable.
 	lastEnd, nextAck, lastAck int64
 
+	// speed is the speed of this incarnation.
+	speed hostSpeed
+	// endsDelayedUntil is when the host last reported ends that it had held back, because it was silent or had too many.
+	endsDelayedUntil fold.Instant
+
 	health health
 }
 
@@ -156,7 +161,7 @@
 	h.foreignLeaseEnd = max(c.foreignLeaseEnd(), c.now.Add(lease.MaxDuration(c.times.Lease)))
 	h.compared, h.moreEnds, h.described = false, false, false
 	h.lastEnd, h.nextAck, h.lastAck = 0, 0, 0
-	h.health = health{}
+	h.health, h.speed = health{}, hostSpeed{}
 	for _, u := range h.unconfirmedStarts {
 		if c.now.Sub(u.failedAt) < maxOrderDelay {
 			h.forbiddenStarts = append(h.forbiddenStarts, unconfirmedStart{key: u.key, failedAt: u.failedAt})
@@ -319,7 +324,7 @@
 	}
 	if h.silentSince != 0 {
 		c.log.Info("Host answers again.", "host", id, "silence", c.now.Sub(h.silentSince).String())
-		h.silentSince = 0
+		h.silentSince, h.endsDelayedUntil = 0, c.now
 		c.hostsChanged = true
 	}
 	c.RecordLease(id, remaining)
@@ -328,6 +333,9 @@
 		// The host now enforces the fence of this owner, so earlier owners can renew no lease.
 		h.enforcesFence, h.foreignLeaseEnd = true, c.now.Add(lease.MaxDuration(c.times.Lease))
 	}
+	if reply.MoreEnds || h.moreEnds {
+		h.endsDelayedUntil = c.now
+	}
 	if reply.MoreEnds != h.moreEnds {
 		h.moreEnds = reply.MoreEnds
 		c.log.Info("Changed whether the host reports all ended runs; until it does, no run counts as lost.", "host", id, "complete", !reply.MoreEnds, "runs", len(h.runs), "acked", h.lastAck)
@@ -410,7 +418,7 @@
 	if r.phase != phaseRunning {
 		r.phase, r.startedAt = phaseRunning, c.now
 		c.confirmBegin(r.task.part.job)
-		r.progressedAt, r.firstPercent = c.now, hr.Percent
+		r.progressedAt, r.firstPercent, r.startSeenLate = c.now, hr.Percent, true
 	}
 	if hr.Percent > r.percent || r.reportedAt == 0 {
 		r.progressedAt = c.now
--- a/fold/core/job.go
+++ b/fold/core/job.go
@@ -62,6 +62,12 @@
 	active bool
 	// rank is its rank in the last round of decisions.
 	rank int
+	// remaining is the last result of jobRemaining for the part.
+	remaining time.Duration
+	// speedPreference is the weight of the speed of a host in the score of the part's tasks, see speedWeight.
+	speedPreference float64
+	// samples lists completed runs whose run times were not compared yet, at most maxStepSamples.
+	samples []runSample
 	// leaseEnded reports whether a run of the part was lost because its lease had ended.
 	leaseEnded bool
 	// gangFailures counts failed runs of the gang. lastFailedRun is the number of the last one.
@@ -92,6 +98,8 @@
 	numberSkipped bool
 	// runs lists the live runs. There is more than one only for a step with speculative copies.
 	runs []*run
+	// copied reports whether the task ever had a speculative copy.
+	copied bool
 	// notBefore is the earliest time of the next start.
 	notBefore fold.Instant
 	// lostAt is when the last live run ended.
@@ -130,6 +138,9 @@
 	stopSentAt, stopAckedAt fold.Instant
 	// orderedAt is when the start was last sent. startedAt is when it was confirmed.
 	orderedAt, startedAt fold.Instant
+	// startSeenLate reports whether a report, instead of the answer to the start, confirmed the run. resumed reports whether it
+	// may have resumed from a checkpoint.
+	startSeenLate, resumed bool
 	// tries counts how often the start was sent.
 	tries int
 	// percent is the last reported progress. firstPercent is the progress in the first report.
@@ -345,6 +356,7 @@
 	c.markDirty(j)
 	for _, steps := range j.parts {
 		for _, p := range steps {
+			p.samples = nil
 			for i := range p.tasks {
 				for _, r := range p.tasks[i].runs {
 					c.stopRun(r)
@@ -395,6 +407,7 @@
 	if p.doneTasks < len(p.tasks) {
 		return
 	}
+	c.learnSpeeds(p)
 	if p.begun {
 		p.job.openTasks -= len(p.tasks)
 	}
--- a/fold/core/orders.go
+++ b/fold/core/orders.go
@@ -85,6 +85,7 @@
 func (c *Cell) orderStart(r *run) {
 	r.tries++
 	r.orderedAt = c.now
+	r.resumed = r.resumed || r.task.checkpoint != ""
 	c.stats.Starts++
 	p := r.task.part
 	c.orders.Starts = append(c.orders.Starts, Start{Host: r.host.info, Job: p.job.spec.ID, Req: fold.StartRequest{
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -48,7 +48,9 @@
 	Clock           fold.Clock
 	Logger          hclog.Logger
 	Times           core.Times
-	Meter           Meter
+	// Options switch on parts of the decisions.
+	Options core.Options
+	Meter   Meter
 }
 
 // AdviceCaller calls the adviser through one entry.
@@ -156,6 +158,7 @@
 		assignments: make(map[string]*assignment), sessions: make(map[uint64]*session), opening: make(map[string]bool), retryAt: make(map[string]fold.Instant),
 		openOrders: make(map[uint64]openOrder), termStart: parts.Clock.Now(), lastCheck: parts.Clock.Now(),
 	}
+	d.cell.SetOptions(parts.Options)
 	// No earlier owner has committed after the takeover was sent, so the cell counts their leases from then.
 	d.cell.SetTime(term.Began(), time.Now().UnixMilli())
 	d.setTime()
@@ -256,6 +259,16 @@
 	return stats, used, capacity
 }
 
+// Speeds returns a summary of the speeds of the hosts. It is the zero value if the options leave speeds off.
+func (d *Driver) Speeds() core.SpeedSummary {
+	if !d.parts.Options.Speeds {
+		return core.SpeedSummary{}
+	}
+	var summary core.SpeedSummary
+	d.withCell(func(c *core.Cell) { summary = c.Speeds() })
+	return summary
+}
+
 // runDecisions makes decisions after each event, and at least once in each decideInterval.
 func (d *Driver) runDecisions(ctx context.Context) error {
 	handOver := time.NewTicker(handOverInterval)
--- a/fold/node/meter.go
+++ b/fold/node/meter.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/core"
 	"plantainfold.example/fold/drive"
 	"plantainfold.example/fold/telem"
 )
@@ -64,6 +65,34 @@
 	return m, nil
 }
 
+// exportSpeeds exports gauges of the speeds of the hosts. speeds returns a summary with 0 hosts while this entry does not learn
+// speeds or does not own the pool; the gauges then have no values.
+func exportSpeeds(t *telem.Telemetry, speeds func() core.SpeedSummary) error {
+	source := t.Meter("node")
+	known, err := source.Int64ObservableGauge("plantainfold.speed.hosts", metric.WithDescription("Hosts whose speed is known to differ from the usual one."))
+	if err != nil {
+		return fold.Invalid.Wrap(err, "create the gauge plantainfold.speed.hosts")
+	}
+	bounds, err := source.Float64ObservableGauge("plantainfold.speed", metric.WithDescription("Speed of the slowest and of the fastest host; 1 is the usual speed."))
+	if err != nil {
+		return fold.Invalid.Wrap(err, "create the gauge plantainfold.speed")
+	}
+	_, err = source.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		s := speeds()
+		if s.Hosts == 0 {
+			return nil
+		}
+		o.ObserveInt64(known, int64(s.Known))
+		o.ObserveFloat64(bounds, s.Slowest, metric.WithAttributes(attribute.String("host", "slowest")))
+		o.ObserveFloat64(bounds, s.Fastest, metric.WithAttributes(attribute.String("host", "fastest")))
+		return nil
+	}, known, bounds)
+	if err != nil {
+		return fold.Invalid.Wrap(err, "register the gauges of speeds")
+	}
+	return nil
+}
+
 func record(h metric.Float64Histogram, took time.Duration, attributes ...attribute.KeyValue) {
 	h.Record(context.Background(), float64(took)/float64(time.Millisecond), metric.WithAttributes(attributes...))
 }
--- a/fold/node/node_test.go
+++ b/fold/node/node_test.go
@@ -233,4 +233,7 @@
 			t.Errorf("%s: error %v", c.name, err)
 		}
 	}
+	if valid.Options().Speeds || !(node.Settings{Speeds: true}).Options().Speeds {
+		t.Error("the setting for speeds does not switch them on, or they are on without it")
+	}
 }
--- a/fold/node/settings.go
+++ b/fold/node/settings.go
@@ -50,6 +50,8 @@
 	Memory float64 `json:"memory"`
 	// Row is the longest value of a row of the store in bytes. 0 means drive.DefaultMaxRow.
 	Row int `json:"row"`
+	// Speeds makes the owner learn the speeds of hosts and the run times within steps, and use them for its decisions.
+	Speeds bool `json:"speeds"`
 }
 
 const (
@@ -126,6 +128,11 @@
 	hostsPerMbit = 10
 )
 
+// Options returns the parts of the decisions that are switched on.
+func (s Settings) Options() core.Options {
+	return core.Options{Speeds: s.Speeds}
+}
+
 // RelayCapacity returns the number of hosts that the entry can supervise.
 func (s Settings) RelayCapacity() int {
 	room := s.Cores * hostsPerCore
