Predict run times from the completed runs of a step

Cause: which jobs can still end in time, which run is at risk and which run may be stopped depend on the estimate times the mean ratio of the queue. Estimates that are wrong by 0.9 of their value make a job count as late or worthless although it is not, and a run without time left although siblings took ten times as long.

Change: with the setting "speeds", the expected run time of a task combines the completed runs of its step, the ratio of finished steps of its job, the queue's mean and the estimate, divided by the speed of the host of a run. The objective of a job follows its observed work. The first runs to end are the shortest of a step, which is corrected for while others of the same age run. Steps without copies get none.

--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -108,6 +108,10 @@
 // jobRemaining estimates how long the job of a part still takes as the whole run time of the part plus that of its longest
 // direct successor. It ignores later steps and the progress of running tasks.
 func (c *Cell) jobRemaining(p *part) time.Duration {
+	if c.options.Speeds {
+		p.remaining = c.predictRemaining(p)
+		return p.remaining
+	}
 	var longest int64
 	for _, n := range p.successors {
 		longest = max(longest, n.step.Estimate)
@@ -324,7 +328,7 @@
 	if r.startedAt == 0 {
 		return false
 	}
-	expected := c.expectedRunTime(r.task)
+	expected := c.expectedRunTime(r)
 	if c.now.Sub(r.progressedAt) > max(copyStallTime, expected/4) && r.percent < 100 {
 		return true
 	}
@@ -332,8 +336,13 @@
 	return float64(ran) > copySlowFactor*float64(expected) && c.runRemaining(r) > expected/2
 }
 
-// expectedRunTime returns the task's estimate corrected by the run times observed for its queue.
-func (c *Cell) expectedRunTime(t *task) time.Duration {
+// expectedRunTime returns the estimate of the run's task corrected by the run times observed for its queue, or, if the options
+// ask for it, predictRunTime.
+func (c *Cell) expectedRunTime(r *run) time.Duration {
+	if c.options.Speeds {
+		return c.predictRunTime(r)
+	}
+	t := r.task
 	return time.Duration(float64(t.part.step.Estimate)*c.runTimeFactor(t.part.job.queue.Name).factor()) * time.Millisecond
 }
 
@@ -342,7 +351,7 @@
 func (c *Cell) runRemaining(r *run) time.Duration {
 	ran := c.now.Sub(r.startedAt)
 	if r.phase != phaseRunning || r.percent <= r.firstPercent || r.reportedAt <= r.startedAt {
-		return max(0, c.expectedRunTime(r.task)-ran)
+		return max(0, c.expectedRunTime(r)-ran)
 	}
 	speed := float64(r.percent-r.firstPercent) / float64(r.reportedAt.Sub(r.startedAt))
 	return max(0, time.Duration(float64(100-r.percent)/speed)-c.now.Sub(r.reportedAt))
--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -53,6 +53,9 @@
 	}
 	p := r.task.part
 	r.detached = true
+	if r.phase == phaseRunning {
+		p.times.end(r.startedAt)
+	}
 	delete(r.host.runs, r.key())
 	at := slices.Index(r.host.runList, r)
 	r.host.runList = slices.Delete(r.host.runList, at, at+1)
@@ -136,11 +139,11 @@
 	c.log.Debug("Run ended.", "task", e.Task, "run", e.Run, "host", h.info.ID, "how", string(e.Kind))
 	startedAt := fold.Instant(0)
 	if r != nil {
+		startedAt = r.startedAt
+		c.detach(r)
 		if e.Kind == fold.EndDone {
 			c.observeRun(r)
 		}
-		startedAt = r.startedAt
-		c.detach(r)
 	}
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -419,6 +419,7 @@
 		r.phase, r.startedAt = phaseRunning, c.now
 		c.confirmBegin(r.task.part.job)
 		r.progressedAt, r.firstPercent, r.startSeenLate = c.now, hr.Percent, true
+		r.task.part.times.begin(c.now)
 	}
 	if hr.Percent > r.percent || r.reportedAt == 0 {
 		r.progressedAt = c.now
--- a/fold/core/job.go
+++ b/fold/core/job.go
@@ -39,6 +39,12 @@
 	dirty bool
 	// due is when the job should end. worthlessAfter is when its result has lost most of its value.
 	due, worthlessAfter fold.Instant
+	// acceptedAt is when the job was accepted, by the steady clock.
+	acceptedAt fold.Instant
+	// ratioSum and ratioWeight are the weighted sum and the weight of the ratios of run times to estimates in finished steps.
+	ratioSum, ratioWeight float64
+	// queueFactor is the factor of the job's queue, or nil before its first use. It saves a lookup for each decision.
+	queueFactor *runTimeFactor
 	// overRate reports whether the team had exceeded its rate when the job was accepted.
 	overRate bool
 }
@@ -68,6 +74,7 @@
 	speedPreference float64
 	// samples lists completed runs whose run times were not compared yet, at most maxStepSamples.
 	samples []runSample
+	times   stepTimes
 	// leaseEnded reports whether a run of the part was lost because its lease had ended.
 	leaseEnded bool
 	// gangFailures counts failed runs of the gang. lastFailedRun is the number of the last one.
@@ -290,15 +297,21 @@
 // setDeadlines computes when the job should end and whether its team had exceeded its rate.
 func (c *Cell) setDeadlines(j *job) {
 	age := time.Duration(max(0, c.wall-j.spec.Accepted)) * time.Millisecond
-	accepted := c.now.Add(-age)
-	objective := time.Duration(j.queue.SlackFactor*float64(j.spec.CriticalPath())*c.runTimeFactor(j.queue.Name).factor()) + j.queue.Target
+	j.acceptedAt = c.now.Add(-age)
+	j.setObjective(j.spec.CriticalPath(), c.runTimeFactor(j.queue.Name).factor())
+	t := c.team(j.spec.Team)
+	j.overRate = !t.rate.allow(t.rule.Weight, j.spec.Accepted)
+}
+
+// setObjective computes when the job should end from the length of its critical path and a factor by which run times differ
+// from it.
+func (j *job) setObjective(criticalPath time.Duration, factor float64) {
+	objective := time.Duration(j.queue.SlackFactor*float64(criticalPath)*factor) + j.queue.Target
 	if j.queue.Advice != nil {
 		objective += time.Duration(j.queue.SlackFactor*float64(len(j.spec.Steps))) * (j.queue.Advice.CallTime + usualCallHosts*j.queue.Advice.TimePerHost)
 	}
-	j.due = accepted.Add(objective)
-	j.worthlessAfter = accepted.Add(worthlessFactor * objective)
-	t := c.team(j.spec.Team)
-	j.overRate = !t.rate.allow(t.rule.Weight, j.spec.Accepted)
+	j.due = j.acceptedAt.Add(objective)
+	j.worthlessAfter = j.acceptedAt.Add(worthlessFactor * objective)
 }
 
 // usualCallHosts is the number of hosts per call that the objective of a job assumes.
@@ -408,6 +421,7 @@
 		return
 	}
 	c.learnSpeeds(p)
+	c.finishStep(p)
 	if p.begun {
 		p.job.openTasks -= len(p.tasks)
 	}
--- a/fold/core/orders.go
+++ b/fold/core/orders.go
@@ -160,6 +160,7 @@
 	}
 	if err == nil {
 		r.phase, r.startedAt, r.progressedAt = phaseRunning, c.now, c.now
+		r.task.part.times.begin(c.now)
 		c.confirmBegin(r.task.part.job)
 		return
 	}
--- a/fold/core/speed.go
+++ b/fold/core/speed.go
@@ -120,6 +120,7 @@
 		return
 	}
 	p := r.task.part
+	c.observeStep(r, took)
 	p.samples = append(p.samples, runSample{host: r.host, incarnation: r.incarnation, logTime: math.Log(took.Seconds())})
 	if len(p.samples) >= maxStepSamples {
 		c.learnSpeeds(p)
--- a/fold/core/unevenpool_test.go
+++ b/fold/core/unevenpool_test.go
@@ -75,12 +75,12 @@
 	return speeds
 }
 
-// add submits a job of one step whose run times are the given multiple of the estimate.
-func (p *unevenPool) add(q fold.Queue, ratio float64, s flow.Step) string {
+// add submits a job whose run times are the given multiple of the estimate, which is the same for all steps.
+func (p *unevenPool) add(q fold.Queue, ratio float64, steps ...flow.Step) string {
 	p.jobs++
 	name := fmt.Sprintf("%016x", p.jobs)
-	p.steps[name], p.errors[name] = s, ratio
-	p.cell.AddJob(flow.Job{ID: name, Team: "crews", Queue: q, Accepted: p.wall, Steps: []flow.Step{s}}, 1)
+	p.steps[name], p.errors[name] = steps[0], ratio
+	p.cell.AddJob(flow.Job{ID: name, Team: "crews", Queue: q, Accepted: p.wall, Steps: steps}, 1)
 	return name
 }
 
@@ -102,6 +102,9 @@
 	for _, s := range orders.Starts {
 		name, _, _ := strings.Cut(s.Req.Task, ".")
 		step := p.steps[name]
+		if !step.Copies && slices.ContainsFunc(p.running, func(r unevenRun) bool { return r.task == s.Req.Task }) {
+			p.t.Errorf("%s runs twice, and its step allows no copies", s.Req.Task)
+		}
 		took := float64(step.Estimate) * p.errors[name] * math.Exp(p.spread*p.rand.NormFloat64()) / p.speeds[s.Host.ID]
 		if p.rand.Float64() < p.stragglers {
 			took *= 7
