Test stragglers and slow hosts in predicted run times

Cause: the limit of a straggler's run time and the division by the speed of the host could be removed without a failing test, and TestFirstEndsCauseNoCopies reported ends without the live runs of the same host, which stops these.

Change: two tests, and reports that list the live runs.

Result: each of the two fails when its part is removed. TestFirstEndsCauseNoCopies still fails without the correction for the first runs to end.

--- a/fold/core/runtime_test.go
+++ b/fold/core/runtime_test.go
@@ -79,6 +79,27 @@
 	}
 }
 
+// reportProgress reports the given runs with their progress, and the ends of others.
+func (b *fixture) reportProgress(live, done []core.Start, percent int) {
+	for _, h := range b.hosts {
+		var runs []fold.HostRun
+		var ends []fold.HostEnd
+		for _, s := range live {
+			if s.Host.ID == h.ID {
+				runs = append(runs, fold.HostRun{Task: s.Req.Task, Run: s.Req.Run, Percent: percent})
+			}
+		}
+		for i, s := range done {
+			if s.Host.ID == h.ID {
+				end := b.endNow(s, fold.EndDone)
+				end.Number += int64(i)
+				ends = append(ends, end)
+			}
+		}
+		b.report(h, runs, ends)
+	}
+}
+
 // Guards against copies of tasks of usual length: the first tasks of a step to end are its shortest, so that their mean is no
 // measure for the others. Also guards against a straggler without a copy.
 func TestFirstEndsCauseNoCopies(t *testing.T) {
@@ -89,25 +110,14 @@
 	b.cell.AddJob(job(queue(2), wide), 1)
 	starts := b.decide().Starts
 	b.advance(400 * time.Millisecond)
-	for _, s := range starts[:2] {
-		b.reportDone(s)
-		b.wall++
-	}
+	b.reportProgress(starts[2:], starts[:2], 40)
 	for _, c := range []struct {
 		after   time.Duration
 		percent int
 		copies  bool
 	}{{800 * time.Millisecond, 60, false}, {1500 * time.Millisecond, 61, true}} {
 		b.advance(c.after)
-		for _, h := range b.hosts {
-			var runs []fold.HostRun
-			for _, s := range starts[2:] {
-				if s.Host.ID == h.ID {
-					runs = append(runs, fold.HostRun{Task: s.Req.Task, Run: s.Req.Run, Percent: c.percent})
-				}
-			}
-			b.report(h, runs, nil)
-		}
+		b.reportProgress(starts[2:], nil, c.percent)
 		if got := len(b.decide().Starts) > 0; got != c.copies {
 			t.Errorf("%s after the first ends at 400 ms: copies %v, want %v", c.after, got, c.copies)
 		}
@@ -135,3 +145,58 @@
 		t.Error("a run on a slow host got a copy after 2.4 times the run time of the others")
 	}
 }
+
+// Guards against a straggler that raises the expected run time of its whole step, so that runs of usual length are stopped for
+// urgent tasks although they are about to end.
+func TestStragglerDoesNotSlowItsStep(t *testing.T) {
+	b := newFixture(t, fold.Rules{}, host("a", 4000))
+	b.cell.SetOptions(core.Options{Speeds: true})
+	batch := step(8)
+	batch.Checkpoints = true
+	b.cell.AddJob(job(queue(2), batch), 1)
+	starts := b.decide().Starts
+	// Three tasks end after 1 s and one after 7 s. The other four then start.
+	b.advance(time.Second)
+	b.reportProgress(starts[3:], starts[:3], 0)
+	b.advance(6 * time.Second)
+	b.reportProgress(nil, starts[3:], 0)
+	if got := len(b.decide().Starts); got != 4 {
+		t.Fatalf("%d starts, want 4", got)
+	}
+	b.advance(1300 * time.Millisecond)
+	urgent := job(queue(0), step(1))
+	urgent.ID, urgent.Accepted = "aaaaaaaaaaaaaaaa", b.wall
+	b.cell.AddJob(urgent, 1)
+	b.advance(100 * time.Millisecond)
+	if stops := b.decide().Stops; len(stops) > 0 {
+		t.Errorf("stops %v of runs of 1.4 s whose siblings took 1, 1, 1 and 7 s", stops)
+	}
+}
+
+// Guards against the speed of a host that counts twice: a step that ran on a slow host only would be expected to take even
+// longer there, and its runs would be stopped for urgent tasks although they are about to end.
+func TestRunTimesOnSlowHostCountOnce(t *testing.T) {
+	b := slowFixture(t)
+	for n := range int64(100) {
+		b.runOnce(n+1, step(4), true, func(core.Start) bool { return false })
+	}
+	batch := step(8)
+	batch.Checkpoints, batch.Label, batch.Size.CPU = true, "r2", 2250
+	b.cell.AddJob(job(queue(2), batch), 1)
+	starts := b.decide().Starts
+	b.advance(2 * time.Second)
+	b.reportProgress(nil, starts, 0)
+	if got := len(b.decide().Starts); got != 4 {
+		t.Fatalf("%d starts, want 4", got)
+	}
+	b.advance(2 * time.Second)
+	short := step(1)
+	short.Label = "r2"
+	urgent := job(queue(0), short)
+	urgent.ID, urgent.Accepted = "aaaaaaaaaaaaaaaa", b.wall
+	b.cell.AddJob(urgent, 1)
+	b.advance(100 * time.Millisecond)
+	if stops := b.decide().Stops; len(stops) > 0 {
+		t.Errorf("stops %v of runs of 2.1 s whose siblings took 2 s", stops)
+	}
+}
