--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -32,6 +32,7 @@
 	c.startUnrecorded()
 	c.adjustPaces()
 	c.logWaiting()
+	c.logSpeeds()
 }
 
 // sortActive removes finished parts from the active ones and sorts the rest by rank, due time and job id.
@@ -45,6 +46,9 @@
 	})
 	for _, p := range c.active {
 		p.rank = c.rank(p)
+		if c.options.Speeds {
+			p.speedPreference = p.speedWeight(p.rank/classSpan, c.now)
+		}
 	}
 	slices.SortStableFunc(c.active, func(a, b *part) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.job.due, b.job.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
@@ -104,11 +108,16 @@
 // jobRemaining estimates how long the job of a part still takes as the whole run time of the part plus that of its longest
 // direct successor. It ignores later steps and the progress of running tasks.
 func (c *Cell) jobRemaining(p *part) time.Duration {
+	if c.options.Speeds {
+		p.remaining = c.predictRemaining(p)
+		return p.remaining
+	}
 	var longest int64
 	for _, n := range p.successors {
 		longest = max(longest, n.step.Estimate)
 	}
-	return time.Duration(float64(p.step.Estimate+longest)*c.runTimeFactor(p.job.queue.Name).factor()) * time.Millisecond
+	p.remaining = time.Duration(float64(p.step.Estimate+longest)*c.runTimeFactor(p.job.queue.Name).factor()) * time.Millisecond
+	return p.remaining
 }
 
 // updateOpenHosts recomputes the open hosts, which accept new work, and their capacity, by service.
@@ -280,6 +289,7 @@
 			continue
 		}
 		c.stats.Copies++
+		t.copied = true
 		// The copy is only planned here; its start is sent as described at Decide. The key "stalled" holds the host of the
 		// other run, which may be making progress.
 		c.log.Info("Started a copy.", "task", t.name().String(), "stalled", t.runs[0].host.info.ID, "host", h.info.ID, "percent", t.runs[0].percent)
@@ -318,7 +328,7 @@
 	if r.startedAt == 0 {
 		return false
 	}
-	expected := c.expectedRunTime(r.task)
+	expected := c.expectedRunTime(r)
 	if c.now.Sub(r.progressedAt) > max(copyStallTime, expected/4) && r.percent < 100 {
 		return true
 	}
@@ -326,8 +336,13 @@
 	return float64(ran) > copySlowFactor*float64(expected) && c.runRemaining(r) > expected/2
 }
 
-// expectedRunTime returns the task's estimate corrected by the run times observed for its queue.
-func (c *Cell) expectedRunTime(t *task) time.Duration {
+// expectedRunTime returns the estimate of the run's task corrected by the run times observed for its queue, or, if the options
+// ask for it, predictRunTime.
+func (c *Cell) expectedRunTime(r *run) time.Duration {
+	if c.options.Speeds {
+		return c.predictRunTime(r)
+	}
+	t := r.task
 	return time.Duration(float64(t.part.step.Estimate)*c.runTimeFactor(t.part.job.queue.Name).factor()) * time.Millisecond
 }
 
@@ -336,7 +351,7 @@
 func (c *Cell) runRemaining(r *run) time.Duration {
 	ran := c.now.Sub(r.startedAt)
 	if r.phase != phaseRunning || r.percent <= r.firstPercent || r.reportedAt <= r.startedAt {
-		return max(0, c.expectedRunTime(r.task)-ran)
+		return max(0, c.expectedRunTime(r)-ran)
 	}
 	speed := float64(r.percent-r.firstPercent) / float64(r.reportedAt.Sub(r.startedAt))
 	return max(0, time.Duration(float64(100-r.percent)/speed)-c.now.Sub(r.reportedAt))
@@ -421,8 +436,8 @@
 	return false
 }
 
-// Penalties that score adds for a host. Without them, a task that is not a fill task gets a score of at most 1, which is that
-// of a host whose processors all stay free.
+// Penalties that score adds for a host. Without them and the speed of the host, a task that is not a fill task gets a score of
+// at most 1, which is that of a host whose processors all stay free.
 const (
 	// penaltyRemote applies to hosts outside the rack that holds the data.
 	penaltyRemote = 3.0
@@ -455,6 +470,7 @@
 			score += penaltyLastAttempt
 		}
 	}
+	score += p.speedPreference * h.speed.placement
 	hasTargets, hasFill := h.runKinds()
 	if p.step.Fill && hasTargets || p.step.Target > 0 && hasFill {
 		score += penaltyInterference
--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -53,6 +53,9 @@
 	}
 	p := r.task.part
 	r.detached = true
+	if r.phase == phaseRunning {
+		p.times.end(r.startedAt)
+	}
 	delete(r.host.runs, r.key())
 	at := slices.Index(r.host.runList, r)
 	r.host.runList = slices.Delete(r.host.runList, at, at+1)
@@ -138,6 +141,9 @@
 	if r != nil {
 		startedAt = r.startedAt
 		c.detach(r)
+		if e.Kind == fold.EndDone {
+			c.observeRun(r)
+		}
 	}
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
--- a/fold/core/orders.go
+++ b/fold/core/orders.go
@@ -85,6 +85,7 @@
 func (c *Cell) orderStart(r *run) {
 	r.tries++
 	r.orderedAt = c.now
+	r.resumed = r.resumed || r.task.checkpoint != ""
 	c.stats.Starts++
 	p := r.task.part
 	c.orders.Starts = append(c.orders.Starts, Start{Host: r.host.info, Job: p.job.spec.ID, Req: fold.StartRequest{
@@ -159,6 +160,7 @@
 	}
 	if err == nil {
 		r.phase, r.startedAt, r.progressedAt = phaseRunning, c.now, c.now
+		r.task.part.times.begin(c.now)
 		c.confirmBegin(r.task.part.job)
 		return
 	}
