Order overdue work by the past use of the teams

Shares are kept over seconds only. A team that uses far more than the others over hours has its late work done in the order of due times, like everyone else.

The cell integrates the cores that the live runs of each team claim, with a half-life. Within a rank, steps of jobs whose due time has passed come after others by the use of their team per weight. Timely steps, late urgent ones, long-running and scheduled work keep their order, and so does everything without the setting.

--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -110,7 +110,10 @@
 	allowUnrecorded bool
 	// lastExplained is the time at which the log last listed the reasons for waiting tasks.
 	lastExplained fold.Instant
-	stats         Stats
+	// pastUse configures how past use affects the order of work. lastPastUseLog is the time of the last log about it.
+	pastUse        PastUse
+	lastPastUseLog fold.Instant
+	stats          Stats
 }
 
 // Stats counts events since the cell was created.
@@ -139,6 +142,7 @@
 	rule fold.TeamRule
 	used fold.Resources
 	rate rate
+	use  use
 }
 
 // New returns a cell without hosts and jobs.
--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -32,9 +32,10 @@
 	c.startUnrecorded()
 	c.adjustPaces()
 	c.logWaiting()
+	c.logPastUse()
 }
 
-// sortActive removes finished parts from the active ones and sorts the rest by rank, due time and job id.
+// sortActive removes finished parts from the active ones and sorts the rest by rank, past use, due time and job id.
 func (c *Cell) sortActive() {
 	c.active = slices.DeleteFunc(c.active, func(p *part) bool {
 		finished := p.doneTasks == len(p.tasks) || p.job.state.Final()
@@ -45,9 +46,16 @@
 	})
 	for _, p := range c.active {
 		p.rank = c.rank(p)
+		p.setBack = c.setBack(p)
 	}
 	slices.SortStableFunc(c.active, func(a, b *part) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.job.due, b.job.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
+		if a.rank != b.rank {
+			return cmp.Compare(a.rank, b.rank)
+		}
+		if a.setBack != b.setBack {
+			return cmp.Compare(a.setBack, b.setBack)
+		}
+		return cmp.Or(cmp.Compare(a.job.due, b.job.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
 	})
 }
 
--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -24,6 +24,7 @@
 	p.job.liveRuns++
 	t := c.team(p.job.spec.Team)
 	t.used = t.used.Add(p.step.Size)
+	c.claimCores(t, p.step.Claim().CPU)
 	c.countWaitingTasks(r.task)
 }
 
@@ -71,6 +72,7 @@
 	p.job.liveRuns--
 	t := c.team(p.job.spec.Team)
 	t.used = t.used.Sub(p.step.Size)
+	c.claimCores(t, -p.step.Claim().CPU)
 	if len(r.task.runs) == 0 {
 		r.task.lostAt = c.now
 	}
--- a/fold/core/job.go
+++ b/fold/core/job.go
@@ -41,6 +41,7 @@
 	due, worthlessAfter fold.Instant
 	// overRate reports whether the team had exceeded its rate when the job was accepted.
 	overRate bool
+	team     *team
 }
 
 // part is one step of one occurrence of a job.
@@ -60,8 +61,9 @@
 	begun bool
 	// active reports whether the part was added to the active or the scheduled parts of the cell.
 	active bool
-	// rank is its rank in the last round of decisions.
-	rank int
+	// rank is its rank in the last round of decisions. setBack is the past use by which it was ordered within the rank.
+	rank    int
+	setBack float64
 	// leaseEnded reports whether a run of the part was lost because its lease had ended.
 	leaseEnded bool
 	// gangFailures counts failed runs of the gang. lastFailedRun is the number of the last one.
@@ -286,8 +288,8 @@
 	}
 	j.due = accepted.Add(objective)
 	j.worthlessAfter = accepted.Add(worthlessFactor * objective)
-	t := c.team(j.spec.Team)
-	j.overRate = !t.rate.allow(t.rule.Weight, j.spec.Accepted)
+	j.team = c.team(j.spec.Team)
+	j.overRate = !j.team.rate.allow(j.team.rule.Weight, j.spec.Accepted)
 }
 
 // usualCallHosts is the number of hosts per call that the objective of a job assumes.
