Store the past use of the teams in a row

The use of hours must survive a takeover and an outage of the table.

The row use/teams is added to a commit that is made anyway, at most every 5 s, with its entry and bytes reserved. A new owner reads it beside the jobs and waits for it at most 100 ms; until it is read, it is not written.

--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -101,11 +101,15 @@
 			return err
 		}
 	}
-	b.requests = answerOutdated(d.takeRequests(maxRows - len(b.hostRows) - len(b.staleHostRows)))
+	useEntries := d.useEntriesDue()
+	b.requests = answerOutdated(d.takeRequests(maxRows - useEntries - len(b.hostRows) - len(b.staleHostRows)))
 	if len(b.writes) == 0 && len(b.requests) == 0 && !renewDue && !b.ordersPending {
 		return nil
 	}
-	headroom := maxRows - len(b.requests) - len(b.writes) - len(b.hostRows) - len(b.staleHostRows)
+	if useEntries > 0 {
+		b.useRows = d.useRows()
+	}
+	headroom := maxRows - len(b.useRows) - len(b.requests) - len(b.writes) - len(b.hostRows) - len(b.staleHostRows)
 	var emptiedRows []string
 	b.ownRows, emptiedRows = d.backlog.nextOwnRows(headroom, b.writes)
 	if d.term.UsualCommitTime() < stalledAfter {
@@ -182,6 +186,8 @@
 	hostRows []fold.Put
 	// staleHostRows are the keys of rows of used hosts that are no longer needed.
 	staleHostRows []string
+	// useRows is the row of past use if it is due.
+	useRows []fold.Put
 	// ordersPending is true if orders wait for a commit although no record has changed.
 	ordersPending bool
 }
@@ -211,7 +217,7 @@
 			b.requests = answerOutdated(d.takeRequests(maxRows - len(b.hostRows) - len(b.staleHostRows)))
 		}
 		txn := fold.Txn{Deletes: b.deletes}
-		limit, space := maxRows-len(txn.Deletes)-len(b.requests), maxBytes-sizeOfRequests(b.requests)
+		limit, space := maxRows-len(txn.Deletes)-len(b.requests)-len(b.useRows), maxBytes-sizeOfRequests(b.requests)-sizeOfPuts(b.useRows)
 		packed, rest, err := d.pack(writes, limit, space)
 		if err != nil {
 			return err
@@ -223,12 +229,18 @@
 			txn.Deletes = append(txn.Deletes, b.staleHostRows...)
 			hostsPending = false
 		}
+		// The rows of used hosts alone may take all the space; the row of past use then waits for the next batch.
+		if sizeOfRequests(b.requests)+sizeOfPuts(txn.Puts)+sizeOfPuts(b.useRows) > maxBytes+2*d.backlog.maxRow {
+			b.useRows = nil
+		}
+		txn.Puts = append(txn.Puts, b.useRows...)
 		if err := d.commitTxn(ctx, txn, b.requests, b.waiting); err != nil {
 			return err
 		}
+		d.recordUseCommit(b.useRows)
 		d.backlog.recordCommit(packed)
 		whole = packed.entries() == 0 && len(rest) > 0
-		writes, b.deletes = rest, nil
+		writes, b.deletes, b.useRows = rest, nil, nil
 	}
 	return nil
 }
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -45,10 +45,12 @@
 	RelayEntries func() []RelayEntry
 	// AwaitUnrecorded is true if an earlier owner may have started runs without records.
 	AwaitUnrecorded bool
-	Clock           fold.Clock
-	Logger          hclog.Logger
-	Times           core.Times
-	Meter           Meter
+	// PastUse configures how the past use of the teams affects the order of work; the zero value turns it off.
+	PastUse core.PastUse
+	Clock   fold.Clock
+	Logger  hclog.Logger
+	Times   core.Times
+	Meter   Meter
 }
 
 // AdviceCaller calls the adviser through one entry.
@@ -107,6 +109,7 @@
 	backlog backlog
 	// usedRows is used only by the commit loop and the loading before it.
 	usedRows usedRows
+	pastUse  pastUse
 
 	// ended holds the states of jobs that ended recently, by job id.
 	ended map[string]endedJob
@@ -146,6 +149,7 @@
 		inbox:      make(map[string]bool),
 		backlog:    backlog{records: make(map[string]flow.Record), further: make(map[string]int), shortened: make(map[string]bool), maxRow: maxRow},
 		usedRows:   usedRows{rows: make(map[string]string), perRow: max(1, maxRow/bytesPerHost)},
+		pastUse:    pastUse{read: make(chan struct{})},
 		loaded:     make(chan struct{}),
 		decideWake: make(chan struct{}, 1),
 		commitWake: make(chan struct{}, 1),
@@ -159,6 +163,7 @@
 	// No earlier owner has committed after the takeover was sent, so the cell counts their leases from then.
 	d.cell.SetTime(term.Began(), time.Now().UnixMilli())
 	d.setTime()
+	d.cell.SetPastUse(parts.PastUse)
 	d.cell.SetRules(rules)
 	return d
 }
--- a/fold/drive/load.go
+++ b/fold/drive/load.go
@@ -29,6 +29,10 @@
 // load reads all jobs and their progress. It returns the version from which followJobs reads the jobs of other entries.
 func (d *Driver) load(ctx context.Context) (int64, error) {
 	began := d.parts.Clock.Now()
+	if d.followsPastUse() {
+		// It is read beside the jobs, and a read that fails delays nothing, because work may start without it.
+		d.spawn(func() { d.readPastUse(ctx) })
+	}
 	rows, _, err := d.snapshot(ctx, JobPrefix)
 	if err != nil {
 		return 0, err
@@ -64,6 +68,12 @@
 			d.applyCancel(c, row)
 		}
 	})
+	if d.followsPastUse() {
+		select {
+		case <-d.pastUse.read:
+		case <-d.parts.Clock.After(useReadWait):
+		}
+	}
 	d.log.Info("Took over the pool.", "jobs", len(jobs), "records", len(records), "awaited", len(hosts), "took", d.parts.Clock.Now().Sub(began).String())
 	return version, nil
 }
