--- a/fold/node/meter.go
+++ b/fold/node/meter.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/core"
 	"plantainfold.example/fold/drive"
 	"plantainfold.example/fold/telem"
 )
@@ -72,6 +73,28 @@
 	return attribute.Bool("failed", err != nil)
 }
 
+// maxMeasuredTeams is the maximum number of teams whose past use is exported.
+const maxMeasuredTeams = 50
+
+// exportPastUse exports the past use that the function returns for at most the given number of teams.
+func exportPastUse(t *telem.Telemetry, uses func(limit int) []core.TeamUse) error {
+	source := t.Meter("node")
+	gauge, err := source.Float64ObservableGauge("plantainfold.pastuse", metric.WithUnit("s"), metric.WithDescription("Decayed core-seconds of a team divided by its weight, for the teams with the most."))
+	if err != nil {
+		return fold.Invalid.Wrap(err, "create the gauge plantainfold.pastuse")
+	}
+	_, err = source.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		for _, u := range uses(maxMeasuredTeams) {
+			o.ObserveFloat64(gauge, u.Weighted, metric.WithAttributes(attribute.String("team", u.Team)))
+		}
+		return nil
+	}, gauge)
+	if err != nil {
+		return fold.Invalid.Wrap(err, "register the gauge plantainfold.pastuse")
+	}
+	return nil
+}
+
 // traffic counts a call and the bytes that it sent and received.
 func (m *meter) traffic(purpose string, sent, received int) {
 	by := attribute.String("purpose", purpose)
--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/core"
 	"plantainfold.example/fold/drive"
 	"plantainfold.example/fold/front"
 	"plantainfold.example/fold/peer"
@@ -99,6 +100,11 @@
 		return nil, err
 	}
 	n := &Node{invited: make(chan struct{}, 1), settings: s, parts: parts, clock: clock, log: log, incarnation: uuid.NewString(), telemetry: telemetry, meter: m}
+	if s.PastUse != nil {
+		if err := exportPastUse(telemetry, n.pastUse); err != nil {
+			return nil, err
+		}
+	}
 	n.rules = front.NewRules(parts.Rules, clock, log, n.setDriverRules)
 	n.rules.SetFallback(n.fetchSnapshot)
 	n.front = front.New(parts.Table, n.rules, parts.Rules, clock, log, n.waiting, n.owner, s.MaxRow())
@@ -109,6 +115,15 @@
 	return n, nil
 }
 
+// pastUse returns the past use of at most limit teams while this entry owns the pool.
+func (n *Node) pastUse(limit int) []core.TeamUse {
+	driver, err := n.loadedDriver()
+	if err != nil {
+		return nil
+	}
+	return driver.PastUse(limit)
+}
+
 // Traffic adds a call and the bytes that it sent and received to the metrics.
 func (n *Node) Traffic(purpose string, sent, received int) {
 	n.meter.traffic(purpose, sent, received)
--- a/fold/node/node_test.go
+++ b/fold/node/node_test.go
@@ -225,6 +225,12 @@
 		{"negative stop", func(s *node.Settings) { s.Stop = -1 }, false},
 		{"long rows", func(s *node.Settings) { s.Row = 1 << 20 }, true},
 		{"rows too short for records", func(s *node.Settings) { s.Row = 1000 }, false},
+		{"past use", func(s *node.Settings) { s.PastUse = &node.PastUseSettings{HalfLife: 3600e3, Floor: 1000} }, true},
+		{"past use without a floor", func(s *node.Settings) { s.PastUse = &node.PastUseSettings{HalfLife: 3600e3} }, true},
+		{"past use without a half-life", func(s *node.Settings) { s.PastUse = &node.PastUseSettings{Floor: 1000} }, false},
+		{"half-life of seconds", func(s *node.Settings) { s.PastUse = &node.PastUseSettings{HalfLife: 5000} }, false},
+		{"half-life of a century", func(s *node.Settings) { s.PastUse = &node.PastUseSettings{HalfLife: 3e15} }, false},
+		{"negative floor", func(s *node.Settings) { s.PastUse = &node.PastUseSettings{HalfLife: 3600e3, Floor: -1} }, false},
 	}
 	for _, c := range cases {
 		s := valid
--- a/fold/node/settings.go
+++ b/fold/node/settings.go
@@ -50,6 +50,16 @@
 	Memory float64 `json:"memory"`
 	// Row is the longest value of a row of the store in bytes. 0 means drive.DefaultMaxRow.
 	Row int `json:"row"`
+	// PastUse turns on the order of late work by the past use of the teams; without it, past use is not recorded.
+	PastUse *PastUseSettings `json:"pastuse,omitempty"`
+}
+
+// PastUseSettings configure how past use is counted.
+type PastUseSettings struct {
+	// HalfLife is the time after which past use counts half.
+	HalfLife float64 `json:"halflife"`
+	// Floor is the use in core-seconds per unit of weight below which a team is not set back.
+	Floor float64 `json:"floor"`
 }
 
 const (
@@ -95,9 +105,39 @@
 	if s.Row < 0 || s.Row > 0 && s.Row < minRow {
 		return fold.Refuse(fold.Invalid, "set the longest value of a row in bytes, or leave it out", "the setting \"row\" is not 0 and below %d", minRow)
 	}
+	return s.PastUse.check()
+}
+
+const (
+	// minHalfLife is the shortest half-life of past use. The use of seconds is shared by the rates of the teams, and a new owner
+	// misses the use of several seconds.
+	minHalfLife = time.Minute
+	// maxHalfLife is the longest half-life of past use. Twenty times as long is the oldest use that a new owner reads.
+	maxHalfLife = 90 * 24 * time.Hour
+)
+
+// check returns an error if past use cannot be counted with the settings.
+func (p *PastUseSettings) check() error {
+	if p == nil {
+		return nil
+	}
+	if p.HalfLife < float64(minHalfLife.Milliseconds()) || p.HalfLife > float64(maxHalfLife.Milliseconds()) {
+		return fold.Refuse(fold.Invalid, "set the half-life in milliseconds, or leave \"pastuse\" out", "the setting \"pastuse.halflife\" is not between %s and %s", minHalfLife, maxHalfLife)
+	}
+	if p.Floor < 0 {
+		return fold.Refuse(fold.Invalid, "set the floor in core-seconds, or leave it out", "the setting \"pastuse.floor\" is negative")
+	}
 	return nil
 }
 
+// pastUse returns the configuration of past use, which is the zero value if it is off.
+func (s Settings) pastUse() core.PastUse {
+	if s.PastUse == nil {
+		return core.PastUse{}
+	}
+	return core.PastUse{HalfLife: ms(s.PastUse.HalfLife), Floor: s.PastUse.Floor}
+}
+
 // minRow is the smallest limit of a row, in bytes, with which a record of maximum size takes few enough rows for a commit.
 const minRow = 16 << 10
 
