Merge the order of late work by past use

With the setting pastuse, late work of teams that used much over hours waits behind late work of other teams. Both options of core, past use and speeds, are set with one call.

--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -114,6 +114,8 @@
 	lastExplained fold.Instant
 	// speedsLoggedAt is when the speeds of hosts were last logged.
 	speedsLoggedAt fold.Instant
+	// lastPastUseLog is the time of the last log about past use.
+	lastPastUseLog fold.Instant
 	stats          Stats
 }
 
@@ -145,6 +147,7 @@
 	rule fold.TeamRule
 	used fold.Resources
 	rate rate
+	use  use
 }
 
 // New returns a cell without hosts and jobs.
--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -33,9 +33,10 @@
 	c.adjustPaces()
 	c.logWaiting()
 	c.logSpeeds()
+	c.logPastUse()
 }
 
-// sortActive removes finished parts from the active ones and sorts the rest by rank, due time and job id.
+// sortActive removes finished parts from the active ones and sorts the rest by rank, past use, due time and job id.
 func (c *Cell) sortActive() {
 	c.active = slices.DeleteFunc(c.active, func(p *part) bool {
 		finished := p.doneTasks == len(p.tasks) || p.job.state.Final()
@@ -49,9 +50,16 @@
 		if c.options.Speeds {
 			p.speedPreference = p.speedWeight(p.rank/classSpan, c.now)
 		}
+		p.setBack = c.setBack(p)
 	}
 	slices.SortStableFunc(c.active, func(a, b *part) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.job.due, b.job.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
+		if a.rank != b.rank {
+			return cmp.Compare(a.rank, b.rank)
+		}
+		if a.setBack != b.setBack {
+			return cmp.Compare(a.setBack, b.setBack)
+		}
+		return cmp.Or(cmp.Compare(a.job.due, b.job.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
 	})
 }
 
--- a/fold/core/job.go
+++ b/fold/core/job.go
@@ -47,6 +47,8 @@
 	queueFactor *runTimeFactor
 	// overRate reports whether the team had exceeded its rate when the job was accepted.
 	overRate bool
+	// team is the team of the job.
+	team *team
 }
 
 // part is one step of one occurrence of a job.
@@ -66,8 +68,9 @@
 	begun bool
 	// active reports whether the part was added to the active or the scheduled parts of the cell.
 	active bool
-	// rank is its rank in the last round of decisions.
-	rank int
+	// rank is its rank in the last round of decisions. setBack is the past use by which it was ordered within the rank.
+	rank    int
+	setBack float64
 	// remaining is the last result of jobRemaining for the part.
 	remaining time.Duration
 	// speedPreference is the weight of the speed of a host in the score of the part's tasks, see speedWeight.
@@ -299,8 +302,8 @@
 	age := time.Duration(max(0, c.wall-j.spec.Accepted)) * time.Millisecond
 	j.acceptedAt = c.now.Add(-age)
 	j.setObjective(j.spec.CriticalPath(), c.runTimeFactor(j.queue.Name).factor())
-	t := c.team(j.spec.Team)
-	j.overRate = !t.rate.allow(t.rule.Weight, j.spec.Accepted)
+	j.team = c.team(j.spec.Team)
+	j.overRate = !j.team.rate.allow(j.team.rule.Weight, j.spec.Accepted)
 }
 
 // setObjective computes when the job should end from the length of its critical path and a factor by which run times differ
--- a/fold/core/speed.go
+++ b/fold/core/speed.go
@@ -13,9 +13,11 @@
 type Options struct {
 	// Speeds makes decisions depend on the speeds of hosts and on the run times within a step.
 	Speeds bool
+	// PastUse configures how past use affects the order of waiting work.
+	PastUse PastUse
 }
 
-// SetOptions sets the options. It is called before the first round of decisions.
+// SetOptions sets the options. It must be called before the first run is added.
 func (c *Cell) SetOptions(options Options) {
 	c.options = options
 }
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -109,6 +109,7 @@
 	backlog backlog
 	// usedRows is used only by the commit loop and the loading before it.
 	usedRows usedRows
+	pastUse  pastUse
 
 	// ended holds the states of jobs that ended recently, by job id.
 	ended map[string]endedJob
@@ -148,6 +149,7 @@
 		inbox:      make(map[string]bool),
 		backlog:    backlog{records: make(map[string]flow.Record), further: make(map[string]int), shortened: make(map[string]bool), maxRow: maxRow},
 		usedRows:   usedRows{rows: make(map[string]string), perRow: max(1, maxRow/bytesPerHost)},
+		pastUse:    pastUse{read: make(chan struct{})},
 		loaded:     make(chan struct{}),
 		decideWake: make(chan struct{}, 1),
 		commitWake: make(chan struct{}, 1),
--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -103,6 +103,11 @@
 	if err := exportSpeeds(telemetry, n.speeds); err != nil {
 		return nil, err
 	}
+	if s.PastUse != nil {
+		if err := exportPastUse(telemetry, n.pastUse); err != nil {
+			return nil, err
+		}
+	}
 	n.rules = front.NewRules(parts.Rules, clock, log, n.setDriverRules)
 	n.rules.SetFallback(n.fetchSnapshot)
 	n.front = front.New(parts.Table, n.rules, parts.Rules, clock, log, n.waiting, n.owner, s.MaxRow())
@@ -121,6 +126,15 @@
 	return core.SpeedSummary{}
 }
 
+// pastUse returns the past use of at most limit teams while this entry owns the pool.
+func (n *Node) pastUse(limit int) []core.TeamUse {
+	driver, err := n.loadedDriver()
+	if err != nil {
+		return nil
+	}
+	return driver.PastUse(limit)
+}
+
 // Traffic adds a call and the bytes that it sent and received to the metrics.
 func (n *Node) Traffic(purpose string, sent, received int) {
 	n.meter.traffic(purpose, sent, received)
