Read the tables of a takeover at the same time

Cause: after a takeover the owner read jobs, inbox, records, backlog and used hosts one after the other.

Change: the tables are read at the same time. Only the owner writes them, except for the inbox, whose later changes are followed from its version.

--- a/fold/drive/load.go
+++ b/fold/drive/load.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/codec"
@@ -33,30 +34,15 @@
 		// It is read beside the jobs, and a read that fails delays nothing, because work may start without it.
 		d.spawn(func() { d.readPastUse(ctx) })
 	}
-	rows, _, err := d.snapshot(ctx, JobPrefix)
+	tables, err := d.readTables(ctx)
 	if err != nil {
 		return 0, err
 	}
-	written, version, err := d.snapshot(ctx, InboxPrefix)
-	if err != nil {
-		return 0, err
-	}
-	rows = append(rows, written...)
-	states, _, err := d.snapshot(ctx, StatePrefix)
-	if err != nil {
-		return 0, err
-	}
-	packed, _, err := d.snapshot(ctx, BacklogTable)
-	if err != nil {
-		return 0, err
-	}
-	records := d.decodeRecords(states)
-	d.restoreBacklog(packed, records)
+	rows := slices.Concat(tables[JobPrefix].rows, tables[InboxPrefix].rows)
+	records := d.decodeRecords(tables[StatePrefix].rows)
+	d.restoreBacklog(tables[BacklogTable].rows, records)
 	d.restoreEnded(records, began)
-	hosts, err := d.loadUsedHosts(ctx)
-	if err != nil {
-		return 0, err
-	}
+	hosts := d.restoreUsedHosts(tables[UsedTable].rows)
 	jobs := d.decodeJobs(rows, records)
 	d.withCell(func(c *core.Cell) {
 		c.SetAwaited(hosts)
@@ -75,7 +61,36 @@
 		}
 	}
 	d.log.Info("Took over the pool.", "jobs", len(jobs), "records", len(records), "awaited", len(hosts), "took", d.parts.Clock.Now().Sub(began).String())
-	return version, nil
+	return tables[InboxPrefix].version, nil
+}
+
+// tableRows are the rows of a table and its version.
+type tableRows struct {
+	rows    []fold.Row
+	version int64
+}
+
+// readTables reads the tables that a takeover needs, all at the same time: nothing of the pool is decided until they are read. Only
+// the owner writes them, except for InboxPrefix, whose later changes are followed from its version.
+func (d *Driver) readTables(ctx context.Context) (map[string]tableRows, error) {
+	prefixes := []string{JobPrefix, InboxPrefix, StatePrefix, BacklogTable, UsedTable}
+	read := make([]tableRows, len(prefixes))
+	group, ctx := errgroup.WithContext(ctx)
+	for i, prefix := range prefixes {
+		group.Go(func() error {
+			rows, version, err := d.snapshot(ctx, prefix)
+			read[i] = tableRows{rows: rows, version: version}
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	tables := make(map[string]tableRows, len(prefixes))
+	for i, prefix := range prefixes {
+		tables[prefix] = read[i]
+	}
+	return tables, nil
 }
 
 // restoreEnded records the states of jobs that have ended, and lists the rows of those that ended long ago for deletion.
--- a/fold/drive/used.go
+++ b/fold/drive/used.go
@@ -1,7 +1,6 @@
 package drive
 
 import (
-	"context"
 	"fmt"
 	"hash/fnv"
 
@@ -86,13 +85,9 @@
 	}
 }
 
-// loadUsedHosts reads the hosts on which earlier owners may have started runs without records. If the last owner is known
+// restoreUsedHosts returns the hosts on which earlier owners may have started runs without records. If the last owner is known
 // not to have done so, these are only the hosts that it still awaited itself; otherwise they are all recorded hosts.
-func (d *Driver) loadUsedHosts(ctx context.Context) ([]fold.Host, error) {
-	rows, _, err := d.snapshot(ctx, UsedTable)
-	if err != nil {
-		return nil, err
-	}
+func (d *Driver) restoreUsedHosts(rows []fold.Row) []fold.Host {
 	var hosts []fold.Host
 	for _, row := range rows {
 		d.usedRows.rows[row.Key] = string(row.Value)
@@ -109,5 +104,5 @@
 			}
 		}
 	}
-	return hosts, nil
+	return hosts
 }
