Prefer owners near the table among equally strong entries

Callers of a cell whose failure domains are 4.9 ms apart waited longer for the answer to a submission and for each step when the owner was far from the store.

Cause: the owner was chosen by cores and link alone. Each job waits for at least three commits of the owner, so a far one adds the round trip each time.

Change: entries measure the fastest of five reads at their start and register it. Of equally strong entries those near the table are listed first as successors; an owner hands over to a nearer one while the pool has no jobs. Differences up to 5 ms do not count, so that cells of nearer domains keep their choice.

--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -230,6 +230,16 @@
 	return c.stats
 }
 
+// Idle reports whether the cell has no job that has not ended.
+func (c *Cell) Idle() bool {
+	for _, j := range c.jobs {
+		if !j.state.Final() {
+			return false
+		}
+	}
+	return true
+}
+
 // Waiting returns, by queue, the number of unscheduled jobs of which no task has started.
 func (c *Cell) Waiting() map[string]int {
 	return maps.Clone(c.waiting)
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -27,8 +27,9 @@
 	// Entries returns the incarnations of the other entries that answer, the strongest first, and how many of them are fit
 	// to own the pool.
 	Entries func() (entries []string, fitCount int)
-	// StrongerEntry reports whether another entry should own the pool instead of this one.
-	StrongerEntry func() bool
+	// FitterEntry reports whether another entry should own the pool instead of this one. An idle pool moves for a smaller
+	// advantage, because no job waits for the hand-over.
+	FitterEntry func(idle bool) bool
 	// Announce tells the entries whether this owner starts runs without records. The number orders the announcements of an
 	// epoch. It reports whether all entries have recorded the announcement; an entry that the table serves well does not
 	// record it.
@@ -295,8 +296,10 @@
 		case err := <-d.termEnd:
 			return err
 		case <-handOver.C:
-			if d.parts.StrongerEntry() {
-				d.log.Info("Ending the term because a stronger entry should own the pool.")
+			var idle bool
+			d.withCell(func(c *core.Cell) { idle = c.Idle() })
+			if d.parts.FitterEntry(idle) {
+				d.log.Info("Ending the term because a fitter entry should own the pool.", "idle", idle)
 				return nil
 			}
 		case <-d.decideWake:
--- a/fold/drive/load_test.go
+++ b/fold/drive/load_test.go
@@ -227,7 +227,7 @@
 		RelayEntries:  func() []drive.RelayEntry { return nil },
 		RelayCapacity: 20000,
 		Entries:       func() ([]string, int) { return nil, 0 },
-		StrongerEntry: func() bool { return false },
+		FitterEntry:   func(bool) bool { return false },
 		Announce:      func(context.Context, []string, int64, int64, bool) bool { return true },
 		Invite:        func(context.Context, int64) {},
 		Times:         core.Times{Lease: 6 * time.Second, Stop: 900 * time.Millisecond, RenewWithoutTable: 4 * time.Second},
--- a/fold/drive/relay_test.go
+++ b/fold/drive/relay_test.go
@@ -211,7 +211,7 @@
 		},
 		RelayCapacity: 4,
 		Entries:       func() ([]string, int) { return nil, 0 },
-		StrongerEntry: func() bool { return false },
+		FitterEntry:   func(bool) bool { return false },
 		Announce:      func(context.Context, []string, int64, int64, bool) bool { return true },
 		Invite:        func(context.Context, int64) {},
 		Times:         core.Times{Lease: 6 * time.Second, Stop: 900 * time.Millisecond, Restore: 100 * time.Millisecond, CheckpointInterval: 2 * time.Second, Early: 250 * time.Millisecond, RenewWithoutTable: 4 * time.Second},
--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -285,6 +285,7 @@
 		n.log.Error("Cannot listen for other entries.", "error", err)
 		return
 	}
+	n.peers.measureTableTime(ctx)
 	retryStart(ctx, n, func() (struct{}, error) { return struct{}{}, n.peers.register(ctx) })
 	select {
 	case <-ctx.Done():
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -327,7 +327,7 @@
 	driver := drive.New(drive.Parts{
 		Table: n.parts.Table, Log: n.parts.Log, Runner: n.parts.Runner, Roster: n.parts.Roster,
 		RelayCapacity: n.settings.RelayCapacity(), MaxRow: n.settings.MaxRow(), Domain: n.settings.Domain, RelayEntries: n.peers.relayEntries,
-		AdviceCallers: n.peers.adviceCallers, Entries: n.peers.entries, StrongerEntry: n.peers.strongerExists, Announce: n.peers.announceUnrecorded, Invite: n.peers.invite, AwaitUnrecorded: awaitUnrecorded, Clock: n.clock, Logger: n.log, Times: n.settings.Times(), Options: n.settings.Options(), Meter: n.meter,
+		AdviceCallers: n.peers.adviceCallers, Entries: n.peers.entries, FitterEntry: n.peers.fitterExists, Announce: n.peers.announceUnrecorded, Invite: n.peers.invite, AwaitUnrecorded: awaitUnrecorded, Clock: n.clock, Logger: n.log, Times: n.settings.Times(), Options: n.settings.Options(), Meter: n.meter,
 	}, term, index.Rules())
 	following, stop := context.WithCancel(ctx)
 	defer stop()
--- a/fold/node/peers.go
+++ b/fold/node/peers.go
@@ -55,6 +55,8 @@
 	Domain string `json:"domain,omitempty"`
 	// RelayCapacity is the number of hosts that the entry can supervise.
 	RelayCapacity int `json:"room,omitempty"`
+	// TableTime is how long a read of the table took when the entry started, or 0 if that is not known.
+	TableTime time.Duration `json:"tabletime,omitempty"`
 }
 
 // adviceRequest is the request of an advise call.
@@ -86,9 +88,16 @@
 	lastContact map[string]fold.Instant
 	// registrations holds the last read registrations of all other entries, by name.
 	registrations map[string]registration
-	// strongerServed reports whether the table served an entry at the last refresh that is so much stronger that this one is
-	// not fit to own the pool.
-	strongerServed bool
+	// fitter tells of the entries that the table served at the last refresh.
+	fitter fitterEntries
+}
+
+// fitterEntries tells whether other entries should own the pool instead of this one.
+type fitterEntries struct {
+	// stronger reports whether there is an entry that is so much stronger that this one is not fit to own the pool.
+	stronger bool
+	// nearer reports whether there is a fit entry that reaches the table faster by more than nearMargin.
+	nearer bool
 }
 
 // setTransport sets this entry's side of the connections to other entries.
@@ -143,7 +152,7 @@
 
 // follow keeps the registrations and the responding entries up to date until ctx ends.
 func (p *peers) follow(ctx context.Context) {
-	p.setStrongerServed(false)
+	p.setFitter(fitterEntries{})
 	for ctx.Err() == nil {
 		changed, err := p.refresh(ctx)
 		if err != nil && ctx.Err() == nil {
@@ -183,7 +192,7 @@
 	return entries, nil
 }
 
-// refresh reads the registrations, pings the entries without recent contact, asks the stronger ones whether the table serves
+// refresh reads the registrations, pings the entries without recent contact, asks the fitter ones whether the table serves
 // them, and reports whether the set of responding entries has changed.
 func (p *peers) refresh(ctx context.Context) (changed bool, err error) {
 	entries, err := p.readRegistrations(ctx)
@@ -219,50 +228,58 @@
 	changed = !maps.Equal(responding, p.responding)
 	p.responding = responding
 	p.mu.Unlock()
-	if served := p.askStronger(ctx); ctx.Err() == nil {
-		p.setStrongerServed(served)
+	if fitter := p.askFitter(ctx); ctx.Err() == nil {
+		p.setFitter(fitter)
 	}
 	return changed, nil
 }
 
-// maxStrongerAsked bounds how many entries askStronger asks at a time.
-const maxStrongerAsked = 16
+// maxFitterAsked bounds how many entries askFitter asks at a time.
+const maxFitterAsked = 16
 
-// askStronger reports whether the table serves a responding entry that is so much stronger that this one is not fit to own
-// the pool.
-func (p *peers) askStronger(ctx context.Context) bool {
+// askFitter asks the responding entries that should rather own the pool whether the table serves them.
+func (p *peers) askFitter(ctx context.Context) fitterEntries {
 	transport := p.peerTransport()
 	if transport == nil {
-		return false
+		return fitterEntries{}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var served atomic.Bool
+	var stronger, nearer atomic.Bool
 	var group errgroup.Group
-	group.SetLimit(maxStrongerAsked)
-	for _, entry := range p.ranked() {
-		if p.self.Strength >= fitShare*entry.Strength || ctx.Err() != nil {
-			break
+	group.SetLimit(maxFitterAsked)
+	ranked := p.ranked()
+	for _, entry := range ranked {
+		isStronger := p.self.Strength < fitShare*entry.Strength
+		isNearer := entry.Strength >= fitShare*max(p.self.Strength, ranked[0].Strength) && p.self.reachesTableLater(entry)
+		if ctx.Err() != nil || !isStronger && !isNearer {
+			continue
 		}
 		group.Go(func() error {
 			call, cancelCall := context.WithTimeout(ctx, pingTimeout)
 			defer cancelCall()
 			healthy, err := peer.Call[struct{}, bool](call, transport, entry.Address, tableHealthyCall, struct{}{})
 			// An entry of an earlier version does not know the call and refuses it as Invalid.
-			if err == nil && healthy || errorx.IsOfType(err, fold.Invalid) {
-				served.Store(true)
+			if err != nil && !errorx.IsOfType(err, fold.Invalid) || err == nil && !healthy {
+				return nil
+			}
+			if isNearer {
+				nearer.Store(true)
+			}
+			if isStronger {
+				stronger.Store(true)
 				cancel()
 			}
 			return nil
 		})
 	}
 	_ = group.Wait()
-	return served.Load()
+	return fitterEntries{stronger: stronger.Load(), nearer: nearer.Load()}
 }
 
-func (p *peers) setStrongerServed(served bool) {
+func (p *peers) setFitter(fitter fitterEntries) {
 	p.mu.Lock()
-	p.strongerServed = served
+	p.fitter = fitter
 	p.mu.Unlock()
 }
 
@@ -288,16 +305,26 @@
 // fitShare is the share of the strongest entry's strength that an entry needs to be fit to own the pool.
 const fitShare = 0.7
 
-// ranked returns the other responding entries, the strongest first.
+// ranked returns the other responding entries, the strongest first. Of equally strong ones, those near the table come first.
 func (p *peers) ranked() []registration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	entries := make([]registration, 0, len(p.responding))
+	nearest := registration{}
 	for _, entry := range p.responding {
 		entries = append(entries, entry)
+		if entry.TableTime > 0 && (nearest.TableTime == 0 || entry.TableTime < nearest.TableTime) {
+			nearest = entry
+		}
+	}
+	far := func(entry registration) int {
+		if entry.reachesTableLater(nearest) {
+			return 1
+		}
+		return 0
 	}
 	slices.SortFunc(entries, func(a, b registration) int {
-		return cmp.Or(cmp.Compare(b.Strength, a.Strength), cmp.Compare(a.Incarnation, b.Incarnation))
+		return cmp.Or(cmp.Compare(b.Strength, a.Strength), cmp.Compare(far(a), far(b)), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
 	return entries
 }
@@ -320,12 +347,13 @@
 	return incarnations, fitCount
 }
 
-// strongerExists reports whether the table serves another entry that is so much stronger that this one is not fit to own the
-// pool. An entry without the table could not take over.
-func (p *peers) strongerExists() bool {
+// fitterExists reports whether the table serves another entry that should own the pool instead of this one: one that is so much
+// stronger that this one is not fit, or, if the pool is idle, also one that reaches the table faster. An entry without the
+// table could not take over.
+func (p *peers) fitterExists(idle bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.strongerServed
+	return p.fitter.stronger || idle && p.fitter.nearer
 }
 
 // invite asks the responding entries, the strongest first, to take over from the owner of the epoch, until one accepts.
--- /dev/null
+++ b/fold/node/tabletime.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// tableTimeReads is the number of reads of which the fastest tells how far the table is.
+	tableTimeReads = 5
+	// nearMargin is the difference between the times of a read from which on one entry counts as nearer to the table than
+	// another. Each job waits for at least three commits of the owner; within a region the times differ by less.
+	nearMargin = 5 * time.Millisecond
+)
+
+// reachesTableLater reports whether the entry takes longer than the other one to reach the table, by more than nearMargin. An
+// entry whose time is not known counts as neither.
+func (r registration) reachesTableLater(other registration) bool {
+	return other.TableTime > 0 && r.TableTime > other.TableTime+nearMargin
+}
+
+// measureTableTime records how long a read of the table takes for this entry. It must be called before register.
+func (p *peers) measureTableTime(ctx context.Context) {
+	fastest := time.Duration(0)
+	for range tableTimeReads {
+		sent := p.clock.Now()
+		call, cancel := context.WithTimeout(ctx, tableTimeout)
+		_, err := p.table.Get(call, secretKey)
+		cancel()
+		if took := p.clock.Now().Sub(sent); err == nil && (fastest == 0 || took < fastest) {
+			fastest = took
+		}
+	}
+	p.mu.Lock()
+	p.self.TableTime = fastest
+	p.mu.Unlock()
+	p.log.Info("Measured how long the table takes to answer.", "fastest", fastest.String())
+}
--- a/fold/relay/owner_test.go
+++ b/fold/relay/owner_test.go
@@ -261,7 +261,7 @@
 		RelayEntries:  func() []drive.RelayEntry { return entries },
 		RelayCapacity: relayCapacity,
 		Entries:       func() ([]string, int) { return nil, 0 },
-		StrongerEntry: func() bool { return false },
+		FitterEntry:   func(bool) bool { return false },
 		Announce:      func(context.Context, []string, int64, int64, bool) bool { return true },
 		Invite:        func(context.Context, int64) {},
 		Times:         core.Times{Lease: leaseTime, Stop: 900 * time.Millisecond, RenewWithoutTable: renewTime},
