Limit what callers can make an entry hold

Fault: clients that send many legal bodies at once, whole or stalled just short of the end, make pfnode exceed the memory of its machine. The same holds for chunked bodies, for headers of many short fields, for bodies whose decoding multiplies memory (a step of 2 bytes becomes a struct of some 200), for numbers of 262,000 digits that are repeated in the log and the answer, and for bytes behind a request that waits. Idle connections use up the descriptors.

Cause: the server for callers limited headers and idle connections only. There was no limit on open connections, on the time for a body, on the memory of all bodies or on the buffers of the kernel.

Change: package fold/guard decides which connections may be open and how much memory headers and bodies may use, from the settings "memory" and "fds" (new); it is off without both. A limit that is reached closes the connection without progress for the longest time, then the one with the largest body; a request that was read whole is never closed. Bodies have 10 s. Lists of more than 64 steps or predecessors are rejected before they are decoded. Log lines and the counter plantainfold_closures say which limit was reached.

--- a/cmd/pfnode/internal/app/serve.go
+++ b/cmd/pfnode/internal/app/serve.go
@@ -56,8 +56,8 @@
 		Roster:  platform.NewRoster(store, log),
 		Runner:  platform.NewRunner(client),
 		Adviser: platform.NewAdviser(client, s.Adviser),
-		Callers: func(f *front.Front, log hclog.Logger, seen func(string, int, time.Duration)) http.Handler {
-			return platform.NewClientHandler(f, log, seen)
+		Callers: func(f *front.Front, bodies fold.BodyDecoder, log hclog.Logger, seen func(string, int, time.Duration)) http.Handler {
+			return platform.NewClientHandler(f, bodies, log, seen)
 		},
 	}, fold.BootClock{}, log)
 	if err != nil {
--- a/fold/node/meter.go
+++ b/fold/node/meter.go
@@ -10,6 +10,7 @@
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/drive"
+	"plantainfold.example/fold/guard"
 	"plantainfold.example/fold/telem"
 )
 
@@ -25,6 +26,8 @@
 	rows metric.Int64Counter
 	// messages counts the calls between processes and bytes the size of their bodies, both by purpose.
 	messages, bytes metric.Int64Counter
+	// closures counts the connections of callers that were closed and the requests that were refused because of a limit.
+	closures metric.Int64Counter
 }
 
 var _ drive.Meter = &meter{}
@@ -61,6 +64,9 @@
 	if m.bytes, err = source.Int64Counter("plantainfold.bytes", metric.WithUnit("By"), metric.WithDescription("Bytes of the bodies of calls, by purpose and direction.")); err != nil {
 		return nil, fold.Invalid.Wrap(err, "create the counter plantainfold.bytes")
 	}
+	if m.closures, err = source.Int64Counter("plantainfold.closures", metric.WithDescription("Connections of callers that were closed and requests that were refused, by the limit that was reached.")); err != nil {
+		return nil, fold.Invalid.Wrap(err, "create the counter plantainfold.closures")
+	}
 	return m, nil
 }
 
@@ -80,6 +86,11 @@
 	m.bytes.Add(context.Background(), int64(received), metric.WithAttributes(by, attribute.String("direction", "received")))
 }
 
+// closed counts a connection that was closed, or a request that was refused, because of a limit.
+func (m *meter) closed(reason guard.Reason) {
+	m.closures.Add(context.Background(), 1, metric.WithAttributes(attribute.String("limit", string(reason))))
+}
+
 // Commit records the duration of a commit and the number of its rows.
 func (m *meter) Commit(took time.Duration, rows int) {
 	record(m.commits, took)
--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -15,6 +15,7 @@
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/drive"
 	"plantainfold.example/fold/front"
+	"plantainfold.example/fold/guard"
 	"plantainfold.example/fold/peer"
 	"plantainfold.example/fold/telem"
 )
@@ -33,8 +34,9 @@
 	Runner fold.Runner
 	// Adviser approves placements.
 	Adviser fold.Adviser
-	// Callers returns the handler of callers' requests. The handler calls seen with the status and the duration of each one.
-	Callers func(f *front.Front, log hclog.Logger, seen func(call string, status int, took time.Duration)) http.Handler
+	// Callers returns the handler of callers' requests. The handler reads bodies with the decoder, and calls seen with the status
+	// and the duration of each request.
+	Callers func(f *front.Front, bodies fold.BodyDecoder, log hclog.Logger, seen func(call string, status int, took time.Duration)) http.Handler
 }
 
 const (
@@ -126,16 +128,14 @@
 			fn(work)
 		}()
 	}
-	callers := &http.Server{Handler: n.closeConnections(n.parts.Callers(n.front, n.log, n.meter.call)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	ready := &http.Server{Handler: http.HandlerFunc(n.ready), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 3)
-	for _, s := range []struct {
-		server  *http.Server
-		address string
-	}{{callers, n.settings.Callers}, {ready, n.settings.Ready}} {
-		if err := serve(ctx, s.server, s.address, failed); err != nil {
-			return err
-		}
+	callers, err := n.serveCallers(ctx, run, failed)
+	if err != nil {
+		return err
+	}
+	ready := &http.Server{Handler: http.HandlerFunc(n.ready), ReadHeaderTimeout: headerTimeout}
+	if err := serve(ctx, ready, n.settings.Ready, failed); err != nil {
+		return err
 	}
 	run(n.rules.Run)
 	run(n.servePeers)
@@ -146,7 +146,6 @@
 		n.ownLoop(ownCtx)
 	}()
 	n.log.Info("The entry serves callers.", "callers", n.settings.Callers, "domain", n.settings.Domain, "incarnation", n.incarnation)
-	var err error
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
@@ -178,18 +177,43 @@
 	}
 }
 
+// serveCallers starts the server for callers, with limits if the settings state the memory or the descriptors of the process.
+func (n *Node) serveCallers(ctx context.Context, run func(func(context.Context)), failed chan<- error) (*http.Server, error) {
+	server := &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	limits := guard.NewLimits(n.settings.Memory, n.settings.Fds)
+	if limits == (guard.Limits{}) {
+		server.Handler = n.closeConnections(n.parts.Callers(n.front, guard.Unlimited{}, n.log, n.meter.call))
+		return server, serve(ctx, server, n.settings.Callers, failed)
+	}
+	gate := guard.New(limits, n.clock, n.log, n.meter.closed)
+	server.Handler = n.closeConnections(n.parts.Callers(n.front, gate, n.log, n.meter.call))
+	gate.Guard(server)
+	listener, err := gate.Listen(ctx, n.settings.Callers)
+	if err != nil {
+		return nil, fold.Unavailable.Wrap(err, "listen at %s", n.settings.Callers)
+	}
+	serveOn(listener, server, failed)
+	run(gate.Run)
+	return server, nil
+}
+
 // serve listens at the address and serves in the background. A later failure of the server is sent to failed.
 func serve(ctx context.Context, s *http.Server, address string, failed chan<- error) error {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return fold.Unavailable.Wrap(err, "listen at %s", address)
 	}
+	serveOn(listener, s, failed)
+	return nil
+}
+
+// serveOn serves in the background. A later failure of the server is sent to failed.
+func serveOn(listener net.Listener, s *http.Server, failed chan<- error) {
 	go func() {
 		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			failed <- fold.Unavailable.Wrap(err, "serve %s", address)
+			failed <- fold.Unavailable.Wrap(err, "serve %s", listener.Addr())
 		}
 	}()
-	return nil
 }
 
 // shutDown makes the balancer probe fail, hands over the pool, finishes the running requests and removes the entry's
--- a/fold/node/node_test.go
+++ b/fold/node/node_test.go
@@ -223,6 +223,8 @@
 		{"short lease", func(s *node.Settings) { s.Lease = 100 }, false},
 		{"no grace", func(s *node.Settings) { s.Grace = 0 }, false},
 		{"negative stop", func(s *node.Settings) { s.Stop = -1 }, false},
+		{"negative descriptors", func(s *node.Settings) { s.Fds = -1 }, false},
+		{"negative memory", func(s *node.Settings) { s.Memory = -1 }, false},
 		{"long rows", func(s *node.Settings) { s.Row = 1 << 20 }, true},
 		{"rows too short for records", func(s *node.Settings) { s.Row = 1000 }, false},
 	}
--- a/fold/node/settings.go
+++ b/fold/node/settings.go
@@ -48,6 +48,8 @@
 	Link float64 `json:"link"`
 	// Memory is the memory limit of the process in MiB.
 	Memory float64 `json:"memory"`
+	// Fds is the number of descriptors that the process may have open, or 0 if it is not known.
+	Fds int `json:"fds,omitempty"`
 	// Row is the longest value of a row of the store in bytes. 0 means drive.DefaultMaxRow.
 	Row int `json:"row"`
 }
@@ -92,6 +94,9 @@
 	if s.Stop < 0 || s.Restore < 0 || s.Save < 0 || s.Early < 0 || s.Grace <= 0 {
 		return fold.Refuse(fold.Invalid, "use a positive time", "\"stop\", \"restore\", \"save\" or \"early\" is negative, or \"grace\" is not positive")
 	}
+	if s.Fds < 0 || s.Memory < 0 {
+		return fold.Refuse(fold.Invalid, "set the limits of the machine, or leave them out", "the setting \"memory\" or \"fds\" is negative")
+	}
 	if s.Row < 0 || s.Row > 0 && s.Row < minRow {
 		return fold.Refuse(fold.Invalid, "set the longest value of a row in bytes, or leave it out", "the setting \"row\" is not 0 and below %d", minRow)
 	}
--- a/fold/node/standin_test.go
+++ b/fold/node/standin_test.go
@@ -315,7 +315,7 @@
 		Name: name, Callers: unusedAddress(c.t), Ready: unusedAddress(c.t), Peers: unusedAddress(c.t), Store: "unused", Lease: 6000, Stop: 900, Grace: 4000, Cores: 1,
 	}, node.Parts{
 		Table: c.table, Log: c.table, Rules: c.rules, Roster: c.hosts, Runner: c.hosts, Adviser: c.hosts,
-		Callers: func(f *front.Front, _ hclog.Logger, _ func(string, int, time.Duration)) http.Handler {
+		Callers: func(f *front.Front, _ fold.BodyDecoder, _ hclog.Logger, _ func(string, int, time.Duration)) http.Handler {
 			fronts <- f
 			return http.NotFoundHandler()
 		},
