--- a/fold/telem/writer.go
+++ b/fold/telem/writer.go
@@ -12,12 +12,18 @@
 // maxQueuedLines is the maximum number of queued log lines. Further lines are dropped and counted.
 const maxQueuedLines = 4096
 
+// maxQueuedBytes is the maximum size of the queued log lines in bytes. A line can hold a path or an id of a caller, which can
+// have some 16 KB.
+const maxQueuedBytes = 4 << 20
+
 // Writer writes log lines in the background, so that a slow log destination does not block the callers of the logger.
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
 	done    chan struct{}
 	dropped atomic.Int64
+	// queued is the size of the queued lines in bytes.
+	queued atomic.Int64
 
 	mu     sync.RWMutex
 	closed bool
@@ -32,18 +38,23 @@
 	return w
 }
 
-// Write queues a line. It drops the line if the queue is full.
+// Write queues a line. It drops the line if the queue has too many lines or bytes.
 func (w *Writer) Write(line []byte) (int, error) {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
 	if w.closed {
 		return len(line), nil
 	}
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
-		w.dropped.Add(1)
+	size := int64(len(line))
+	if w.queued.Add(size) <= maxQueuedBytes {
+		select {
+		case w.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	w.queued.Add(-size)
+	w.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -69,6 +80,7 @@
 	for line := range w.lines {
 		// An error is ignored because there is no other log to report it to.
 		_, _ = w.out.Write(line)
+		w.queued.Add(-int64(len(line)))
 		if n := w.dropped.Swap(0); n > 0 {
 			_, _ = fmt.Fprintf(w.out, "{\"@level\":\"warn\",\"@message\":\"Dropped log lines.\",\"lines\":%d}\n", n)
 		}
