Hand over to a nearer entry only if it comes first

It also found that the time of the table was read without the lock.

Change: a nearer entry counts only if it is at least as strong as the first successor. The time is read under the lock.

TestAskFitter has a case that fails before the change.

--- a/fold/node/fitter_test.go
+++ b/fold/node/fitter_test.go
@@ -45,6 +45,7 @@
 		{"same strength, nearer, no table", []other{{1, unhealthy, near}}, neither},
 		{"same strength, time not known", []other{{1, healthy, unknown}}, neither},
 		{"weaker, nearer", []other{{0.5, healthy, near}}, neither},
+		{"a little weaker, nearer", []other{{0.9, healthy, near}, {1, healthy, far}}, neither},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/fold/node/peers.go
+++ b/fold/node/peers.go
@@ -245,13 +245,18 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	p.mu.Lock()
+	self := p.self
+	p.mu.Unlock()
 	var stronger, nearer atomic.Bool
 	var group errgroup.Group
 	group.SetLimit(maxFitterAsked)
 	ranked := p.ranked()
 	for _, entry := range ranked {
-		isStronger := p.self.Strength < fitShare*entry.Strength
-		isNearer := entry.Strength >= fitShare*max(p.self.Strength, ranked[0].Strength) && p.self.reachesTableLater(entry)
+		isStronger := self.Strength < fitShare*entry.Strength
+		// A nearer entry counts only if it comes first among the successors. Otherwise each of them would hand over to the
+		// next one because of it.
+		isNearer := entry.Strength >= max(self.Strength, ranked[0].Strength) && self.reachesTableLater(entry)
 		if ctx.Err() != nil || !isStronger && !isNearer {
 			continue
 		}
