Order states of the configuration by the version of the table

An entry without the table refused all requests, because it took the owner's state for an older one if it had read the same configuration later. A configuration of a lower revision made the feed be read without a pause.

Change: of two states the one with the higher version of the table is newer. Evacuated domains are always sent to entries without the table, the rest only if the version of the configuration's row differs. The owner's driver gets the newest state again after it was registered, since a change could be lost between its creation and that.

--- a/cmd/pfnode/internal/app/serve.go
+++ b/cmd/pfnode/internal/app/serve.go
@@ -52,7 +52,7 @@
 	n, err := node.New(s, node.Parts{
 		Table:   store,
 		Log:     store,
-		Rules:   platform.NewRulesSource(store),
+		Rules:   platform.NewRulesSource(store, log),
 		Roster:  platform.NewRoster(store, log),
 		Runner:  platform.NewRunner(client),
 		Adviser: platform.NewAdviser(client, s.Adviser),
--- a/fold/front/front_test.go
+++ b/fold/front/front_test.go
@@ -160,7 +160,7 @@
 func (o *outdatedRules) Read(context.Context) (fold.Declared, error) {
 	o.reads.Add(1)
 	revision := o.revision.Load()
-	return fold.Declared{Rules: fold.Rules{Revision: revision}, Version: revision, Changed: revision, Position: revision}, nil
+	return fold.Declared{Rules: fold.Rules{Revision: revision}, Version: revision, Position: revision}, nil
 }
 
 func (*outdatedRules) Next(context.Context, fold.Declared, time.Duration) (fold.Declared, bool, error) {
--- a/fold/front/latefeed_test.go
+++ b/fold/front/latefeed_test.go
@@ -30,7 +30,7 @@
 func (l *lateRules) Read(context.Context) (fold.Declared, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return fold.Declared{Rules: fold.Rules{Revision: l.revision}, Version: l.revision, Changed: l.revision, Position: l.revision}, nil
+	return fold.Declared{Rules: fold.Rules{Revision: l.revision}, Version: l.revision, Position: l.revision}, nil
 }
 
 func (l *lateRules) Next(ctx context.Context, known fold.Declared, wait time.Duration) (fold.Declared, bool, error) {
@@ -50,7 +50,7 @@
 	if l.outdated {
 		return fold.Declared{}, false, fold.Outdated.New("the changes are no longer available")
 	}
-	return declared, declared.Changed > known.Changed, nil
+	return declared, declared.Version > known.Version, nil
 }
 
 func (l *lateRules) count(n int) {
--- a/fold/front/rules.go
+++ b/fold/front/rules.go
@@ -29,9 +29,9 @@
 	readTimeout = 700 * time.Millisecond
 )
 
-// AskOther asks another entry for what the operator has declared, if that changed after the position. It returns the state and
-// its age. The rules of the state are empty if they did not change.
-type AskOther func(ctx context.Context, changed int64) (fold.Declared, time.Duration, error)
+// AskOther asks another entry for what the operator has declared. It returns the state and its age. If the configuration's row
+// has the given version there, the rules of the state contain only the evacuated failure domains.
+type AskOther func(ctx context.Context, version int64) (fold.Declared, time.Duration, error)
 
 // Rules follows the declared configuration.
 type Rules struct {
@@ -40,7 +40,7 @@
 	log    hclog.Logger
 	// changed is called with each new revision and each change of the evacuated failure domains.
 	changed func(fold.Rules)
-	// askOther asks another entry for a state that changed after the given position, see AskOther.
+	// askOther asks another entry for its state.
 	askOther AskOther
 
 	mu sync.Mutex
@@ -122,16 +122,16 @@
 	}
 	sent := r.clock.Now()
 	known := r.Declared()
-	other, otherAge, err := r.askOther(ctx, known.Changed)
+	other, otherAge, err := r.askOther(ctx, known.Version)
 	if err != nil {
 		r.log.Debug("Could not get the configuration from another entry.", "error", err)
 		return
 	}
-	if other.Changed == known.Changed {
-		other.Rules, other.Version = known.Rules, known.Version
+	if other.Version == known.Version {
+		evacuated := other.Rules.Evacuated
+		other.Rules = known.Rules
+		other.Rules.Evacuated = evacuated
 	}
-	// The position of this entry's feed must not skip changes that the other entry has not seen.
-	other.Position = min(other.Position, other.Changed)
 	r.apply(other, sent.Add(-otherAge))
 }
 
@@ -198,18 +198,23 @@
 	return nil
 }
 
-// apply puts a state into force unless an entry or the feed has shown a newer one before. The argument sent is the time at which
-// it was requested.
+// apply puts a state into force unless a newer one is known. The argument sent is the time at which it was requested. A
+// configuration whose revision is lower than the known one is ignored, but not the rest of its state.
 func (r *Rules) apply(declared fold.Declared, sent fold.Instant) {
 	r.applying.Lock()
 	defer r.applying.Unlock()
 	r.mu.Lock()
-	if declared.Changed < r.declared.Changed || r.index != nil && declared.Rules.Revision < r.declared.Rules.Revision {
+	known := r.declared
+	if declared.Position < known.Position {
 		r.mu.Unlock()
 		return
 	}
-	known := r.declared
-	declared.Position = max(declared.Position, known.Position)
+	lowerRevision := r.index != nil && declared.Rules.Revision < known.Rules.Revision
+	if lowerRevision {
+		evacuated := declared.Rules.Evacuated
+		declared.Rules = known.Rules
+		declared.Rules.Evacuated = evacuated
+	}
 	r.declared = declared
 	r.confirmedAt = max(r.confirmedAt, sent)
 	newRules := r.index == nil || declared.Rules.Revision > known.Rules.Revision
@@ -218,6 +223,9 @@
 		r.index = book.New(declared.Rules)
 	}
 	r.mu.Unlock()
+	if lowerRevision && declared.Version != known.Version {
+		r.log.Warn("Ignored a configuration with a lower revision than the one in force.", "version", declared.Version, "revision", known.Rules.Revision)
+	}
 	if newRules {
 		r.log.Info("Configuration in force.", "revision", declared.Rules.Revision, "queues", len(declared.Rules.Queues), "teams", len(declared.Rules.Teams))
 	}
@@ -228,3 +236,16 @@
 		r.changed(declared.Rules)
 	}
 }
+
+// Resend calls the function for changes with the newest configuration. A receiver that was added after a change uses it to
+// learn of the change.
+func (r *Rules) Resend() {
+	r.applying.Lock()
+	defer r.applying.Unlock()
+	r.mu.Lock()
+	index, rules := r.index, r.declared.Rules
+	r.mu.Unlock()
+	if index != nil {
+		r.changed(rules)
+	}
+}
--- a/fold/front/slowfeed_test.go
+++ b/fold/front/slowfeed_test.go
@@ -30,7 +30,7 @@
 }
 
 func (s slowRules) Read(ctx context.Context) (fold.Declared, error) {
-	return fold.Declared{Rules: fold.Rules{Revision: 1}, Version: 1, Changed: 1, Position: 1}, s.sleep(ctx, 0)
+	return fold.Declared{Rules: fold.Rules{Revision: 1}, Version: 1, Position: 1}, s.sleep(ctx, 0)
 }
 
 func (s slowRules) Next(ctx context.Context, known fold.Declared, wait time.Duration) (fold.Declared, bool, error) {
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -333,6 +333,8 @@
 	defer stop()
 	go n.peers.follow(following)
 	n.setDriver(driver)
+	// The rules may have changed since they were read for the driver.
+	n.rules.Resend()
 	n.setAttemptedEpoch(0)
 	err := driver.Run(ctx)
 	n.setDriver(nil)
--- a/fold/node/simulation_test.go
+++ b/fold/node/simulation_test.go
@@ -415,7 +415,7 @@
 
 func (r simulatedRules) Read(context.Context) (fold.Declared, error) {
 	rules := fold.Rules{Revision: 1, Queues: []fold.Queue{r.queue}, Teams: []fold.TeamRule{{Name: "crews"}}}
-	return fold.Declared{Rules: rules, Version: 1, Changed: 1, Position: 1}, nil
+	return fold.Declared{Rules: rules, Version: 1, Position: 1}, nil
 }
 
 func (r simulatedRules) Next(ctx context.Context, known fold.Declared, wait time.Duration) (fold.Declared, bool, error) {
--- a/fold/node/snapshot.go
+++ b/fold/node/snapshot.go
@@ -14,7 +14,8 @@
 
 // snapshot is an entry's copy of the table's configuration and owner, for an entry that cannot reach the table.
 type snapshot struct {
-	// Declared is what the operator has declared. It has no rules if the asking entry already has them.
+	// Declared is what the operator has declared. Its rules contain only the evacuated failure domains if the asking entry has
+	// the same version of the configuration.
 	Declared fold.Declared `json:"declared"`
 	// RulesAge is the time since the table confirmed the configuration.
 	RulesAge time.Duration `json:"rulesage"`
@@ -26,12 +27,12 @@
 	OwnerAge time.Duration `json:"ownerage"`
 }
 
-// snapshotFor returns this entry's snapshot for an entry whose configuration last changed at the given position of the feed.
+// snapshotFor returns this entry's snapshot for an entry that has the given version of the configuration.
 func (n *Node) snapshotFor(known int64) snapshot {
 	_, _, age := n.rules.Current()
 	out := snapshot{Declared: n.rules.Declared(), RulesAge: age}
-	if out.Declared.Changed <= known {
-		out.Declared.Rules = fold.Rules{}
+	if out.Declared.Version == known {
+		out.Declared.Rules = fold.Rules{Evacuated: out.Declared.Rules.Evacuated}
 	}
 	n.mu.Lock()
 	out.Owner, out.OwnerVersion, out.OwnerAge = n.ownerRow.owner, n.ownerRow.version, n.clock.Now().Sub(n.ownerRow.readAt)
--- a/fold/node/standin_test.go
+++ b/fold/node/standin_test.go
@@ -45,7 +45,7 @@
 func (r *rules) Read(context.Context) (fold.Declared, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return fold.Declared{Rules: r.current, Version: r.version, Changed: r.version, Position: r.version}, nil
+	return fold.Declared{Rules: r.current, Version: r.version, Position: r.version}, nil
 }
 
 func (r *rules) Next(ctx context.Context, known fold.Declared, wait time.Duration) (fold.Declared, bool, error) {
@@ -53,7 +53,7 @@
 		return known, false, err
 	}
 	declared, _ := r.Read(ctx)
-	return declared, declared.Changed > known.Changed, nil
+	return declared, declared.Version > known.Version, nil
 }
 
 func (r *rules) Check(version int64) fold.Check {
--- a/fold/rules.go
+++ b/fold/rules.go
@@ -54,14 +54,13 @@
 	CapacityChecked map[string]bool `json:"Guarded"`
 }
 
-// Declared is what the operator has declared, as of one position of the feed.
+// Declared is what the operator has declared, as of one version of the table.
 type Declared struct {
 	Rules Rules
-	// Version is the version of the row of the configuration.
+	// Version is the version of the row of the configuration, which commits check.
 	Version int64
-	// Changed is the position of the last known change. Of two states the one with the higher value is newer.
-	Changed int64
-	// Position is the position from which the feed continues.
+	// Position is the version of the whole table at which the state held. The feed of changes continues from it, and of two
+	// states the one with the higher position is newer.
 	Position int64
 }
 
