Set back only jobs that twice their objective has passed for

Change: a job is set back only after twice its objective, since estimates are wrong by up to 0.9 of their value.

--- a/fold/core/pastuse.go
+++ b/fold/core/pastuse.go
@@ -120,10 +120,15 @@
 // late urgent parts that precede some of them, have lower ranks.
 const firstSetBackRank = classLate * classSpan
 
-// setBack returns the past use by which a part is set back within its rank, or 0. Only parts of jobs whose due time has
-// passed are set back: the class of a job depends on estimates, so that a job of a lower class may still end in time.
+// setBackAfter returns the time after which a job may be set back: twice its objective after its acceptance. The objective comes
+// from estimates, and the actual work may take 1.9 times as long, so that the job can still end in time until then.
+func (j *job) setBackAfter() fold.Instant {
+	return j.due.Add(j.worthlessAfter.Sub(j.due) / (worthlessFactor - 1))
+}
+
+// setBack returns the past use by which a part is set back within its rank, or 0.
 func (c *Cell) setBack(p *part) float64 {
-	if !c.options.PastUse.enabled() || p.rank < firstSetBackRank || c.now <= p.job.due {
+	if !c.options.PastUse.enabled() || p.rank < firstSetBackRank || c.now <= p.job.setBackAfter() {
 		return 0
 	}
 	t := p.job.team
