Begin another read of the configuration when one goes on for long

Change: a second read begins when the last one has gone on for 700 ms; at most two go on at the same time, for 2.5 s each. Callers take the result of either.

TestReadAfterSilence fails before the change (the configuration is read 2 s after the table answers again). TestCallersShareReadsOfLargeConfiguration allows two reads at a time now.

--- a/fold/front/rules.go
+++ b/fold/front/rules.go
@@ -51,8 +51,10 @@
 	// confirmedAt is when the call that last confirmed the configuration was sent.
 	confirmedAt fold.Instant
 
-	// reading is the read of the whole configuration that is under way, or nil.
-	reading *wholeRead
+	// reading is the last read of the whole configuration if it is under way, or nil. earlierRead is the one that was under way
+	// when it began, or nil. wholeReads counts the reads under way.
+	reading, earlierRead *wholeRead
+	wholeReads           int
 	// ended is done when Run has ended. Reads of the whole configuration end then.
 	ended context.Context
 	end   context.CancelFunc
