Explain where the tasks of a job would go

An operator can only learn why tasks wait from the log, after they have waited for 3 s, and not before a job is submitted.

Cell.Explain decides about a job in a copy of the hosts and of the team, with the functions that decide about submitted jobs. For this, the reasons for which a host is closed or excluded, the comparison of parts and the charge for a task become functions of their own. acceptsWork, countReasons, sortActive, attach and heldRoom.add use them and behave as before.

The tests of drive pass.

--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -46,21 +46,29 @@
 		return finished
 	})
 	for _, p := range c.active {
-		p.rank = c.rank(p)
-		if c.options.Speeds {
-			p.speedPreference = p.speedWeight(p.rank/classSpan, c.now)
-		}
-		p.setBack = c.setBack(p)
+		c.rankPart(p)
 	}
-	slices.SortStableFunc(c.active, func(a, b *part) int {
-		if a.rank != b.rank {
-			return cmp.Compare(a.rank, b.rank)
-		}
-		if a.setBack != b.setBack {
-			return cmp.Compare(a.setBack, b.setBack)
-		}
-		return cmp.Or(cmp.Compare(a.job.due, b.job.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
-	})
+	slices.SortStableFunc(c.active, compareParts)
+}
+
+// rankPart computes what the order of the part and its preference for fast or slow hosts depend on.
+func (c *Cell) rankPart(p *part) {
+	p.rank = c.rank(p)
+	if c.options.Speeds {
+		p.speedPreference = p.speedWeight(p.rank/classSpan, c.now)
+	}
+	p.setBack = c.setBack(p)
+}
+
+// compareParts orders parts by rank, past use, due time and job id.
+func compareParts(a, b *part) int {
+	if a.rank != b.rank {
+		return cmp.Compare(a.rank, b.rank)
+	}
+	if a.setBack != b.setBack {
+		return cmp.Compare(a.setBack, b.setBack)
+	}
+	return cmp.Or(cmp.Compare(a.job.due, b.job.due), cmp.Compare(a.job.spec.ID, b.job.spec.ID))
 }
 
 // Classes of parts, highest precedence first. Within a class, parts are ordered by the priority of the queue.
--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -14,18 +14,23 @@
 	r.task.runs = append(r.task.runs, r)
 	r.host.runs[r.key()] = r
 	r.host.runList = append(r.host.runList, r)
-	r.host.used = r.host.used.Add(p.step.Claim())
-	r.host.countInterfering(p.step, 1)
+	c.claim(p, r.host)
 	c.markRunsChanged(r.host)
+	p.job.liveRuns++
+	c.countWaitingTasks(r.task)
+}
+
+// claim charges the resources of one task of the part to the host and to the team.
+func (c *Cell) claim(p *part, h *host) {
+	h.used = h.used.Add(p.step.Claim())
+	h.countInterfering(p.step, 1)
 	if p.perHost == nil {
 		p.perHost = make(map[*host]int)
 	}
-	p.perHost[r.host]++
-	p.job.liveRuns++
+	p.perHost[h]++
 	t := c.team(p.job.spec.Team)
 	t.used = t.used.Add(p.step.Size)
 	c.claimCores(t, p.step.Claim().CPU)
-	c.countWaitingTasks(r.task)
 }
 
 // markRunsChanged records that the runs of a host have changed.
--- a/fold/core/explain.go
+++ b/fold/core/explain.go
@@ -66,14 +66,38 @@
 func (c *Cell) countReasons(p *part, hosts []*host) reasons {
 	w := reasons{open: len(hosts), limit: !c.withinLimit(p.job.spec.Team, p.step.Size)}
 	for _, h := range hosts {
-		switch {
-		case !p.allowed(h) || p.advice.deniedIDs[h.info.ID]:
+		switch c.whyExcluded(p, h) {
+		case excludedLabel, excludedDenied:
 			w.denied++
-		case c.slots(p, h, h.info.Capacity.Sub(h.used)) == 0:
+		case excludedFull:
 			w.full++
-		case !p.permitted(h, c.now):
+		case excludedUnasked:
 			w.unasked++
 		}
 	}
 	return w
 }
+
+// Reasons for which an open host cannot take a task of a part.
+const (
+	excludedLabel   = "no label"
+	excludedDenied  = "denied"
+	excludedFull    = "full"
+	excludedUnasked = "not asked"
+)
+
+// whyExcluded returns the reason for which an open host cannot take a task of the part now, or "" if it can.
+func (c *Cell) whyExcluded(p *part, h *host) string {
+	switch {
+	case !p.allowed(h):
+		return excludedLabel
+	case p.advice.deniedIDs[h.info.ID]:
+		return excludedDenied
+	case c.slots(p, h, h.info.Capacity.Sub(h.used)) == 0:
+		return excludedFull
+	case !p.permitted(h, c.now):
+		return excludedUnasked
+	default:
+		return ""
+	}
+}
--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -203,8 +203,31 @@
 
 // acceptsWork reports whether the host takes new runs.
 func (h *host) acceptsWork(now fold.Instant) bool {
-	return h.listed && h.described && h.enforcesFence && !h.info.Draining && !h.evacuated && h.silentSince == 0 && len(h.forbiddenStarts) == 0 && !h.health.quarantined(now) &&
-		(h.lastUnknownRun == 0 || now.Sub(h.lastUnknownRun) > unknownRunPause)
+	return h.whyClosed(now) == ""
+}
+
+// whyClosed returns the reason for which the host takes no new runs, or "" if it takes them.
+func (h *host) whyClosed(now fold.Instant) string {
+	switch {
+	case !h.listed:
+		return "not in the roster"
+	case h.evacuated:
+		return "evacuated"
+	case h.info.Draining:
+		return "draining"
+	case h.silentSince != 0:
+		return "silent"
+	case h.health.quarantined(now):
+		return "quarantined"
+	case !h.described || !h.enforcesFence:
+		return "no answer yet"
+	case len(h.forbiddenStarts) > 0:
+		return "restarted"
+	case h.lastUnknownRun != 0 && now.Sub(h.lastUnknownRun) <= unknownRunPause:
+		return "unknown run"
+	default:
+		return ""
+	}
 }
 
 // unknownRunPause is how long a host gets no work after it reported a run that this owner does not know. It is longer
--- a/fold/core/preempt.go
+++ b/fold/core/preempt.go
@@ -70,13 +70,17 @@
 
 // add charges the room that is reserved for the part.
 func (s *heldRoom) add(p *part) {
-	claim := p.step.Claim()
 	for _, r := range p.reservations {
-		r.host.used = r.host.used.Add(claim)
-		*s = append(*s, heldClaim{host: r.host, claim: claim})
+		s.charge(r.host, p.step.Claim())
 	}
 }
 
+// charge charges reserved room for one task to the host.
+func (s *heldRoom) charge(h *host, claim fold.Resources) {
+	h.used = h.used.Add(claim)
+	*s = append(*s, heldClaim{host: h, claim: claim})
+}
+
 // release takes back all charges.
 func (s *heldRoom) release() {
 	for _, held := range *s {
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -262,6 +262,13 @@
 	return stats, used, capacity
 }
 
+// Explain returns where the tasks of a job would go now and why. It does not advance the time of the cell.
+func (d *Driver) Explain(queue, team string, job flow.Job) (core.Explanation, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cell.Explain(queue, team, job)
+}
+
 // Speeds returns a summary of the speeds of the hosts. It is the zero value if the options leave speeds off.
 func (d *Driver) Speeds() core.SpeedSummary {
 	if !d.parts.Options.Speeds {
