Serve the question where a job would go to operators

Entries serve GET /explain beside /metrics on the address for other entries, never to callers. An entry that does not own the pool asks the owner; a late answer does not suspend the calls of callers to it. The owner answers one question at a time, because a question holds up its decisions.

The stand-in cell of the tests keeps the peers' addresses of its entries; no existing test changes.

--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -73,6 +73,8 @@
 	invited chan struct{}
 	// ownerBackoff suspends calls to an owner that did not answer.
 	ownerBackoff ownerBackoff
+	// explaining is true while this entry answers an explainCall.
+	explaining atomic.Bool
 
 	mu sync.Mutex
 	// driver runs the pool while this entry owns it; otherwise it is nil.
@@ -303,6 +305,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, transport)
 	mux.Handle("/metrics", n.telemetry.Handler())
+	mux.HandleFunc("GET "+explainPath, n.handleExplain)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 1)
 	if err := serve(ctx, server, n.settings.Peers, failed); err != nil {
--- a/fold/node/ownercalls.go
+++ b/fold/node/ownercalls.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/core"
 	"plantainfold.example/fold/drive"
 	"plantainfold.example/fold/flow"
 	"plantainfold.example/fold/front"
@@ -126,6 +127,9 @@
 	peer.Handle(transport, tableHealthyCall, func(ctx context.Context, _ string, _ struct{}) (bool, error) {
 		return n.tableHealthy(ctx), nil
 	})
+	peer.Handle(transport, explainCall, func(_ context.Context, _ string, question explainQuestion) (core.Explanation, error) {
+		return n.explainHere(question)
+	})
 	peer.Handle(transport, stateCall, func(_ context.Context, _ string, id string) (jobState, error) {
 		d, err := n.loadedDriver()
 		if err != nil {
--- a/fold/node/standin_test.go
+++ b/fold/node/standin_test.go
@@ -258,6 +258,8 @@
 	fronts []*front.Front
 	// stops holds the function that stops each entry, in the order of fronts.
 	stops []func()
+	// peers holds the address of each entry for other entries, in the order of fronts.
+	peers []string
 }
 
 // usedAddresses holds the addresses that unusedAddress has returned.
@@ -311,8 +313,10 @@
 // add starts another entry.
 func (c *cell) add(name string) {
 	fronts := make(chan *front.Front, 1)
+	peers := unusedAddress(c.t)
+	c.peers = append(c.peers, peers)
 	n, err := node.New(node.Settings{
-		Name: name, Callers: unusedAddress(c.t), Ready: unusedAddress(c.t), Peers: unusedAddress(c.t), Store: "unused", Lease: 6000, Stop: 900, Grace: 4000, Cores: 1,
+		Name: name, Callers: unusedAddress(c.t), Ready: unusedAddress(c.t), Peers: peers, Store: "unused", Lease: 6000, Stop: 900, Grace: 4000, Cores: 1,
 	}, node.Parts{
 		Table: c.table, Log: c.table, Rules: c.rules, Roster: c.hosts, Runner: c.hosts, Adviser: c.hosts,
 		Callers: func(f *front.Front, _ fold.BodyDecoder, _ hclog.Logger, _ func(string, int, time.Duration)) http.Handler {
