--- a/fold/core/query.go
+++ b/fold/core/query.go
@@ -121,7 +121,7 @@
 func (c *Cell) explainPart(p *part) StepExplanation {
 	e := StepExplanation{
 		Step: p.index, Tasks: len(p.tasks), Class: classNames[c.class(p)], Rank: p.rank, After: p.step.After,
-		Advised: p.job.queue.Advice != nil, Unplaced: p.waitingTasks, MayPreempt: c.mayPreempt(p), Excluded: make(map[string]int),
+		Advised: p.job.queue.Advice != nil, Unplaced: p.waitingTasks, MayPreempt: !p.step.Gang && c.mayPreempt(p), Excluded: make(map[string]int),
 	}
 	if due := p.job.spec.Due(0); due > c.wall {
 		e.NotBefore = time.Duration(due-c.wall) * time.Millisecond
