Add the command pfnode explain

The command sends a job file to GET /explain of an entry and prints a line per step, the chosen hosts with their scores, the excluded hosts by reason, or the problem with its remedy.

--- a/cmd/pfnode/internal/app/main.go
+++ b/cmd/pfnode/internal/app/main.go
@@ -13,5 +13,6 @@
 	return launch.RunCommands("pfnode", "Entry daemon of plantainfold on the users' platform. Example: pfnode serve --settings node.json", args, stdout, stderr,
 		launch.Command{Name: "serve", Short: "Serve until SIGTERM, then stop gracefully", Run: &serveCommand{ctx: ctx, stdout: stdout}},
 		launch.Command{Name: "check", Short: "Check the settings without starting", Run: &checkCommand{stdout: stdout}},
+		launch.Command{Name: "explain", Short: "Print where the tasks of a job would go now, without submitting it", Run: &explainCommand{ctx: ctx, stdout: stdout}},
 	)
 }
