Check that no task starts in an evacuated failure domain

The checks of the simulated hosts knew nothing of evacuations. EVAC reports a start on a host later than 5 s after the evacuation of its failure domain. Exempt are orders that are carried out late, and starts until 5 s with contact have passed once since the request. The check of waiting work gives no room on evacuated hosts; without evacuations it is unchanged.

--- a/fold/model/audit.go
+++ b/fold/model/audit.go
@@ -42,6 +42,7 @@
 	}
 	w.checkJob(t, s)
 	w.checkTeamLimit(t)
+	w.checkEvacuated(h, t, s)
 }
 
 func (w *World) checkJob(t *taskTruth, s fold.StartRequest) {
--- a/fold/model/host.go
+++ b/fold/model/host.go
@@ -46,7 +46,10 @@
 	cut, fails, hangs bool
 	// unlisted counts the active faults that remove the host from the roster.
 	unlisted int
-	slowdown float64
+	// evacuatedAt is when the store accepted the evacuation of the failure domain, or 0 if the domain is not evacuated.
+	// closedFrom is from when on no run may start there.
+	evacuatedAt, closedFrom fold.Instant
+	slowdown                float64
 }
 
 // run is a running attempt of a task.
--- a/fold/model/idle.go
+++ b/fold/model/idle.go
@@ -297,7 +297,7 @@
 		}
 		use.capacity = use.capacity.Add(h.info.Capacity)
 		use.used = use.used.Add(h.info.Capacity.Sub(free))
-		if !h.cut && !h.info.Draining && !h.fails && !h.hangs && h.slowdown <= 1 && h.unlisted == 0 {
+		if !h.cut && !h.info.Draining && !h.fails && !h.hangs && h.slowdown <= 1 && h.unlisted == 0 && h.evacuatedAt == 0 {
 			use.free[h] = free
 		}
 	}
--- a/fold/model/world.go
+++ b/fold/model/world.go
@@ -51,6 +51,8 @@
 	tableUp   bool
 	// realTime is set if the entries run as processes. Time bounds then do not apply for a while after a fault.
 	realTime bool
+	// contactFrom is when the last loss of contact ended or will end, as far as this was reported.
+	contactFrom fold.Instant
 
 	violations []string
 	counts     Counts
