Test that late orders excuse starts in evacuated failure domains

The exemption of EVAC for orders that are carried out late had no test. go test ./model -run TestLateStartInEvacuatedDomain: ok; without the exemption it fails with one violation of EVAC at 6.7 s.

--- a/fold/model/evacuate_test.go
+++ b/fold/model/evacuate_test.go
@@ -1,10 +1,13 @@
 package model_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"plantainfold.example/fold"
+	"plantainfold.example/fold/flow"
 	"plantainfold.example/fold/model"
 )
 
@@ -66,3 +69,19 @@
 		})
 	}
 }
+
+// Guards against a check that reports an order which was sent before the evacuation and is carried out late.
+func TestLateStartInEvacuatedDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newIdleWorld(t, func(d *model.Day) { d.Classes[watchClass].Queue.Advice = nil })
+		job := w.live.DrawJob(watchClass)
+		w.live.InjectFault(model.Fault{Kind: model.OrdersLate, Duration: time.Second, Factor: 1})
+		w.live.SetEvacuated([]string{w.hosts[0].ID}, true)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		_ = w.live.Start(ctx, w.hosts[0], fold.StartRequest{Task: flow.TaskName{Job: job.ID}.String(), Run: 1, Fence: 1, LeaseEnd: 1 << 40})
+		if counts, violations := w.live.Result(); counts.Starts != 1 || len(violations) > 0 {
+			t.Errorf("%d starts, violations %q", counts.Starts, violations)
+		}
+	})
+}
