Let small requests use all memory while they are read

Cause: one read can hold the header and bytes of the body. All of them count 24-fold in phase Header, so from 683 bytes on a request exceeded the size of a small body and could use only three quarters of the memory. Beside large bodies that were being answered, ordinary small requests were closed without a status.

Change: the rule of three quarters does not apply in phase Header.

Result: with six bodies of 250 KiB being answered at 2 MiB, bodies of 2,000 and 3,900 bytes were closed without an answer before the change, and get 200 now, as those of 100 and 700 bytes did before.

--- a/fold/guard/ledger.go
+++ b/fold/guard/ledger.go
@@ -129,7 +129,8 @@
 		return Refused, nil
 	}
 	limit := l.limits.Bytes
-	if a.bytes+bytes > smallBody {
+	// In the phase Header the growth factor makes a small request look large, and one read may hold bytes of its body as well.
+	if a.phase != Header && a.bytes+bytes > smallBody {
 		limit -= limit / 4
 	}
 	if l.limits.Bytes == 0 || l.used+bytes <= limit {
