Do not close requests whose bodies nobody waits for

Cause: a request with a body was in phase Body from the end of its header. A DELETE or GET whose body is never read, and a POST that waits for the configuration with all its bytes sent, counted as stalled after 250 ms and exceeded the time for bodies after 10 s. The body of a connection that had been closed was also counted and reported as refused for lack of memory.

Change: the new phase Checking lasts from the header until the body is read, at most 10 s, and is not closed as stalled. Decode begins the phase Body and its times. Requests with other methods than POST, PUT and PATCH go to Answering. Since the server reads the rest of a body before it sends an answer, a request with an unread body goes to the phase Body when its answer begins. Reserve returns Closed for a closed connection.

A body whose connection was closed for its time counted once for time and once for memory; now it counts for time only.

--- a/fold/guard/body.go
+++ b/fold/guard/body.go
@@ -32,6 +32,11 @@
 	return fold.Refuse(fold.TooLarge, "send a smaller job", "the body has more than %d bytes", limit)
 }
 
+// errClosed returns the error of a request whose connection was closed. Nobody receives an answer to it.
+func errClosed() error {
+	return fold.Invalid.New("the connection was closed before the body was complete")
+}
+
 // Decode reads a body within the memory for requests and decodes it. The memory of the body counts until its request is
 // answered, because the decoded value may be as large.
 func (g *Gate) Decode(ctx context.Context, body io.Reader, size, limit int64, decode func([]byte) error) error {
@@ -45,6 +50,9 @@
 	if limit > 0 && size > limit {
 		return tooLarge(limit)
 	}
+	if !c.enter(Body) {
+		return errClosed()
+	}
 	segments, total, err := g.read(c, body, size, limit)
 	if err != nil {
 		g.release(c)
@@ -54,8 +62,9 @@
 	open := g.ledger.Enter(c.account, Answering, g.clock.Now())
 	g.mu.Unlock()
 	if !open {
-		return fold.Invalid.New("the connection was closed before the body was complete")
+		return errClosed()
 	}
+	c.unread = false
 	g.decodes <- struct{}{}
 	defer func() { <-g.decodes }()
 	text := make([]byte, 0, total)
@@ -74,8 +83,9 @@
 			// One byte more shows the end of the body without a further segment.
 			room = min(room, size-total+1)
 		}
-		if !g.reserve(c, room) {
-			g.count(NoMemory)
+		if verdict := g.reserve(c, room); verdict == Closed {
+			return nil, 0, errClosed()
+		} else if verdict == Refused {
 			return nil, 0, fold.WithRetry(fold.Refuse(fold.Overload, "retry later", "the entry has no memory for the body; the job was not accepted"), retryAfter)
 		}
 		segment := make([]byte, room)
--- a/fold/guard/doc.go
+++ b/fold/guard/doc.go
@@ -3,5 +3,6 @@
 //
 // The limits apply to each connection from its first byte, before a key is checked. When a limit is reached, the connection
 // that has made no progress for the longest time is closed, then the one whose body holds the most memory. A request that was
-// read whole is never closed. Bytes that the kernel has received are limited by the size of its buffers, which the Gate sets.
+// read whole is never closed, nor is one whose body the entry does not read yet or at all. Bytes that the kernel has received
+// are limited by the size of its buffers, which the Gate sets.
 package guard
--- a/fold/guard/gate.go
+++ b/fold/guard/gate.go
@@ -50,7 +50,7 @@
 	return g
 }
 
-// Run closes the connections whose bodies exceed their time, until ctx ends.
+// Run closes the connections whose checks or bodies exceed their time, until ctx ends.
 func (g *Gate) Run(ctx context.Context) {
 	for {
 		select {
@@ -111,18 +111,49 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		phase := Body
-		if r.ContentLength == 0 {
-			phase = Answering
+		c.unread = r.ContentLength != 0
+		phase := Answering
+		if c.unread && hasContent(r.Method) {
+			phase = Checking
 		}
 		if !c.enter(phase) {
 			// The connection was closed, so nobody would receive the answer.
 			panic(http.ErrAbortHandler)
 		}
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(&answer{ResponseWriter: w, conn: c}, r)
+		c.beginAnswer()
 	})
 }
 
+// hasContent returns true if HTTP defines a meaning for the body of a request with this method. Handlers do not read others.
+func hasContent(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+// answer is the answer to a request. It reports its beginning to the connection.
+type answer struct {
+	http.ResponseWriter
+
+	conn *conn
+}
+
+// WriteHeader sends the header of the answer.
+func (a *answer) WriteHeader(status int) {
+	a.conn.beginAnswer()
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write sends a part of the answer.
+func (a *answer) Write(p []byte) (int, error) {
+	a.conn.beginAnswer()
+	return a.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the writer for an http.ResponseController.
+func (a *answer) Unwrap() http.ResponseWriter {
+	return a.ResponseWriter
+}
+
 // close closes connections that the ledger has closed.
 func (g *Gate) close(reason Reason, victims ...*Account) {
 	for _, a := range victims {
@@ -162,8 +193,16 @@
 	clear(g.counts)
 }
 
-// reserve waits until a connection may use more memory. It returns false if it may not.
-func (g *Gate) reserve(c *conn, bytes int64) bool {
+// reserve waits until a connection may use more memory. It returns Granted, Refused or Closed, and counts a refusal.
+func (g *Gate) reserve(c *conn, bytes int64) Verdict {
+	verdict := g.tryReserve(c, bytes)
+	if verdict == Refused {
+		g.count(NoMemory)
+	}
+	return verdict
+}
+
+func (g *Gate) tryReserve(c *conn, bytes int64) Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for {
@@ -174,14 +213,10 @@
 			g.mu.Lock()
 			continue
 		}
-		switch verdict {
-		case Granted:
-			return true
-		case Refused:
-			return false
-		case Wait:
-			g.released.Wait()
+		if verdict != Wait {
+			return verdict
 		}
+		g.released.Wait()
 	}
 }
 
@@ -235,6 +270,8 @@
 
 	gate    *Gate
 	account *Account
+	// unread is true if the request has a body that was not read whole. Only the goroutine that serves the connection uses it.
+	unread bool
 }
 
 // Read reads bytes and records the progress. Bytes of a header count as memory until the header is complete.
@@ -247,8 +284,7 @@
 	c.gate.ledger.Progress(c.account, c.gate.clock.Now())
 	header := c.account.phase == Header
 	c.gate.mu.Unlock()
-	if header && !c.gate.reserve(c, int64(n)*headerGrowth) {
-		c.gate.count(NoMemory)
+	if header && c.gate.reserve(c, int64(n)*headerGrowth) != Granted {
 		// The server answers an error of another type with status 400, which would be wrong.
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: net.ErrClosed}
 	}
@@ -281,3 +317,12 @@
 	defer c.gate.mu.Unlock()
 	return c.gate.ledger.Enter(c.account, phase, c.gate.clock.Now())
 }
+
+// beginAnswer is called when the answer to a request begins. The server reads the rest of the body before it sends the answer,
+// so that time is limited like that of a body which a handler reads.
+func (c *conn) beginAnswer() {
+	if c.unread {
+		c.unread = false
+		c.enter(Body)
+	}
+}
--- a/fold/guard/ledger.go
+++ b/fold/guard/ledger.go
@@ -5,15 +5,18 @@
 // Phase is what a connection is doing.
 type Phase int
 
-// Phases of connections. A connection can be closed in each phase except Answering.
+// Phases of connections. In the phases Checking and Answering the entry does not wait for bytes, so a connection is not closed
+// to make place for others.
 const (
 	// Idle is the phase before the first byte of a request.
 	Idle Phase = iota
 	// Header is the phase until the header of a request is complete.
 	Header
-	// Body is the phase until the body of a request is complete.
+	// Checking is the phase after the header in which a request is checked before its body is read.
+	Checking
+	// Body is the phase in which the body of a request is read, until it is complete.
 	Body
-	// Answering is the phase in which a request was read whole and is not yet answered.
+	// Answering is the phase in which a request is carried out.
 	Answering
 )
 
@@ -26,7 +29,7 @@
 	TooMany Reason = "connections"
 	// NoMemory means that the memory for requests is exhausted.
 	NoMemory Reason = "memory"
-	// TooSlow means that a body was not complete in time.
+	// TooSlow means that a check or a body was not complete in time.
 	TooSlow Reason = "time"
 )
 
@@ -41,6 +44,8 @@
 	Wait
 	// Refused means that the memory cannot be had.
 	Refused
+	// Closed means that the connection was closed before.
+	Closed
 )
 
 // Account is what a Ledger knows about a connection.
@@ -126,7 +131,7 @@
 func (l *Ledger) Reserve(a *Account, bytes int64, now fold.Instant) (Verdict, []*Account) {
 	a.waiting = false
 	if a.closed {
-		return Refused, nil
+		return Closed, nil
 	}
 	limit := l.limits.Bytes
 	// In the phase Header the growth factor makes a small request look large, and one read may hold bytes of its body as well.
@@ -164,11 +169,12 @@
 	}
 }
 
-// Expire returns the connections whose bodies have exceeded their time; they must be closed.
+// Expire returns the connections whose checks or bodies have exceeded their time; they must be closed.
 func (l *Ledger) Expire(now fold.Instant) []*Account {
 	var victims []*Account
 	for a := range l.accounts {
-		if a.phase == Body && !a.closed && now.Sub(a.since) > bodyTimeout {
+		expired := a.phase == Checking && now.Sub(a.since) > checkTimeout || a.phase == Body && now.Sub(a.since) > bodyTimeout
+		if expired && !a.closed {
 			l.close(a)
 			victims = append(victims, a)
 		}
@@ -191,7 +197,7 @@
 func (l *Ledger) longestStalled(now fold.Instant, match func(*Account) bool) *Account {
 	var found *Account
 	for a := range l.accounts {
-		if a.closed || a.waiting || a.phase == Answering || now.Sub(a.progress) < stallTime || !match(a) {
+		if a.closed || a.waiting || a.phase == Checking || a.phase == Answering || now.Sub(a.progress) < stallTime || !match(a) {
 			continue
 		}
 		if found == nil || a.progress < found.progress {
--- a/fold/guard/limits.go
+++ b/fold/guard/limits.go
@@ -6,7 +6,10 @@
 	// stallTime is the time without progress after which a connection is closed first. It is many times the round-trip time
 	// between failure domains.
 	stallTime = 250 * time.Millisecond
-	// bodyTimeout bounds the time from the header of a request to the end of its body. It exceeds the 3 s that callers wait.
+	// checkTimeout bounds the time from the header of a request until its body is read. A check waits for the configuration for
+	// less than a second; a longer one means that the entry is stuck.
+	checkTimeout = 10 * time.Second
+	// bodyTimeout bounds the time for which a body is read. It exceeds the 3 s that callers wait.
 	bodyTimeout = 10 * time.Second
 	// writeTimeout bounds a write to a caller that does not read its answers.
 	writeTimeout = 3 * time.Second
@@ -44,7 +47,7 @@
 	// maxDecodes is the maximum number of bodies that are decoded at the same time. Decoding takes several times the memory of
 	// the body.
 	maxDecodes = 2
-	// expireInterval is the time between two searches for bodies that have exceeded bodyTimeout.
+	// expireInterval is the time between two searches for checks and bodies that have exceeded their time.
 	expireInterval = 500 * time.Millisecond
 	// reportInterval is the shortest time between two log lines about closed connections.
 	reportInterval = time.Second
