Limit bodies of OPTIONS requests for the whole server

Change: the server passes these requests to the handler, which refuses them like other methods. TestOptionsRequestsAreLimited does not end before the change.

--- a/fold/guard/gate.go
+++ b/fold/guard/gate.go
@@ -98,6 +98,8 @@
 
 // Guard makes a server use the gate. It must be called before the server serves.
 func (g *Gate) Guard(s *http.Server) {
+	// The server would answer "OPTIONS *" itself and read the body without a limit.
+	s.DisableGeneralOptionsHandler = true
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if c, ok := c.(*conn); ok && state == http.StateIdle {
--- a/fold/guard/gate_test.go
+++ b/fold/guard/gate_test.go
@@ -258,3 +258,34 @@
 		}
 	})
 }
+
+// Guards against OPTIONS requests that the server answers by itself, so that their bodies keep the connection for any time.
+func TestOptionsRequestsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		handled := make(chan string, 1)
+		s := newSite(t, guard.Limits{Bytes: 2 << 20}, func(_ *guard.Gate, w http.ResponseWriter, r *http.Request) {
+			handled <- r.RequestURI
+			w.WriteHeader(http.StatusBadRequest)
+		})
+		caller := s.send(t, "OPTIONS * HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n")
+		select {
+		case uri := <-handled:
+			if uri != "*" {
+				t.Errorf("the handler got %q", uri)
+			}
+		default:
+			t.Error("the handler did not get the request")
+		}
+		go func() {
+			for range 99 {
+				time.Sleep(200 * time.Millisecond)
+				if _, err := caller.Write([]byte("x")); err != nil {
+					return
+				}
+			}
+		}()
+		if got := status(caller); got != 0 || s.count(guard.TooSlow) != 1 {
+			t.Errorf("status %d, and %d connections were closed for their time; want 0, 1", got, s.count(guard.TooSlow))
+		}
+	})
+}
