--- a/cmd/pfsoak/internal/app/evacuate.go
+++ b/cmd/pfsoak/internal/app/evacuate.go
@@ -22,9 +22,9 @@
 	maxEvacuations = 2
 )
 
-// drawEvacuations returns the evacuations of a test run, of a failure domain each, which begin in its first part, so that jobs arrive for
-// long enough. During most
-// of them the owner is killed, whose successor must know of the evacuation.
+// drawEvacuations returns the evacuations of a test run, each of one failure domain. They begin in the first part of the run, so
+// that jobs arrive for long enough afterwards. During most of them the owner is killed, whose successor must know of the
+// evacuation.
 func (t *testRun) drawEvacuations(random *rand.Rand, length time.Duration) []fault {
 	var faults []fault
 	domains := random.Perm(len(domainNames))
--- a/fold/core/speed.go
+++ b/fold/core/speed.go
@@ -68,9 +68,9 @@
 type hostSpeed struct {
 	// sum is the weighted sum of the logarithms of the speed in single runs. weight is the sum of their weights.
 	sum, weight float64
-	// log is the logarithm of the speed, and 0 as long as it cannot be told from the usual speed.
-	log float64
-	// placement is log limited to maxPlacementLog.
+	// logSpeed is the logarithm of the speed, and 0 as long as it cannot be told from the usual speed.
+	logSpeed float64
+	// placement is logSpeed limited to maxPlacementLog.
 	placement float64
 }
 
@@ -90,11 +90,11 @@
 	s.sum += sum
 	s.weight += weight
 	mean, deviation := s.sum/(s.weight+speedPrior), runTimeSpread*math.Sqrt(s.weight)/(s.weight+speedPrior)
-	s.log = 0
+	s.logSpeed = 0
 	if noise := speedConfidence * deviation; math.Abs(mean) > noise {
-		s.log = min(max(mean*(1-noise*noise/(mean*mean)), -maxSpeedLog), maxSpeedLog)
+		s.logSpeed = min(max(mean*(1-noise*noise/(mean*mean)), -maxSpeedLog), maxSpeedLog)
 	}
-	s.placement = min(max(s.log, -maxPlacementLog), maxPlacementLog)
+	s.placement = min(max(s.logSpeed, -maxPlacementLog), maxPlacementLog)
 }
 
 // runSample is the run time of a completed run that is comparable to others of its step.
@@ -199,9 +199,9 @@
 			continue
 		}
 		summary.Hosts++
-		if h.speed.log != 0 {
+		if h.speed.logSpeed != 0 {
 			summary.Known++
-			speed := math.Exp(h.speed.log)
+			speed := math.Exp(h.speed.logSpeed)
 			summary.Slowest, summary.Fastest = min(summary.Slowest, speed), max(summary.Fastest, speed)
 		}
 	}
@@ -223,11 +223,11 @@
 	c.speedsLoggedAt = c.now
 	var slow []*host
 	for _, h := range c.hostsByID {
-		if h.listed && h.speed.log < 0 {
+		if h.listed && h.speed.logSpeed < 0 {
 			slow = append(slow, h)
 		}
 	}
-	slices.SortStableFunc(slow, func(a, b *host) int { return cmp.Compare(a.speed.log, b.speed.log) })
+	slices.SortStableFunc(slow, func(a, b *host) int { return cmp.Compare(a.speed.logSpeed, b.speed.logSpeed) })
 	var names []string
 	for _, h := range slow[:min(len(slow), maxLoggedSpeeds)] {
 		names = append(names, h.info.ID)
--- a/fold/core/runtime.go
+++ b/fold/core/steptimes.go
@@ -78,7 +78,7 @@
 // on runs, because its computation covers all steps of the job.
 func (c *Cell) observeStep(r *run, took time.Duration) {
 	times := &r.task.part.times
-	times.add(took.Seconds() * math.Exp(r.host.speed.log))
+	times.add(took.Seconds() * math.Exp(r.host.speed.logSpeed))
 	if bits.OnesCount(uint(times.count)) == 1 {
 		c.updateDeadlines(r.task.part.job)
 	}
@@ -130,7 +130,7 @@
 // predictRunTime returns the expected run time of a run on its host.
 func (c *Cell) predictRunTime(r *run) time.Duration {
 	expected := c.partRunTime(r.task.part)
-	if speed := r.host.speed.log; speed != 0 {
+	if speed := r.host.speed.logSpeed; speed != 0 {
 		expected *= math.Exp(-speed)
 	}
 	return seconds(expected)
