Answer 413 to bodies that can never be read

Cause: with a max_body_bytes above three quarters of the memory for requests, a body in between got 503 and a time to retry, for ever.

Change: the largest body that the memory allows bounds each body. Segments of chunked bodies do not exceed the limit either.

TestBodiesThatNeverFit: 2 of 4 cases fail before the change (Overload in place of TooLarge).

--- a/fold/guard/body.go
+++ b/fold/guard/body.go
@@ -47,6 +47,10 @@
 	if limit == 0 {
 		limit = g.maxBody
 	}
+	// A larger body would be refused again and again.
+	if largest := g.ledger.largestBody(); largest > 0 {
+		limit = min(limit, largest)
+	}
 	if limit > 0 && size > limit {
 		return tooLarge(limit)
 	}
@@ -83,6 +87,9 @@
 			// One byte more shows the end of the body without a further segment.
 			room = min(room, size-total+1)
 		}
+		if limit > 0 {
+			room = min(room, limit-total+1)
+		}
 		if verdict := g.reserve(c, room); verdict == Closed {
 			return nil, 0, errClosed()
 		} else if verdict == Refused {
--- a/fold/guard/gate_test.go
+++ b/fold/guard/gate_test.go
@@ -289,3 +289,38 @@
 		}
 	})
 }
+
+// Guards against a body that is refused with a request to retry although there can never be memory for it.
+func TestBodiesThatNeverFit(t *testing.T) {
+	const memory, largest = 2 << 20, 3 * 512 << 10
+	cases := []struct {
+		name string
+		size int64
+		// declared reports whether the header tells the size.
+		declared, fits bool
+	}{
+		{"fits", largest - 1, true, true},
+		{"too large", largest, true, false},
+		{"chunked, fits", largest - 1, false, true},
+		{"chunked, too large", largest, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var result error
+				s := newSite(t, guard.Limits{Bytes: memory}, func(g *guard.Gate, _ http.ResponseWriter, r *http.Request) {
+					size := c.size
+					if !c.declared {
+						size = -1
+					}
+					result = g.Decode(r.Context(), strings.NewReader(strings.Repeat("x", int(c.size))), size, memory, func([]byte) error { return nil })
+				})
+				s.send(t, request(http.MethodPost, 1, "x"))
+				synctest.Wait()
+				if fits := result == nil; fits != c.fits || !fits && !errorx.IsOfType(result, fold.TooLarge) {
+					t.Errorf("error %v, want a body that fits: %v", result, c.fits)
+				}
+			})
+		})
+	}
+}
--- a/fold/guard/ledger.go
+++ b/fold/guard/ledger.go
@@ -160,6 +160,12 @@
 	return Wait, victims
 }
 
+// largestBody returns the size in bytes of the largest body for which there can be memory, or 0 if there is no limit. Reading
+// takes one byte more, which shows the end of the body.
+func (l *Ledger) largestBody() int64 {
+	return max(0, l.limits.Bytes-l.limits.Bytes/4-1)
+}
+
 // Release returns memory of a connection.
 func (l *Ledger) Release(a *Account, bytes int64) {
 	a.bytes -= bytes
