Let callers read an early answer before their connection is reset

Cause: the connections of the limits for callers hid that they can be closed in one direction. After an early refusal the server then closes both while the caller still sends its body, and a reset may overtake the answer.

Change: CloseWrite passes on. TestConnectionsCloseInOneDirection fails before the change (no such method). No rate of lost answers was measured.

--- a/fold/guard/gate.go
+++ b/fold/guard/gate.go
@@ -301,6 +301,15 @@
 	return c.Conn.Write(p)
 }
 
+// CloseWrite ends the sending direction. The server uses it after an early answer, so that a caller that still sends a body can
+// read the answer before the connection is reset.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close closes the connection. The server calls it when it no longer uses the connection.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
--- a/fold/guard/gate_test.go
+++ b/fold/guard/gate_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -324,3 +325,37 @@
 		})
 	}
 }
+
+// Guards against a connection that cannot be closed in one direction: a caller that still sends its body then gets a reset
+// instead of the answer.
+func TestConnectionsCloseInOneDirection(t *testing.T) {
+	gate := guard.New(guard.Limits{Connections: 16}, bubbleClock{}, hclog.NewNullLogger(), func(guard.Reason) {})
+	listener, err := gate.Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	client, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = accepted.Close() })
+	half, ok := accepted.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		t.Fatal("the connection cannot be closed in one direction")
+	}
+	if _, err := client.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the caller reads %v, want the end", err)
+	}
+	if _, err := client.Write([]byte("x")); err != nil {
+		t.Errorf("the caller cannot send any more: %v", err)
+	}
+	if n, err := accepted.Read(make([]byte, 1)); n != 1 {
+		t.Errorf("the entry reads %d bytes, error %v", n, err)
+	}
+}
