Keep the platform's words out of the process tests of the entry

The test named a route of the store and two header fields of callers. It now delays reads of the table by their key, and package stand sets the header fields.

--- a/cmd/pfnode/internal/app/process_test.go
+++ b/cmd/pfnode/internal/app/process_test.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/drive"
 	"plantainfold.example/fold/node"
 	"plantainfold.example/fold/plat"
 	"plantainfold.example/platform/stand"
@@ -35,6 +36,8 @@
 	legalBody = 262144
 	// hangTime bounds each wait, so that a test whose entry hangs ends.
 	hangTime = time.Minute
+	// callerWait is how long callers wait for an answer.
+	callerWait = 3 * time.Second
 	// sampleInterval is the time between two samples of the memory and the descriptors of an entry.
 	sampleInterval = 20 * time.Millisecond
 	// apiKey is the key of the only team, and jobPath the prefix of the only queue.
@@ -70,14 +73,18 @@
 	peakFds int
 }
 
-// slowReads delays the reads of the states of jobs, so that the requests for them wait.
-func slowReads(next http.Handler, delay time.Duration) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/-/rows-get" && r.URL.Query().Get("table") == "state" {
-			time.Sleep(delay)
-		}
-		next.ServeHTTP(w, r)
-	})
+// slowStates is a change feed that delays the reads of the states of jobs, so that the requests for them wait.
+type slowStates struct {
+	*plat.Table
+	delay time.Duration
+}
+
+// Snapshot reads a table.
+func (s slowStates) Snapshot(ctx context.Context, prefix string) ([]fold.Row, int64, error) {
+	if prefix == drive.StatePrefix {
+		time.Sleep(s.delay)
+	}
+	return s.Table.Snapshot(ctx, prefix)
 }
 
 // startEntry starts an entry whose store delays the reads of states, and waits until it accepts jobs. The entry is ended as
@@ -96,7 +103,7 @@
 	if _, err := e.table.Commit(t.Context(), fold.Txn{Puts: []fold.Put{declaration}}); err != nil {
 		t.Fatal(err)
 	}
-	store := httptest.NewServer(slowReads(stand.Store(e.table, e.table), readDelay))
+	store := httptest.NewServer(stand.Store(e.table, slowStates{Table: e.table, delay: readDelay}))
 	// Listeners on a loopback address of this process alone reserve the ports of the entry.
 	loopback := fmt.Sprintf("127.%d.%d.3:0", 1+os.Getpid()>>8%250, os.Getpid()%256)
 	var addresses []string
@@ -235,7 +242,7 @@
 			t.Fatal(err)
 		}
 		req.Host = "h"
-		req.Header.Set("Api-Key", apiKey)
+		stand.SetCaller(req.Header, apiKey, callerWait)
 		resp, err := client.Do(req)
 		if err != nil {
 			continue
@@ -273,8 +280,8 @@
 				// The machine of the test must not hold megabytes for each client either.
 				_ = tcp.SetWriteBuffer(64 << 10)
 			}
-			// An entry that does not read stops the writer; 3 s is the time that callers wait.
-			if err := c.SetWriteDeadline(time.Now().Add(3 * time.Second)); err == nil {
+			// An entry that does not read stops the writer.
+			if err := c.SetWriteDeadline(time.Now().Add(callerWait)); err == nil {
 				_ = send(c, i)
 			}
 		})
--- a/cmd/pfnode/internal/app/untrusted_test.go
+++ b/cmd/pfnode/internal/app/untrusted_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -12,11 +13,26 @@
 	"time"
 
 	"plantainfold.example/fold/drive"
+	"plantainfold.example/platform/stand"
 )
 
 // head returns the header of a submission. The framing is the header field that declares the body.
 func head(key string, i int, framing string) string {
-	return fmt.Sprintf("POST %s%016x HTTP/1.1\r\nHost: h\r\nApi-Key: %s\r\nX-Timeout-Ms: 3000\r\n%s\r\n\r\n", jobPath, i+1, key, framing)
+	return requestLine(http.MethodPost, i) + callerFields(key) + framing + "\r\n\r\n"
+}
+
+// requestLine returns the first lines of a request about a job.
+func requestLine(method string, i int) string {
+	return fmt.Sprintf("%s %s%016x HTTP/1.1\r\nHost: h\r\n", method, jobPath, i+1)
+}
+
+// callerFields returns the header fields that name the key and the wait of a caller.
+func callerFields(key string) string {
+	header := make(http.Header)
+	stand.SetCaller(header, key, callerWait)
+	var text strings.Builder
+	_ = header.Write(&text)
+	return text.String()
 }
 
 var (
@@ -108,7 +124,7 @@
 			return err
 		}},
 		{"bytes behind a request that waits", 1500, 2 * time.Second, func(c net.Conn, i int) error {
-			text := fmt.Sprintf("GET %s%016x HTTP/1.1\r\nHost: h\r\nApi-Key: %s\r\n\r\n", jobPath, i+1, apiKey)
+			text := requestLine(http.MethodGet, i) + callerFields(apiKey) + "\r\n"
 			_, err := (&net.Buffers{[]byte(text), following}).WriteTo(c)
 			return err
 		}},
@@ -146,7 +162,7 @@
 	e := startEntry(t, buildEntry(t), time.Second)
 	e.flood(t, 100, sendAll(apiKey, contentLength, paddedJob[:legalBody-1], 0))
 	connections := e.flood(t, 50, func(c net.Conn, i int) error {
-		_, err := fmt.Fprintf(c, "GET %s%016x HTTP/1.1\r\nHost: h\r\nApi-Key: %s\r\n\r\n", jobPath, i+1, apiKey)
+		_, err := io.WriteString(c, requestLine(http.MethodGet, i)+callerFields(apiKey)+"\r\n")
 		return err
 	})
 	if err := e.process.Process.Signal(syscall.SIGTERM); err != nil {
