--- a/fold/guard/gate_test.go
+++ b/fold/guard/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -349,7 +350,7 @@
 	if !ok || half.CloseWrite() != nil {
 		t.Fatal("the connection cannot be closed in one direction")
 	}
-	if _, err := client.Read(make([]byte, 1)); err != io.EOF {
+	if _, err := client.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 		t.Errorf("the caller reads %v, want the end", err)
 	}
 	if _, err := client.Write([]byte("x")); err != nil {
