Prefer owners near the table only with the setting near

The preference was the one new part without a setting. near is the difference between the times of a read from which on it counts; 0, the default, makes no reads and leaves the order of successors as before.

TestSuccessorsNearTheTableComeFirst also checks the order without the setting.

--- a/fold/node/fitter_test.go
+++ b/fold/node/fitter_test.go
@@ -57,7 +57,7 @@
 				key := []byte("secret")
 				owner := peer.New("owner", "owner-1", key, hclog.NewNullLogger())
 				defer func() { _ = owner.Close() }()
-				p := &peers{self: registration{Strength: 1, TableTime: far}, transport: owner, responding: make(map[string]registration)}
+				p := &peers{near: 5 * time.Millisecond, self: registration{Strength: 1, TableTime: far}, transport: owner, responding: make(map[string]registration)}
 				for i, o := range c.others {
 					name := string(rune('a' + i))
 					entry := peer.New(name, name+"-1", key, hclog.NewNullLogger())
@@ -87,7 +87,7 @@
 
 // Guards against a successor that is far from the table although an equally strong entry is near it.
 func TestSuccessorsNearTheTableComeFirst(t *testing.T) {
-	p := &peers{responding: make(map[string]registration)}
+	p := &peers{near: 5 * time.Millisecond, responding: make(map[string]registration)}
 	for _, entry := range []registration{
 		{Incarnation: "a", Strength: 1, TableTime: 14 * time.Millisecond},
 		{Incarnation: "b", Strength: 1},
@@ -102,6 +102,10 @@
 	if got, want := strings.Join(entries, " "), "e b c d a f"; got != want || fitCount != 1 {
 		t.Errorf("order %s, %d fit; want %s, 1 fit", got, fitCount, want)
 	}
+	p.near = 0
+	if entries, _ = p.entries(); strings.Join(entries, " ") != "e a b c d f" {
+		t.Errorf("order %v without the setting, want that of the incarnations", entries)
+	}
 }
 
 // Guards against a hand-over for a small advantage while jobs wait for the owner.
--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -117,6 +117,7 @@
 	n.front = front.New(parts.Table, n.rules, parts.Rules, clock, log, n.waiting, n.owner, s.MaxRow())
 	n.peers = &peers{
 		name: s.Name, table: parts.Table, adviser: parts.Adviser, clock: clock, log: log.Named("peers"), lastContact: make(map[string]fold.Instant),
+		near: ms(s.Near),
 		self: registration{Address: s.Peers, Incarnation: n.incarnation, Strength: s.Strength(), Domain: s.Domain, RelayCapacity: s.RelayCapacity()},
 	}
 	return n, nil
--- a/fold/node/node_test.go
+++ b/fold/node/node_test.go
@@ -227,6 +227,7 @@
 		{"negative memory", func(s *node.Settings) { s.Memory = -1 }, false},
 		{"long rows", func(s *node.Settings) { s.Row = 1 << 20 }, true},
 		{"rows too short for records", func(s *node.Settings) { s.Row = 1000 }, false},
+		{"negative near", func(s *node.Settings) { s.Near = -1 }, false},
 		{"past use", func(s *node.Settings) { s.PastUse = &node.PastUseSettings{HalfLife: 3600e3, Floor: 1000} }, true},
 		{"past use without a floor", func(s *node.Settings) { s.PastUse = &node.PastUseSettings{HalfLife: 3600e3} }, true},
 		{"past use without a half-life", func(s *node.Settings) { s.PastUse = &node.PastUseSettings{Floor: 1000} }, false},
--- a/fold/node/settings.go
+++ b/fold/node/settings.go
@@ -52,6 +52,9 @@
 	Fds int `json:"fds,omitempty"`
 	// Row is the longest value of a row of the store in bytes. 0 means drive.DefaultMaxRow.
 	Row int `json:"row"`
+	// Near is the difference between the times that the table takes to answer two entries from which on the nearer one is
+	// preferred as the owner; 0 leaves these times out of account.
+	Near float64 `json:"near"`
 	// Speeds makes the owner learn the speeds of hosts and the run times within steps, and use them for its decisions.
 	Speeds bool `json:"speeds"`
 	// PastUse turns on the order of late work by the past use of the teams; without it, past use is not recorded.
@@ -106,6 +109,9 @@
 	if s.Stop < 0 || s.Restore < 0 || s.Save < 0 || s.Early < 0 || s.Grace <= 0 {
 		return fold.Refuse(fold.Invalid, "use a positive time", "\"stop\", \"restore\", \"save\" or \"early\" is negative, or \"grace\" is not positive")
 	}
+	if s.Near < 0 {
+		return fold.Refuse(fold.Invalid, "set a time in milliseconds, or leave it out", "the setting \"near\" is negative")
+	}
 	if s.Fds < 0 || s.Memory < 0 {
 		return fold.Refuse(fold.Invalid, "set the limits of the machine, or leave them out", "the setting \"memory\" or \"fds\" is negative")
 	}
--- a/fold/node/tabletime.go
+++ b/fold/node/tabletime.go
@@ -10,19 +10,20 @@
 	tableTimeReads = 5
 	// tableTimeLimit bounds the time for these reads, because the entry registers after them.
 	tableTimeLimit = 500 * time.Millisecond
-	// nearMargin is the difference between the times of a read from which on one entry counts as nearer to the table than
-	// another. Each job waits for at least three commits of the owner; within a region the times differ by less.
-	nearMargin = 5 * time.Millisecond
 )
 
-// reachesTableLater reports whether the entry takes longer than the other one to reach the table, by more than nearMargin. An
-// entry whose time is not known counts as neither.
-func (r registration) reachesTableLater(other registration) bool {
-	return other.TableTime > 0 && r.TableTime > other.TableTime+nearMargin
+// reachesTableLater reports whether an entry takes longer than another one to reach the table, by more than the setting near.
+// Without the setting, or if a time is not known, neither does.
+func (p *peers) reachesTableLater(entry, other registration) bool {
+	return p.near > 0 && other.TableTime > 0 && entry.TableTime > other.TableTime+p.near
 }
 
-// measureTableTime records how long a read of the table takes for this entry. It must be called before register.
+// measureTableTime records how long a read of the table takes for this entry, unless the setting near is 0. It must be called
+// before register.
 func (p *peers) measureTableTime(ctx context.Context) {
+	if p.near <= 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, tableTimeLimit)
 	defer cancel()
 	fastest := time.Duration(0)
