Tell moves from draining hosts apart from evacuations

A function of core that stops runs on draining hosts was named like the evacuation of a failure domain, which leaves runs alone. No behaviour changes: the tokens of the file differ in the two names only.

--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -15,7 +15,7 @@
 	c.loseExpiredRuns()
 	c.activateDue()
 	c.resendStops()
-	c.evacuateHosts()
+	c.moveFromDrainingHosts()
 	c.sortActive()
 	c.updateOpenHosts()
 	c.updateAwaited()
@@ -373,9 +373,9 @@
 	return max(0, time.Duration(float64(100-r.percent)/speed)-c.now.Sub(r.reportedAt))
 }
 
-// evacuateHosts stops runs on draining hosts so that they resume elsewhere: long-running tasks outside gangs at once,
+// moveFromDrainingHosts stops runs on draining hosts so that they resume elsewhere: long-running tasks outside gangs at once,
 // others shortly before the host leaves if they will not end by then.
-func (c *Cell) evacuateHosts() {
+func (c *Cell) moveFromDrainingHosts() {
 	for _, h := range c.hostsByID {
 		if !h.info.Draining || len(h.runs) == 0 {
 			continue
@@ -387,7 +387,7 @@
 			}
 			s := r.task.part.step
 			// The stop is sent early enough for the host to report the end before it leaves.
-			stopDue := untilLeave < c.times.Stop+evacuateSlack
+			stopDue := untilLeave < c.times.Stop+drainSlack
 			if s.LongRunning && !s.Gang || stopDue && c.runRemaining(r) > max(0, untilLeave) {
 				// Only the stop is requested here; the task resumes elsewhere after its run has ended.
 				c.log.Info("Moved a task off a leaving host.", "task", r.key().task, "run", r.number, "host", h.info.ID, "left", untilLeave.String())
@@ -398,8 +398,8 @@
 	}
 }
 
-// evacuateSlack is the time for a stop order to reach the host and for its report to come back.
-const evacuateSlack = 300 * time.Millisecond
+// drainSlack is the time for a stop order to reach the host and for its report to come back.
+const drainSlack = 300 * time.Millisecond
 
 // allowed reports whether the host has the label that the step requires.
 func (p *part) allowed(h *host) bool {
