Show that a worker with a lower start time is ignored for good

Cause: incarnations are compared by the time of day of their start, which may go back.

Nothing is changed.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -38,6 +38,7 @@
 	"hopeless": hopeless,
 	"gangs":    gangs,
 	"counts":   counts,
+	"births":   births,
 }
 
 func main() {
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -27,20 +27,22 @@
 	// up is false while the worker is down. cut means that no call reaches it. mute means that its answers get lost.
 	up, cut, mute bool
 	// late is the share of starts and stops that get no answer and are carried out 2 to 12 s later.
-	late     float64
-	born     int64
-	bornAt   time.Time
-	rate     float64
-	fence    int64
-	deadline int64
-	running  map[string]*runInfo
-	over     map[string]int
-	ends     []*runInfo
-	lastEnd  int64
-	wake     chan struct{}
-	draining bool
-	leavesAt time.Time
-	sequence int64
+	late float64
+	// clockStep is added to the time of day of the worker's machine.
+	clockStep time.Duration
+	born      int64
+	bornAt    time.Time
+	rate      float64
+	fence     int64
+	deadline  int64
+	running   map[string]*runInfo
+	over      map[string]int
+	ends      []*runInfo
+	lastEnd   int64
+	wake      chan struct{}
+	draining  bool
+	leavesAt  time.Time
+	sequence  int64
 }
 
 func (x *worker) clock() int64 {
@@ -50,7 +52,7 @@
 // start begins a new life. The caller holds the lock.
 func (x *worker) start() {
 	x.bornAt = time.Now()
-	x.born = x.bornAt.UnixMilli()
+	x.born = x.bornAt.Add(x.clockStep).UnixMilli()
 	x.up, x.fence, x.deadline, x.lastEnd, x.ends = true, 0, 0, 0, nil
 	x.running, x.over, x.wake = map[string]*runInfo{}, map[string]int{}, make(chan struct{})
 	x.w.rec.add("worker %s up, born %d", x.id, x.born)
