Add review case 12: a job runs after its cancelling was answered with 410

Cause: an entry that writes a job beside the owner may leave a transaction that is performed seconds later. A cancellation in between finds no job, answers 410 and leaves no row, so the job is accepted and runs.

--- /dev/null
+++ b/review/stand-3/main.go
@@ -0,0 +1,32 @@
+// Command stand3 plays the scripts of review cases 11 to 15: a stand-in store, workers and clients around processes of the system.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+func main() {
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: stand3 CASE FOLDER")
+		os.Exit(2)
+	}
+	cases := map[string]func(trouble bool) bool{"cancelled": playCancelled}
+	play, ok := cases[os.Args[1]]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "unknown case")
+		os.Exit(2)
+	}
+	var err error
+	if record, err = os.Create(filepath.Join(os.Args[2], "record.txt")); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	broken := play(os.Getenv("TROUBLE") != "0")
+	if broken {
+		logf("the rule was broken")
+		os.Exit(1)
+	}
+	logf("the rule held")
+}
