--- a/review/stand-3/cell.go
+++ b/review/stand-3/cell.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -53,13 +55,17 @@
 	processes = nil
 }
 
+// freePort returns an address with a free port below those that the system gives to outgoing connections.
 func freePort() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fatal(err)
+	for range 200 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 18000+rand.IntN(14000)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	fatal(errors.New("no port is free"))
+	return ""
 }
 
 // entry is a process of the system.
@@ -111,7 +117,7 @@
 	go func() { _ = (&http.Server{Handler: c.store.handler()}).Serve(l) }()
 	c.store.put("op", "config", config(1))
 	for i := range workers {
-		c.workers = append(c.workers, newWorker(fmt.Sprintf("i-%04d", i+1), c.store, c.starts))
+		c.workers = append(c.workers, newWorker(fmt.Sprintf("i-%04d", i+1), fmt.Sprintf("pair-%d", i/2), c.store, c.starts))
 	}
 	for i := range entries {
 		e := &entry{name: fmt.Sprintf("front-z%d-1", i+1), callers: freePort(), ready: freePort(), peers: freePort()}
@@ -124,7 +130,7 @@
 // start starts the process of an entry with the command of the deploy file.
 func (c *cell) start(e *entry) {
 	settings := map[string]any{
-		"name": e.name, "domain": "z1", "callers": e.callers, "ready": e.ready, "peers": e.peers, "store": c.address, "level": "info", "near": 5,
+		"name": e.name, "domain": "z1", "callers": e.callers, "ready": e.ready, "peers": e.peers, "store": c.address, "level": level(), "near": 5,
 		"lease": holdMax, "stop": 900, "restore": 100, "save": 2000, "early": 250, "grace": 6000, "cores": 0.4, "link": 1000, "memory": 284, "fds": 4100, "row": 65536,
 	}
 	text, _ := json.Marshal(settings)
@@ -205,6 +211,17 @@
 
 var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
+// owner returns the entry that the owner's row names.
+func (c *cell) owner() *entry {
+	value := c.store.value("lead", "owner")
+	for _, e := range c.entries {
+		if bytes.Contains(value, []byte(e.name)) {
+			return e
+		}
+	}
+	return nil
+}
+
 func (c *cell) close() {
 	stopAll()
 	if os.Getenv("KEEP") == "" {
@@ -213,3 +230,11 @@
 		fmt.Println(c.folder)
 	}
 }
+
+// level returns the log level of the entries.
+func level() string {
+	if text := os.Getenv("LEVEL"); text != "" {
+		return text
+	}
+	return "info"
+}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -2,9 +2,12 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 func main() {
@@ -12,7 +15,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE FOLDER")
 		os.Exit(2)
 	}
-	cases := map[string]func(trouble bool) bool{"cancelled": playCancelled}
+	cases := map[string]func(trouble bool) bool{"cancelled": playCancelled, "woken": playWoken}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case")
@@ -23,6 +26,12 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		fatal(errors.New("the script was stopped"))
+	}()
 	broken := play(os.Getenv("TROUBLE") != "0")
 	if broken {
 		logf("the rule was broken")
--- a/review/stand-3/store.go
+++ b/review/stand-3/store.go
@@ -97,6 +97,13 @@
 	s.apply(txn{Remove: []row{{Table: table, Key: key}}})
 }
 
+// value returns the value of a row.
+func (s *store) value(table, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[rowKey(table, key)].Value
+}
+
 // setLost sets the share of transactions that get no answer.
 func (s *store) setLost(share float64) {
 	s.mu.Lock()
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 
 	"net"
@@ -60,6 +61,15 @@
 	sequence int
 	stopped  chan struct{}
 	starts   *startList
+	// label is the label that steps may require.
+	label string
+	// life counts the starts of the worker under its id. While dark is set it is down and silent.
+	life int
+	dark bool
+	// delay is how long a message takes to the worker, and from it.
+	delay time.Duration
+	// started is called with each start that was carried out, before its answer is sent. It may be nil.
+	started func(task string, run int)
 }
 
 // startList collects the starts of all workers.
@@ -80,16 +90,27 @@
 	return append([]startLog(nil), l.list...)
 }
 
-func newWorker(id string, s *store, starts *startList) *worker {
+// connLife is the key of the life in which a connection was accepted, or -1 for one that was accepted while the worker was dark.
+type connLife struct{}
+
+func newWorker(id, label string, s *store, starts *startList) *worker {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		fatal(err)
 	}
 	w := &worker{
 		id: id, address: listener.Addr().String(), store: s, listener: listener, born: time.Now(), runs: make(map[string]*run),
-		highest: make(map[string]int), changed: make(chan struct{}), stopped: make(chan struct{}), starts: starts,
+		highest: make(map[string]int), changed: make(chan struct{}), stopped: make(chan struct{}), starts: starts, label: label,
 	}
-	w.server = &http.Server{Handler: w.handler()}
+	w.server = &http.Server{Handler: w.handler(), ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		life := w.life
+		if w.dark {
+			life = -1
+		}
+		return context.WithValue(ctx, connLife{}, life)
+	}}
 	go func() { _ = w.server.Serve(listener) }()
 	w.report()
 	go func() {
@@ -107,10 +128,15 @@
 
 // report writes the worker's row.
 func (w *worker) report() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dark {
+		return
+	}
 	w.sequence++
 	w.store.put("servers", w.id, map[string]any{
 		"service": "planner", "address": w.address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "sequence": w.sequence,
-		"born": w.born.UnixMilli(), "capacity": map[string]int{"cpu": 64000, "mem_mb": 131072, "gpu": 0}, "labels": []string{"a", "r1-1"}, "machine": "m-" + w.id,
+		"born": w.born.UnixMilli(), "capacity": map[string]int{"cpu": 64000, "mem_mb": 131072, "gpu": 0}, "labels": []string{w.label, "r1-1"}, "machine": "m-" + w.id,
 	})
 }
 
@@ -145,7 +171,11 @@
 				http.Error(out, err.Error(), http.StatusBadRequest)
 				return
 			}
-			fn(out, r, o)
+			time.Sleep(w.delay)
+			if !w.alive(r) {
+				noAnswer(r)
+			}
+			fn(&delayed{out, w.delay}, r, o)
 		})
 	}
 	handle("/-/run-start", w.serveStart)
@@ -158,6 +188,61 @@
 	return mux
 }
 
+// delayed sends an answer after a delay.
+type delayed struct {
+	http.ResponseWriter
+	delay time.Duration
+}
+
+// WriteHeader sends the header of the answer.
+func (d *delayed) WriteHeader(status int) {
+	time.Sleep(d.delay)
+	d.ResponseWriter.WriteHeader(status)
+}
+
+// alive reports whether the connection of a request was accepted in this life of the worker, and the worker is not dark.
+func (w *worker) alive(r *http.Request) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.aliveLocked(r)
+}
+
+func (w *worker) aliveLocked(r *http.Request) bool {
+	life, _ := r.Context().Value(connLife{}).(int)
+	return !w.dark && life == w.life
+}
+
+// crash ends the life of the worker without a word. It is dark until restart.
+func (w *worker) crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dark = true
+	w.life++
+	for _, x := range w.runs {
+		x.ends.Stop()
+		spanEnds(w.id, x.task, x.run)
+	}
+	if w.lease != nil {
+		w.lease.Stop()
+	}
+	w.runs, w.highest, w.ends, w.number, w.fence, w.expires, w.lease = make(map[string]*run), make(map[string]int), nil, 0, 0, 0, nil
+	logf("worker %s: crashes", w.id)
+	w.notify()
+}
+
+// restart starts a crashed worker again under its id and address.
+func (w *worker) restart() {
+	w.mu.Lock()
+	if !w.dark {
+		w.mu.Unlock()
+		return
+	}
+	w.dark, w.born, w.sequence = false, time.Now(), 0
+	logf("worker %s: starts again, born %d", w.id, w.born.UnixMilli())
+	w.mu.Unlock()
+	w.report()
+}
+
 // obey checks the fence of an order and extends the lease. The caller holds the lock.
 func (w *worker) obey(o order) bool {
 	if o.Fence < w.fence {
@@ -195,6 +280,7 @@
 	}
 	x.ends.Stop()
 	delete(w.runs, x.task)
+	spanEnds(w.id, x.task, x.run)
 	w.number++
 	w.ends = append(w.ends, end{w.number, x.task, x.run, how})
 	w.highest[x.task] = max(w.highest[x.task], x.run)
@@ -226,7 +312,15 @@
 		w.refuse(out, "old")
 		return
 	}
-	ms, err := strconv.Atoi(strings.TrimSpace(o.Spec))
+	how, text := "done", o.Spec
+	if first, later, ok := strings.Cut(o.Spec, ":"); ok {
+		// The first run fails.
+		text = later
+		if o.Run == 1 {
+			how, text = "failed", first
+		}
+	}
+	ms, err := strconv.Atoi(text)
 	if err != nil {
 		http.Error(out, "bad spec", http.StatusBadRequest)
 		return
@@ -235,12 +329,16 @@
 	x.ends = time.AfterFunc(x.takes, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.finish(x, "done")
+		w.finish(x, how)
 	})
 	w.runs[o.Task] = x
 	w.highest[o.Task] = max(w.highest[o.Task], o.Run-1)
+	spanBegins(w.id, o.Task, o.Run)
 	w.starts.add(startLog{time.Now(), o.Task, o.Run, w.id, o.Fence})
 	logf("worker %s: run %d of %s starts, fence %d", w.id, o.Run, o.Task, o.Fence)
+	if w.started != nil {
+		w.started(o.Task, o.Run)
+	}
 	reply(out, 200, map[string]any{"clock_ms": w.clock()})
 }
 
@@ -290,6 +388,11 @@
 			break
 		}
 	}
+	if !w.aliveLocked(r) {
+		w.mu.Unlock()
+		defer w.mu.Lock()
+		noAnswer(r)
+	}
 	running, ended := [][]any{}, [][]any{}
 	for _, x := range w.runs {
 		percent := min(99, int(100*time.Since(x.began)/max(x.takes, 1)))
