--- a/review/stand-3/cell.go
+++ b/review/stand-3/cell.go
@@ -37,12 +37,17 @@
 	logf("the case could not run: %v", err)
 	fmt.Fprintln(os.Stderr, err)
 	stopAll()
+	if tempFolder != "" {
+		_ = os.RemoveAll(tempFolder)
+	}
 	os.Exit(2)
 }
 
 var (
 	entriesMu sync.Mutex
 	processes []*exec.Cmd
+	// tempFolder holds the settings and logs of the entries.
+	tempFolder string
 )
 
 func stopAll() {
@@ -108,6 +113,7 @@
 	if err != nil {
 		fatal(err)
 	}
+	tempFolder = folder
 	c := &cell{store: newStore(seed), starts: &startList{}, folder: folder}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
