--- a/review/stand-3/cancelled.go
+++ b/review/stand-3/cancelled.go
@@ -47,10 +47,15 @@
 	}
 	var mu sync.Mutex
 	jobs := make(map[string]*outcome)
+	left := 0
 	var clients sync.WaitGroup
 	handIn := func() {
 		id := fmt.Sprintf("%016x", random.Uint64())
-		first, leaves := random.IntN(len(c.entries)), random.Float64() < 0.4
+		// The share of the clients that leave is never exceeded.
+		first, leaves := random.IntN(len(c.entries)), random.Float64() < 0.6 && float64(left+1) <= 0.4*float64(len(jobs)+1)
+		if leaves {
+			left++
+		}
 		o := &outcome{}
 		mu.Lock()
 		jobs[id] = o
@@ -106,7 +111,7 @@
 		logf("jobs come, window %d; trouble: %v", i+1, trouble)
 		for time.Since(began[i]) < window {
 			handIn()
-			time.Sleep(70 * time.Millisecond)
+			time.Sleep(72 * time.Millisecond)
 		}
 		lost, total := c.store.counts()
 		c.store.setLost(0)
@@ -132,7 +137,7 @@
 	for _, o := range jobs {
 		counts[fmt.Sprintf("accepted %v, cancel %d", o.accepted, o.status)]++
 	}
-	logf("jobs: %v", counts)
+	logf("jobs: %v; %d of %d clients left", counts, left, len(jobs))
 	for _, s := range c.starts.all() {
 		o := jobs[taskJob(s.task)]
 		if o == nil || o.cancelled.IsZero() || s.at.Before(o.cancelled.Add(cancel)) || !steady(s.at) {
