Keep a host while its unanswered starts may still be carried out

A host that was missing from the roster for over 30 s lost what the owner knew of a start without an answer. When it returned in its next incarnation, it got work at once and was not told to refuse that start.

Cause: a host without runs is forgotten 30 s after it left the roster, whatever it still owes. Ruled out: that the start still counts as a run; its stop was answered before.

The package core passes in 14.8 s.

--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -129,7 +129,7 @@
 			h.listed, h.unlistedSince = false, c.now
 			c.log.Info("Host is no longer in the roster.", "host", h.info.ID, "runs", len(h.runs))
 		}
-		forget := len(h.runs) == 0 && c.now.Sub(h.unlistedSince) > forgetHostAfter
+		forget := len(h.runs) == 0 && !h.awaitsStarts(c.now) && c.now.Sub(h.unlistedSince) > forgetHostAfter
 		if forget {
 			delete(c.hosts, h.info.ID)
 			c.hostsChanged = true
@@ -166,6 +166,12 @@
 // would lose the number of the last applied end.
 const forgetHostAfter = 30 * time.Second
 
+// awaitsStarts reports whether starts that the host has not answered may still be carried out there.
+func (h *host) awaitsStarts(now fold.Instant) bool {
+	recent := func(u unconfirmedStart) bool { return now.Sub(u.failedAt) < maxOrderDelay }
+	return slices.ContainsFunc(h.unconfirmedStarts, recent) || slices.ContainsFunc(h.forbiddenStarts, recent)
+}
+
 // copyRuns returns a copy of the list of runs, so that callers may change the list during iteration.
 func (h *host) copyRuns() []*run {
 	return slices.Clone(h.runList)
