Send orders only to the incarnation of a host that they are meant for

Cause: an order names a host by its id, and fences protect one incarnation only; the next one has seen none. Ruled out: a shorter permission to start runs, which only narrows the window; to forbid repeated starts, as a first one may be late too; to record starts that a new incarnation must refuse, a row for each attempt; the end of the lease in the order, as the clock of the next incarnation begins anew.

A connection ends with the process that accepted it. Orders, renewals and acknowledgements are now sent only on a connection on which the named incarnation has answered (fold/conns). Each order carries its incarnation to the relays, whose contacts lag by up to 100 ms. Nothing is remembered or stored; the cost is a hold call for each new connection for orders. The pool of connections leaves platform/, which translates only.

Changed tests. The model, the node simulation and the soak's hosts let an order reach a later incarnation; they now end connections with the incarnation, as PROTOCOL.md has it ("It then holds and knows nothing of before"). TestLateStartReachesNextIncarnation, TestLateStartReachesUnknownIncarnation and TestLateRenewalReachesNextIncarnation asked core to wait for orders that arrive there for up to 13 s. TestTaskOfUnansweredCall asks for the wait that the incarnation that got the call needs, and now for an upper bound too; that no later one gets it is asked of real connections by TestOrderReachesNoLaterIncarnation. TestOrderWithoutConnectionDidNotRun no longer counts the call that asks for the incarnation as an order. Tests of the adapter use a connection where they used the former Runner.

--- a/cmd/pfnode/internal/app/serve.go
+++ b/cmd/pfnode/internal/app/serve.go
@@ -14,6 +14,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"plantainfold.example/fold"
+	"plantainfold.example/fold/conns"
 	"plantainfold.example/fold/front"
 	"plantainfold.example/fold/node"
 	"plantainfold.example/fold/telem"
@@ -49,12 +50,14 @@
 	client := platform.NewClient()
 	defer func() { _ = client.Close() }()
 	store := platform.NewStore(client, s.Store)
+	runner := conns.New(platform.NewHostDialer(client), log)
+	defer func() { _ = runner.Close() }()
 	n, err := node.New(s, node.Parts{
 		Table:     store,
 		Log:       store,
 		Rules:     platform.NewRulesSource(store, log),
 		Roster:    platform.NewRoster(store, log),
-		Runner:    platform.NewRunner(client),
+		Runner:    runner,
 		HostConns: client.HostConns,
 		Adviser:   platform.NewAdviser(client, s.Adviser),
 		Callers: func(f *front.Front, bodies fold.BodyDecoder, log hclog.Logger, seen func(string, int, time.Duration)) http.Handler {
--- a/cmd/pfsoak/internal/app/environment.go
+++ b/cmd/pfsoak/internal/app/environment.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -155,13 +156,13 @@
 // commitWait limits the wait for a commit of the owner, which commits several times in a second.
 const commitWait = 2 * time.Second
 
-// startServer starts a server on loopback.
-func (e *environment) startServer(ctx context.Context, h http.Handler) (*httptest.Server, error) {
+// startServer starts a server on loopback. The function accepted, which may be nil, returns the context of the requests on a connection.
+func (e *environment) startServer(ctx context.Context, h http.Handler, accepted func(context.Context, net.Conn) context.Context) (*httptest.Server, error) {
 	l, err := listen(ctx)
 	if err != nil {
 		return nil, err
 	}
-	server := &httptest.Server{Listener: l, Config: &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}}
+	server := &httptest.Server{Listener: l, Config: &http.Server{Handler: h, ConnContext: accepted, ReadHeaderTimeout: time.Minute}}
 	server.Start()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -172,7 +173,7 @@
 // startStore starts the server of the store for an entry and returns its address.
 func (e *environment) startStore(ctx context.Context, entry string) (string, error) {
 	store := linkedStore{FaultyTable: plat.NewFaultyTable(e.table, e.storeFaults), FaultyChangeFeed: plat.NewFaultyChangeFeed(e.table, e.storeFaults), links: e.links, entry: entry}
-	server, err := e.startServer(ctx, stand.Store(store, store))
+	server, err := e.startServer(ctx, stand.Store(store, store), nil)
 	if err != nil {
 		return "", err
 	}
@@ -181,16 +182,36 @@
 
 // startAdviser starts the server of the adviser for an entry and returns its address.
 func (e *environment) startAdviser(ctx context.Context, adviser *model.EntryAdviser) (string, error) {
-	server, err := e.startServer(ctx, stand.Adviser(adviser))
+	server, err := e.startServer(ctx, stand.Adviser(adviser), nil)
 	if err != nil {
 		return "", err
 	}
 	return server.Listener.Addr().String(), nil
 }
 
+// acceptedBy is the key of the incarnation of a host that accepted a connection, in the context of its requests.
+type acceptedBy struct{}
+
+// hostHandler returns the handler of the calls to a host. A connection ends with the incarnation that accepted it.
+func (e *environment) hostHandler(id string) http.Handler {
+	info := func(r *http.Request) fold.Host {
+		incarnation, _ := r.Context().Value(acceptedBy{}).(int64)
+		return fold.Host{ID: id, Incarnation: incarnation}
+	}
+	calls := stand.Host(e.live, info)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if info(r).Incarnation != e.live.Incarnation(id) {
+			panic(http.ErrAbortHandler)
+		}
+		calls.ServeHTTP(w, r)
+	})
+}
+
 // giveAddress lets a host listen at a new address and no longer at its previous one.
 func (e *environment) giveAddress(ctx context.Context, id string) error {
-	server, err := e.startServer(ctx, stand.Host(e.live, func() fold.Host { return fold.Host{ID: id} }))
+	server, err := e.startServer(ctx, e.hostHandler(id), func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, acceptedBy{}, e.live.Incarnation(id))
+	})
 	if err != nil {
 		return err
 	}
--- a/fold/core/latestart_test.go
+++ b/fold/core/latestart_test.go
@@ -8,11 +8,8 @@
 	"plantainfold.example/fold/lease"
 )
 
-// maxOrderDelay is how long a call without an answer may still be carried out.
-const maxOrderDelay = 13 * time.Second
-
-// prepareLateStart returns a cell whose starts on the first host got no answer, and the time by which they have arrived.
-func prepareLateStart(t *testing.T, first, other fold.Host) (*fixture, fold.Instant) {
+// prepareUnansweredStart returns a cell whose starts on the first host got no answer.
+func prepareUnansweredStart(t *testing.T, first, other fold.Host) *fixture {
 	t.Helper()
 	b := newFixture(t, fold.Rules{}, first, other)
 	b.cell.AddJob(job(queue(0), step(1)), 1)
@@ -27,56 +24,63 @@
 		b.cell.ApplyStart(starts[0], fold.Unknown.New("no answer"))
 		starts = b.cell.Orders().Starts
 	}
-	arrived := b.now.Add(maxOrderDelay)
-	b.cell.RecordSilence(first.ID, first.Incarnation, lease.MaxDuration(leaseTime))
-	return b, arrived
+	return b
+}
+
+// prepareUnansweredRenewal returns a cell whose task runs on the first host, which has just got a renewal and does not answer it.
+func prepareUnansweredRenewal(t *testing.T, first, other fold.Host) *fixture {
+	t.Helper()
+	b := newFixture(t, fold.Rules{}, first)
+	// The leases of earlier owners have ended.
+	b.advance(30 * time.Second)
+	b.applyRoster()
+	b.cell.AddJob(job(queue(0), step(1)), 1)
+	starts := b.decide().Starts
+	if len(starts) != 1 {
+		t.Fatalf("starts %+v, want one", starts)
+	}
+	b.cell.ApplyStart(starts[0], nil)
+	b.advance(1500 * time.Millisecond)
+	b.cell.SetHosts([]fold.Host{first, other})
+	return b
 }
 
-// Guards against two runs of a task: a start without an answer is carried out late by the next incarnation of its host, whose
-// clock has begun anew, so that the end of the lease in the order does not refuse it.
-func TestLateStartReachesNextIncarnation(t *testing.T) {
+// Guards against two runs of a task: a call without an answer was carried out by a host that is silent now, and the run goes on
+// there under the lease in the call. A host that has started again has carried out nothing: no call reaches a later incarnation than
+// the one that it names (fold.Runner). Its task starts again too, but no later.
+func TestTaskOfUnansweredCall(t *testing.T) {
 	cases := []struct {
 		name string
-		// prepare returns a cell whose task may be started late on host a, and the time by which the order has arrived.
-		prepare func(t *testing.T, first, other fold.Host) (*fixture, fold.Instant)
+		// prepare returns a cell whose last call to host a got no answer.
+		prepare func(t *testing.T, first, other fold.Host) *fixture
+		// restarted is true if host a is listed in its next incarnation, which does not answer either.
+		restarted bool
 	}{
-		{"start of this owner", prepareLateStart},
-		{"start of the previous owner", func(t *testing.T, first, other fold.Host) (*fixture, fold.Instant) {
-			const keepTime = 4 * time.Second
+		{"start", prepareUnansweredStart, false},
+		{"start, host started again", prepareUnansweredStart, true},
+		{"renewal", prepareUnansweredRenewal, false},
+		{"renewal, host started again", prepareUnansweredRenewal, true},
+		{"start of the previous owner, host started again", func(t *testing.T, first, other fold.Host) *fixture {
 			b := newFixture(t, fold.Rules{})
 			b.cell.RestoreJob(job(queue(0), step(1)), recordedRun(first))
 			b.cell.SetHosts([]fold.Host{first, other})
-			return b, b.now.Add(keepTime + maxOrderDelay)
-		}},
+			return b
+		}, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			first, other := host("a", 1000), host("b", 1000)
-			b, arrived := c.prepare(t, first, other)
-			b.advance(100 * time.Millisecond)
-			b.cell.SetHosts([]fold.Host{nextIncarnation(first), other})
-			b.expectNoStartBefore(other, arrived.Add(lease.OnSlowestClock(leaseTime)))
+			b := c.prepare(t, first, other)
+			b.cell.RecordSilence(first.ID, first.Incarnation, lease.MaxDuration(leaseTime))
+			earliest, latest := lease.OnSlowestClock(leaseTime), keepTime+lease.MaxDuration(leaseTime)+200*time.Millisecond
+			if c.restarted {
+				earliest = 0
+				b.cell.SetHosts([]fold.Host{nextIncarnation(first), other})
+			}
+			after, started := b.untilTaskStarts(other, 2*latest)
+			if !started || after < earliest || after > latest {
+				t.Errorf("the task starts again: %v, after %s; want a start after %s to %s", started, after, earliest, latest)
+			}
 		})
 	}
 }
-
-// Guards against two runs of a task as above, on a host that has started again without the owner's knowledge: neither the
-// host nor its entry in the roster reaches the owner.
-func TestLateStartReachesUnknownIncarnation(t *testing.T) {
-	first, other := host("a", 1000), host("b", 1000)
-	b, arrived := prepareLateStart(t, first, other)
-	b.expectNoStartBefore(other, arrived.Add(lease.OnSlowestClock(leaseTime)))
-}
-
-// expectNoStartBefore expects that the task starts again, but not before a late call has arrived and the lease that it grants has ended. Only
-// the given host reports.
-func (b *fixture) expectNoStartBefore(reporting fold.Host, end fold.Instant) {
-	b.t.Helper()
-	bound := end.Sub(b.now)
-	after := b.startedAfter(reporting, 2*bound)
-	if after == 0 {
-		b.t.Error("the task does not start again")
-	} else if after < bound {
-		b.t.Errorf("the task starts again after %s; a late call may extend its lease for %s", after, bound)
-	}
-}
--- a/fold/core/restart_test.go
+++ b/fold/core/restart_test.go
@@ -15,18 +15,24 @@
 	return h
 }
 
-// startedAfter decides until a task starts and returns the time that has passed, or 0 if none starts within the limit. Only the
+// untilTaskStarts decides until a task starts and returns the time that has passed, or false if none starts within the limit. Only the
 // given host reports.
-func (b *fixture) startedAfter(reporting fold.Host, limit time.Duration) time.Duration {
+func (b *fixture) untilTaskStarts(reporting fold.Host, limit time.Duration) (after time.Duration, started bool) {
 	const interval = 20 * time.Millisecond
 	for waited := time.Duration(0); waited < limit; waited += interval {
 		b.report(reporting, nil, nil)
 		if len(b.decide().Starts) > 0 {
-			return waited
+			return waited, true
 		}
 		b.advance(interval)
 	}
-	return 0
+	return 0, false
+}
+
+// startedAfter is untilTaskStarts without the second result.
+func (b *fixture) startedAfter(reporting fold.Host, limit time.Duration) time.Duration {
+	after, _ := b.untilTaskStarts(reporting, limit)
+	return after
 }
 
 // recordedRun is a record with one run on an incarnation of a host.
--- a/fold/drive/orders.go
+++ b/fold/drive/orders.go
@@ -52,15 +52,16 @@
 
 // assignNumber registers an order to a host and returns its batch and number. An order to a host without a supervisor is
 // refused.
-func (s *orderSorter) assignNumber(host string, order openOrder) (*relay.Orders, uint64) {
-	b := s.batchFor(host)
+func (s *orderSorter) assignNumber(host fold.Host, order openOrder) (*relay.Orders, uint64) {
+	b := s.batchFor(host.ID)
 	if b == nil {
 		s.refused = append(s.refused, order)
 		return nil, 0
 	}
-	order.supervisor = s.supervision.assignments[host].supervisor
+	order.supervisor = s.supervision.assignments[host.ID].supervisor
 	s.supervision.lastOrder++
 	s.supervision.openOrders[s.supervision.lastOrder] = order
+	b.AddIncarnation(s.supervision.lastOrder, host.Incarnation)
 	return b, s.supervision.lastOrder
 }
 
@@ -70,17 +71,17 @@
 	l.mu.Lock()
 	s := &orderSorter{supervision: l, batches: make(map[supervisor]*relay.Orders)}
 	for _, o := range orders.Starts {
-		if b, n := s.assignNumber(o.Host.ID, openOrder{start: &o}); b != nil {
+		if b, n := s.assignNumber(o.Host, openOrder{start: &o}); b != nil {
 			b.Starts = append(b.Starts, relay.Start{Number: n, Host: o.Host.ID, Task: o.Req.Task, Run: o.Req.Run, Saved: o.Req.Checkpoint, Ticket: o.Req.Ticket, Job: o.Job, Spec: o.Req.Spec})
 		}
 	}
 	for _, o := range orders.Stops {
-		if b, n := s.assignNumber(o.Host.ID, openOrder{stop: &o}); b != nil {
+		if b, n := s.assignNumber(o.Host, openOrder{stop: &o}); b != nil {
 			b.Stops = append(b.Stops, relay.Stop{Number: n, Host: o.Host.ID, Task: o.Task, Run: o.Run})
 		}
 	}
 	for _, o := range orders.Paces {
-		if b, n := s.assignNumber(o.Host.ID, openOrder{pace: &o}); b != nil {
+		if b, n := s.assignNumber(o.Host, openOrder{pace: &o}); b != nil {
 			b.Paces = append(b.Paces, relay.Pace{Number: n, Host: o.Host.ID, Task: o.Task, Run: o.Run, Percent: o.Percent})
 		}
 	}
--- a/fold/host.go
+++ b/fold/host.go
@@ -147,9 +147,11 @@
 	BadTicket = Errors.NewType("ticket refused", NotRun)
 )
 
-// Runner sends orders to hosts. After an error without the NotRun trait the order may have been carried out.
+// Runner sends orders to hosts. An order reaches only the incarnation that the Host names: another one that has taken its place is
+// sent nothing, and the error is HostRestarted. After an error without the NotRun trait the order may have been carried out.
 type Runner interface {
-	// Hold renews the leases on a host and returns its runs and ends.
+	// Hold renews the leases on a host and returns its runs and ends. Leases are renewed and ends acknowledged only in the
+	// incarnation that h names, but any incarnation returns its runs and ends.
 	Hold(ctx context.Context, h Host, r HoldRequest) (HoldReply, error)
 	// Start starts a run of a task.
 	Start(ctx context.Context, h Host, r StartRequest) error
@@ -161,6 +163,31 @@
 	Disconnect()
 }
 
+// HostDialer opens connections to hosts.
+type HostDialer interface {
+	// Dial opens a connection to the host at h.Address. The host need not run in the incarnation that h names. After an error
+	// nothing was sent.
+	Dial(ctx context.Context, h Host) (HostConn, error)
+}
+
+// HostConn is a connection to a host. It ends with the incarnation of the host that accepted it, so all answers on it are of the same
+// incarnation, and no later one receives what is sent on it. Calls must not be concurrent. After an error without the NotRun
+// trait the order may have been carried out.
+type HostConn interface {
+	// Hold renews the leases on the host and returns its runs and ends.
+	Hold(ctx context.Context, r HoldRequest) (HoldReply, error)
+	// Start starts a run of a task.
+	Start(ctx context.Context, r StartRequest) error
+	// Stop stops a run. A run that has not started yet is rejected when its start arrives.
+	Stop(ctx context.Context, task string, run int, fence int64) error
+	// Pace limits the speed of a run to a percentage of its full speed.
+	Pace(ctx context.Context, task string, run, percent int, fence int64) error
+	// Usable reports whether further calls can be sent. A call whose context has ended makes the connection unusable.
+	Usable() bool
+	// Close closes the connection.
+	Close() error
+}
+
 // ConnStats describes the connections of an instance to hosts.
 type ConnStats struct {
 	// Open is the number of open connections to all hosts, and Most the highest number to one host.
--- a/fold/model/entry.go
+++ b/fold/model/entry.go
@@ -677,8 +677,9 @@
 			req.Acked = contact.Acked
 		}
 	}
+	incarnation := state.incarnation
 	execute := func(answer func(func())) {
-		h.hold(req, func(reply fold.HoldReply, err error) {
+		h.hold(h.effective(req, incarnation), func(reply fold.HoldReply, err error) {
 			answer(func() {
 				if err != nil {
 					o.stopIfFenced(err)
--- a/fold/model/host.go
+++ b/fold/model/host.go
@@ -266,6 +266,15 @@
 	return nil
 }
 
+// effective returns the part of a hold call for an incarnation that has an effect on the current one: only the named incarnation
+// renews leases and forgets ends.
+func (h *host) effective(q fold.HoldRequest, incarnation int64) fold.HoldRequest {
+	if h.info.Incarnation != incarnation {
+		return fold.HoldRequest{Fence: q.Fence}
+	}
+	return q
+}
+
 // hold renews the lease and reports, at once if there are ends or no wait is requested, else with the next end.
 func (h *host) hold(q fold.HoldRequest, reply func(fold.HoldReply, error)) {
 	if q.Fence < h.fence {
--- a/fold/model/live.go
+++ b/fold/model/live.go
@@ -129,6 +129,8 @@
 		host := w.find(h.ID)
 		switch {
 		case host.cut || !host.up:
+		case host.info.Incarnation != h.Incarnation:
+			err, answered = fold.HostRestarted.New("another incarnation answers"), true
 		case w.chance(w.lateShare):
 			// The sender has stopped waiting for the answer.
 			w.executeLate(host, func() { _ = do(host) })
@@ -143,11 +145,13 @@
 	return err
 }
 
-// executeLate executes a call to a host 2 to 12 s late, whether or not the host has started again meanwhile.
+// executeLate executes a call to a host 2 to 12 s late, unless the host has started again meanwhile: its next incarnation knows
+// nothing of the call.
 func (w *World) executeLate(h *host, call func()) {
 	delay := 2*time.Second + time.Duration(w.random.Int64N(int64(10*time.Second)))
+	incarnation := h.incarnation
 	w.after(delay, func() {
-		if h.up {
+		if h.incarnation == incarnation {
 			w.lateOrder = true
 			call()
 			w.lateOrder = false
@@ -182,6 +186,13 @@
 	return l.order(ctx, h, func(*host) error { return nil })
 }
 
+// Incarnation returns the current incarnation of a host.
+func (l *Live) Incarnation(id string) int64 {
+	var incarnation int64
+	l.update(func(w *World) { incarnation = w.find(id).info.Incarnation })
+	return incarnation
+}
+
 // Disconnect does nothing: the model has no connections.
 func (l *Live) Disconnect() {}
 
@@ -197,14 +208,11 @@
 		if host.cut || !host.up {
 			return
 		}
+		r = host.effective(r, h.Incarnation)
 		if w.chance(w.lateShare) {
-			incarnation := host.incarnation
 			w.executeLate(host, func() {
-				// In another incarnation the call would acknowledge ends with the numbers of this one.
-				if host.incarnation == incarnation {
-					l.refreshRecords(host, r.Acked)
-					host.hold(r, func(fold.HoldReply, error) {})
-				}
+				l.refreshRecords(host, r.Acked)
+				host.hold(r, func(fold.HoldReply, error) {})
 			})
 			return
 		}
--- a/fold/model/owner.go
+++ b/fold/model/owner.go
@@ -344,11 +344,7 @@
 	}
 	for _, s := range orders.Stops {
 		h := o.world.find(s.Host.ID)
-		var err error
-		o.order(h, s.Host.Incarnation, func() { err = h.stop(s.Task, s.Run, o.epoch) }, func(timeout bool) {
-			if timeout {
-				err = errTimeout
-			}
+		o.order(h, s.Host.Incarnation, func() error { return h.stop(s.Task, s.Run, o.epoch) }, func(err error) {
 			o.update(func(c *core.Cell) { c.ApplyStop(s, err) })
 		})
 	}
@@ -376,38 +372,35 @@
 
 func (o *owner) sendStart(h *host, state *holdState, s core.Start) {
 	s.Req.Fence, s.Req.LeaseEnd = o.epoch, state.grant.Renew(o.world.now, maxLease)
-	var err error
-	o.order(h, s.Host.Incarnation, func() { err = h.start(s.Req) }, func(timeout bool) {
-		if timeout {
-			err = errTimeout
-		}
+	o.order(h, s.Host.Incarnation, func() error { return h.start(s.Req) }, func(err error) {
 		o.stopIfFenced(err)
 		o.update(func(c *core.Cell) { c.ApplyStart(s, err) })
 	})
 }
 
-// order executes an order on a host, either in time or, while OrdersLate is active, late and without an answer.
-func (o *owner) order(h *host, born int64, do func(), done func(timeout bool)) {
+// order executes an order on the incarnation of a host that was born at the given time, either in time or, while OrdersLate is active,
+// late and without an answer. Like a fold.Runner, it sends nothing to another incarnation.
+func (o *owner) order(h *host, born int64, do func() error, done func(error)) {
 	w := o.world
 	if w.chance(w.lateShare) {
 		delay := 2*time.Second + time.Duration(w.random.Int64N(int64(10*time.Second)))
-		incarnation := h.incarnation
 		w.after(delay, func() {
-			if h.incarnation == incarnation && h.up && !h.cut {
+			if h.info.Incarnation == born && h.up && !h.cut {
 				w.lateOrder = true
-				do()
+				_ = do()
 				w.lateOrder = false
 			}
 		})
-		o.after(orderTime, func() { done(true) })
+		o.after(orderTime, func() { done(errTimeout) })
 		return
 	}
 	o.deliver(h, orderTime, func(answer func(func())) {
-		if h.info.Incarnation == born || o.term != nil {
-			do()
+		var err error = fold.HostRestarted.New("another incarnation answers")
+		if h.info.Incarnation == born {
+			err = do()
 		}
-		answer(func() { done(false) })
-	})(func() { done(true) })
+		answer(func() { done(err) })
+	})(func() { done(errTimeout) })
 }
 
 // stopIfFenced stops the owner if a host refused its call because of a newer owner.
@@ -453,7 +446,7 @@
 	}
 	sent, born := o.world.now, contact.Host.Incarnation
 	o.deliver(h, req.Wait+holdTime, func(answer func(func())) {
-		h.hold(req, func(reply fold.HoldReply, err error) {
+		h.hold(h.effective(req, state.incarnation), func(reply fold.HoldReply, err error) {
 			answer(func() {
 				if err != nil {
 					o.stopIfFenced(err)
--- a/fold/node/simulation_test.go
+++ b/fold/node/simulation_test.go
@@ -565,6 +565,9 @@
 func (r simulatedRunner) Hold(ctx context.Context, h fold.Host, q fold.HoldRequest) (fold.HoldReply, error) {
 	hosts := r.entry.sim.hosts
 	incarnation := hosts.incarnationOf(h.ID)
+	if incarnation != h.Incarnation {
+		q = fold.HoldRequest{Fence: q.Fence}
+	}
 	reply, err := order(ctx, r.entry, hosts.lateBy(h.ID), func() (fold.HoldReply, error) { return hosts.hold(h.ID, incarnation, q, true) })
 	for end := time.Now().Add(q.Wait); err == nil && len(reply.Ends) == 0 && time.Now().Before(end); {
 		select {
@@ -580,12 +583,12 @@
 }
 
 func (r simulatedRunner) Start(ctx context.Context, h fold.Host, q fold.StartRequest) error {
-	_, err := order(ctx, r.entry, 0, func() (struct{}, error) { return struct{}{}, r.entry.sim.hosts.start(h.ID, q) })
+	_, err := order(ctx, r.entry, 0, func() (struct{}, error) { return struct{}{}, r.entry.sim.hosts.start(h, q) })
 	return err
 }
 
 func (r simulatedRunner) Stop(ctx context.Context, h fold.Host, task string, run int, fence int64) error {
-	_, err := order(ctx, r.entry, 0, func() (struct{}, error) { return struct{}{}, r.entry.sim.hosts.stopRun(h.ID, task, run, fence) })
+	_, err := order(ctx, r.entry, 0, func() (struct{}, error) { return struct{}{}, r.entry.sim.hosts.stopRun(h, task, run, fence) })
 	return err
 }
 
@@ -823,9 +826,14 @@
 	return reply, nil
 }
 
-func (h *simulatedHosts) start(id string, q fold.StartRequest) error {
+// start executes a start on the incarnation of a host that it is meant for.
+func (h *simulatedHosts) start(host fold.Host, q fold.StartRequest) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	id := host.ID
+	if h.hosts[id].incarnation != host.Incarnation {
+		return fold.HostRestarted.New("another incarnation answers")
+	}
 	o, err := h.at(id, q.Fence)
 	if err != nil {
 		return err
@@ -878,9 +886,14 @@
 	return nil
 }
 
-func (h *simulatedHosts) stopRun(id, task string, run int, fence int64) error {
+// stopRun executes a stop on the incarnation of a host that it is meant for.
+func (h *simulatedHosts) stopRun(host fold.Host, task string, run int, fence int64) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	id := host.ID
+	if h.hosts[id].incarnation != host.Incarnation {
+		return fold.HostRestarted.New("another incarnation answers")
+	}
 	o, err := h.at(id, fence)
 	if err != nil {
 		return err
--- a/fold/relay/calls.go
+++ b/fold/relay/calls.go
@@ -17,7 +17,7 @@
 )
 
 // startRun sends a start to a host. It first waits for the host's clock, which the lease refers to.
-func (r *Relay) startRun(s Start) {
+func (r *Relay) startRun(s Start, incarnation int64) {
 	sent := r.parts.Clock.Now()
 	err := r.callHost(s.Host, func(ctx context.Context, c *contact) error {
 		select {
@@ -30,7 +30,7 @@
 			// The process may have been suspended. A later owner assumes that no new leases were granted meanwhile.
 			return fold.Refuse(fold.Unavailable, "wait for the table", "the owner's permission to start runs was not renewed in time")
 		}
-		host, until, err := r.leaseForStart(c, now)
+		host, until, err := r.leaseForStart(c, incarnation, now)
 		if err != nil {
 			return err
 		}
@@ -56,8 +56,9 @@
 }
 
 // leaseForStart returns the lease for a start that was permitted at the given time or later. A silent or released host gets
-// none, because the owner relies on its leases ending.
-func (r *Relay) leaseForStart(c *contact, now fold.Instant) (fold.Host, int64, error) {
+// none, because the owner relies on its leases ending. Nor does another incarnation than the start is meant for: it does not know the
+// runs and fences of that one.
+func (r *Relay) leaseForStart(c *contact, incarnation int64, now fold.Instant) (fold.Host, int64, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.contacts[c.info.ID] != c {
@@ -66,25 +67,29 @@
 	if c.silent {
 		return fold.Host{}, 0, fold.Refuse(fold.Unavailable, "use another host", "the host %s does not answer", c.info.ID)
 	}
-	return c.info.Host(), c.lease.Renew(now, r.parts.Lease), nil
+	if c.incarnation != incarnation {
+		return fold.Host{}, 0, fold.Refuse(fold.HostRestarted, "wait for the report of the host", "the host %s has started again since the start was ordered", c.info.ID)
+	}
+	return c.info.host(incarnation), c.lease.Renew(now, r.parts.Lease), nil
 }
 
-func (r *Relay) stopRun(s Stop) {
+func (r *Relay) stopRun(s Stop, incarnation int64) {
 	r.recordResult(s.Number, r.callHost(s.Host, func(ctx context.Context, c *contact) error {
-		return r.parts.Runner.Stop(ctx, r.hostOf(c), s.Task, s.Run, r.parts.Epoch)
+		return r.parts.Runner.Stop(ctx, r.hostOf(c, incarnation), s.Task, s.Run, r.parts.Epoch)
 	}))
 }
 
-func (r *Relay) paceRun(p Pace) {
+func (r *Relay) paceRun(p Pace, incarnation int64) {
 	r.recordResult(p.Number, r.callHost(p.Host, func(ctx context.Context, c *contact) error {
-		return r.parts.Runner.Pace(ctx, r.hostOf(c), p.Task, p.Run, p.Percent, r.parts.Epoch)
+		return r.parts.Runner.Pace(ctx, r.hostOf(c, incarnation), p.Task, p.Run, p.Percent, r.parts.Epoch)
 	}))
 }
 
-func (r *Relay) hostOf(c *contact) fold.Host {
+// hostOf returns an incarnation of a supervised host.
+func (r *Relay) hostOf(c *contact, incarnation int64) fold.Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return c.info.Host()
+	return c.info.host(incarnation)
 }
 
 // callHost calls fn for a supervised host with a context that limits the call.
--- a/fold/relay/contact.go
+++ b/fold/relay/contact.go
@@ -145,7 +145,8 @@
 
 // holdRequest returns the next Hold call to a host. The leases of a silent host, which may still receive requests, and of a
 // released one are not renewed: they have to end before its tasks can run elsewhere. The lease begins before the permission is
-// checked, so a process that is suspended in between grants none that the permission does not cover.
+// checked, so a process that is suspended in between grants none that the permission does not cover. The lease and the
+// acknowledgement are for the incarnation that answered last, to whose clock and ends they refer.
 func (r *Relay) holdRequest(c *contact, unanswered int) (fold.Host, fold.HoldRequest) {
 	now := r.parts.Clock.Now()
 	permitted := r.parts.Permitted()
@@ -163,7 +164,7 @@
 	if unanswered == 0 && c.answeredAt != 0 && r.parts.Clock.Now().Sub(c.answeredAt) <= maxBlindAck {
 		req.Acked, c.ackSent = c.acked, c.acked
 	}
-	return c.info.Host(), req
+	return c.info.host(c.incarnation), req
 }
 
 // handleReply records a host's answer.
--- a/fold/relay/messages.go
+++ b/fold/relay/messages.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,9 +21,9 @@
 	MaxWait time.Duration
 }
 
-// Host returns the host with the fields that calls need.
-func (c Contact) Host() fold.Host {
-	return fold.Host{ID: c.ID, Address: c.Address, Incarnation: c.Incarnation}
+// host returns an incarnation of the host with the fields that calls need.
+func (c Contact) host(incarnation int64) fold.Host {
+	return fold.Host{ID: c.ID, Address: c.Address, Incarnation: incarnation}
 }
 
 // Ack acknowledges that run ends of a host are durably recorded, up to a number.
@@ -85,6 +86,9 @@
 	Starts   []Start  `json:"starts,omitempty"`
 	Stops    []Stop   `json:"stops,omitempty"`
 	Paces    []Pace   `json:"paces,omitempty"`
+	// Incarnations holds, by the numbers of starts, stops and paces, the incarnations of the hosts that they are meant for. An owner of
+	// an earlier build sends none; its orders are for the incarnation in the contact.
+	Incarnations map[uint64]int64 `json:"born,omitempty"`
 	// Forget holds the ids of jobs whose specifications are no longer needed.
 	Forget []string `json:"forget,omitempty"`
 }
@@ -104,9 +108,21 @@
 	o.Starts = append(o.Starts, more.Starts...)
 	o.Stops = append(o.Stops, more.Stops...)
 	o.Paces = append(o.Paces, more.Paces...)
+	if o.Incarnations == nil {
+		o.Incarnations = make(map[uint64]int64, len(more.Incarnations))
+	}
+	maps.Copy(o.Incarnations, more.Incarnations)
 	o.Forget = append(o.Forget, more.Forget...)
 }
 
+// AddIncarnation records the incarnation of the host that an order is meant for.
+func (o *Orders) AddIncarnation(number uint64, incarnation int64) {
+	if o.Incarnations == nil {
+		o.Incarnations = make(map[uint64]int64)
+	}
+	o.Incarnations[number] = incarnation
+}
+
 // Empty reports whether there are no orders.
 func (o *Orders) Empty() bool {
 	return len(o.Contacts)+len(o.Releases)+len(o.Acks)+len(o.Waits)+len(o.Starts)+len(o.Stops)+len(o.Paces)+len(o.Forget) == 0
--- a/fold/relay/relay.go
+++ b/fold/relay/relay.go
@@ -119,17 +119,31 @@
 		}
 	}
 	for _, s := range o.Starts {
-		r.spawn(func() { r.startRun(s) })
+		incarnation := r.incarnationOf(o, s.Number, s.Host)
+		r.spawn(func() { r.startRun(s, incarnation) })
 	}
 	for _, s := range o.Stops {
-		r.spawn(func() { r.stopRun(s) })
+		incarnation := r.incarnationOf(o, s.Number, s.Host)
+		r.spawn(func() { r.stopRun(s, incarnation) })
 	}
 	for _, p := range o.Paces {
-		r.spawn(func() { r.paceRun(p) })
+		incarnation := r.incarnationOf(o, p.Number, p.Host)
+		r.spawn(func() { r.paceRun(p, incarnation) })
 	}
 	return true
 }
 
+// incarnationOf returns the incarnation of the host that an order is meant for. The caller holds the lock.
+func (r *Relay) incarnationOf(o Orders, number uint64, host string) int64 {
+	if incarnation, ok := o.Incarnations[number]; ok {
+		return incarnation
+	}
+	if c, ok := r.contacts[host]; ok {
+		return c.info.Incarnation
+	}
+	return 0
+}
+
 // Refuse reports an error as the outcome of orders that must not be carried out any more, and sends none of them.
 func (r *Relay) Refuse(o Orders, err error) {
 	for _, s := range o.Starts {
--- a/fold/relay/silence_test.go
+++ b/fold/relay/silence_test.go
@@ -5,6 +5,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/joomcode/errorx"
+
+	"plantainfold.example/fold"
 	"plantainfold.example/fold/relay"
 )
 
@@ -35,3 +38,32 @@
 		}
 	})
 }
+
+// Guards against two runs of a task: a start that was ordered for an earlier incarnation is sent to one that the owner does not know
+// yet. A start for that one does not wait until the relay gets the incarnation from the owner.
+func TestStartIsSentToItsIncarnationOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newFakeHost()
+		r := relay.New(parts(h))
+		defer func() { _ = r.Close() }()
+		r.Apply(relay.Orders{Contacts: []relay.Contact{contact}})
+		time.Sleep(time.Second)
+		h.update(func(h *fakeHost) { h.incarnation = 2 })
+		time.Sleep(time.Second)
+		r.Apply(startOrder(1))
+		next := startOrder(2)
+		next.Starts[0].Run = 2
+		next.AddIncarnation(2, 2)
+		r.Apply(next)
+		time.Sleep(time.Second)
+		failed := make(map[uint64]error)
+		for _, result := range r.Events(t.Context(), 0).Results {
+			failed[result.Number] = result.Failed.Err()
+		}
+		h.update(func(h *fakeHost) {
+			if len(h.starts) != 1 || h.starts[0].Run != 2 || !errorx.IsOfType(failed[1], fold.HostRestarted) || failed[2] != nil {
+				t.Errorf("starts %+v, results %v; want the second start only", h.starts, failed)
+			}
+		})
+	})
+}
