Record the cancellation of a job that is not known yet

Cause: the answer 410 rested on reads alone, and nothing was left that would make the condition of the submission fail or cancel the job. An owner kept a cancellation that it read before its job, but without a limit in time, with its row for good, and dropped all at 10,000.

Ruled out: to remember the ids in a process; a row for good for each id; a shared counter as a condition of all submissions, which lets a repeated submission pass and makes those of all callers conflict.

Cancel answers 410 only after the request is recorded, with the owner's next commit or as a row of the inbox. The row holds the team and the time of the request, and is applied to a job of that team that appears later, also by the next owner. A transaction names a row only once, which two requests for one job in a commit did not keep to, and the row of a request that is made again is not deleted.

--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -216,7 +216,7 @@
 		if !first && !whole {
 			b.requests = answerOutdated(d.takeRequests(maxRows - len(b.hostRows) - len(b.staleHostRows)))
 		}
-		txn := fold.Txn{Deletes: b.deletes}
+		txn := fold.Txn{Deletes: d.deletable(b.deletes)}
 		limit, space := maxRows-len(txn.Deletes)-len(b.requests)-len(b.useRows), maxBytes-sizeOfRequests(b.requests)-sizeOfPuts(b.useRows)
 		packed, rest, err := d.pack(writes, limit, space)
 		if err != nil {
@@ -245,6 +245,14 @@
 	return nil
 }
 
+// deletable returns the keys of those rows that are still not needed. A request to cancel a job may have been made again since its
+// row was listed for deletion.
+func (d *Driver) deletable(keys []string) []string {
+	keys = slices.Clone(keys)
+	d.withCell(func(*core.Cell) { keys = slices.DeleteFunc(keys, d.keptCancel) })
+	return keys
+}
+
 // commitTxn commits a transaction together with requests. A request whose own check fails gets an error, and the
 // transaction is tried again without it.
 func (d *Driver) commitTxn(ctx context.Context, records fold.Txn, requests []*request, waiting map[string]int) error {
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -121,8 +121,8 @@
 	inbox map[string]bool
 	// unreadable holds the ids of jobs whose records cannot be read; these jobs do not run.
 	unreadable map[string]bool
-	// earlyCancels holds the ids of unknown jobs for which a cancellation request has arrived.
-	earlyCancels map[string]bool
+	// earlyCancels holds the cancellation requests for unknown jobs, by job id.
+	earlyCancels map[string]earlyCancel
 
 	supervision supervision
 	// raiseGCPercent raises the garbage collection target once, when the pool is large.
@@ -147,7 +147,7 @@
 		cell:         core.New(parts.Times, parts.Logger.Named("core")),
 		lastCommit:   term.Began(),
 		ended:        make(map[string]endedJob),
-		earlyCancels: make(map[string]bool),
+		earlyCancels: make(map[string]earlyCancel),
 
 		unreadable: make(map[string]bool),
 		inbox:      make(map[string]bool),
--- a/fold/drive/intake.go
+++ b/fold/drive/intake.go
@@ -35,9 +35,11 @@
 type request struct {
 	job   string
 	check fold.Check
-	// value is the encoded row of a new job, or nil for a cancellation request.
-	value    []byte
-	newJob   flow.Job
+	// value is the encoded row of a new job or a cancellation request.
+	value []byte
+	// newJob is the new job, or nil for a cancellation request by a caller of the team.
+	newJob   *flow.Job
+	team     string
 	queuedAt fold.Instant
 	reply    chan result
 }
@@ -75,13 +77,21 @@
 	if err != nil {
 		return false, err
 	}
-	r := d.awaitCommit(ctx, &request{job: job.ID, check: check, value: value, newJob: job})
+	r := d.awaitCommit(ctx, &request{job: job.ID, check: check, value: value, newJob: &job})
 	return r.known, r.err
 }
 
-// Cancel writes a request to cancel a job to the table with the next commit.
-func (d *Driver) Cancel(ctx context.Context, id string, check fold.Check) error {
-	return d.awaitCommit(ctx, &request{job: id, check: check}).err
+// Cancel writes a request of a team to cancel a job to the table with the next commit. The job need not be known: a submission that
+// has got no answer may still take effect, and the job is then cancelled.
+func (d *Driver) Cancel(ctx context.Context, id, team string, check fold.Check) error {
+	if err := d.refuseEarlyCancel(id); err != nil {
+		return err
+	}
+	value, err := EncodeCancellation(team)
+	if err != nil {
+		return err
+	}
+	return d.awaitCommit(ctx, &request{job: id, check: check, value: value, team: team}).err
 }
 
 // awaitCommit queues a request and waits for its commit.
@@ -158,23 +168,27 @@
 // and a row that another entry has just written under the same id counts as the same job.
 func addRequests(txn *fold.Txn, requests []*request) {
 	checks := make(map[string]bool)
-	jobs := make(map[string]bool)
+	rows := make(map[string]bool)
 	for _, r := range requests {
 		if !checks[r.check.Key] {
 			checks[r.check.Key] = true
 			txn.Checks = append(txn.Checks, r.check)
 		}
-		key := JobPrefix + r.job
-		if r.value == nil {
-			txn.Puts = append(txn.Puts, fold.Put{Key: key + CancelMark})
-			continue
-		}
-		if jobs[key] {
-			continue
+		if key := r.key(); !rows[key] {
+			rows[key] = true
+			txn.Puts = append(txn.Puts, fold.Put{Key: key, Value: r.value})
 		}
-		jobs[key] = true
-		txn.Puts = append(txn.Puts, fold.Put{Key: key, Value: r.value})
 	}
+	// The row of a request that has expired may be deleted by the same transaction.
+	txn.Deletes = slices.DeleteFunc(slices.Clone(txn.Deletes), func(key string) bool { return rows[key] })
+}
+
+// key returns the key of the row of the request.
+func (r *request) key() string {
+	if r.newJob == nil {
+		return JobPrefix + r.job + CancelMark
+	}
+	return JobPrefix + r.job
 }
 
 // answerConflicted answers the requests whose checks failed, or all if the error names no row, and returns the others.
@@ -212,14 +226,14 @@
 	}
 	d.updateCell(func(c *core.Cell) {
 		for _, r := range requests {
-			if r.value != nil {
-				c.AddJob(r.newJob, d.term.Version())
+			if r.newJob != nil {
+				c.AddJob(*r.newJob, d.term.Version())
 				d.applyEarlyCancel(c, r.job)
 			}
 		}
 		for _, r := range requests {
-			if r.value == nil && !d.cancelJob(c, r.job) {
-				d.staleRows = append(d.staleRows, JobPrefix+r.job+CancelMark)
+			if r.newJob == nil {
+				d.applyCancel(c, cancelRequest{Cancellation: Cancellation{Team: r.team, At: time.Now().UnixMilli()}, job: r.job, key: r.key()})
 			}
 		}
 	})
@@ -270,7 +284,8 @@
 	return state, team, ok
 }
 
-// forgetEnded drops the states of jobs that ended long ago and adds the keys of their state rows to staleRows.
+// forgetEnded drops the states of jobs that ended long ago, and expired requests to cancel unknown jobs, and adds the keys of their
+// rows to staleRows.
 func (d *Driver) forgetEnded() {
 	now := d.parts.Clock.Now()
 	for id, e := range d.ended {
@@ -279,4 +294,5 @@
 			d.staleRows = append(d.staleRows, StatePrefix+id)
 		}
 	}
+	d.expireCancels()
 }
--- a/fold/drive/load.go
+++ b/fold/drive/load.go
@@ -20,8 +20,6 @@
 const endedRetention = 4 * time.Minute
 
 const (
-	// maxEarlyCancels limits the cancellation requests for unknown jobs. Such a job is read within a second or never.
-	maxEarlyCancels = 10000
 	// tableTimeout limits a read of a row. snapshotTimeout limits a read of a whole table.
 	tableTimeout    = 900 * time.Millisecond
 	snapshotTimeout = 5 * time.Second
@@ -51,7 +49,9 @@
 			d.applyEarlyCancel(c, j.ID)
 		}
 		for _, row := range rows {
-			d.applyCancel(c, row)
+			if _, isCancel := jobOf(row); isCancel {
+				d.applyCancel(c, d.decodeCancel(row))
+			}
 		}
 	})
 	if d.followsPastUse() {
@@ -138,13 +138,6 @@
 	}
 }
 
-// jobOf returns the id of the job to which a row of JobPrefix or InboxPrefix belongs, and whether it is a cancellation
-// request.
-func jobOf(row fold.Row) (id string, isCancel bool) {
-	id = strings.TrimPrefix(strings.TrimPrefix(row.Key, InboxPrefix), JobPrefix)
-	return strings.CutSuffix(id, CancelMark)
-}
-
 // decodeJob decodes the row of a job that has not ended. The row of an ended job is listed for deletion.
 func (d *Driver) decodeJob(row fold.Row, records map[string]flow.Record) (flow.Job, bool) {
 	id, isCancel := jobOf(row)
@@ -175,43 +168,12 @@
 	return job, true
 }
 
-func (d *Driver) applyCancel(c *core.Cell, row fold.Row) {
-	if id, isCancel := jobOf(row); isCancel && !d.cancelJob(c, id) {
-		d.staleRows = append(d.staleRows, row.Key)
-	}
-}
-
-// cancelJob cancels a job, and reports false if it has already ended. The request may arrive before the job if different
-// entries recorded them.
-func (d *Driver) cancelJob(c *core.Cell, id string) bool {
-	if c.Cancel(id) {
-		return true
-	}
-	if _, ended := d.ended[id]; ended {
-		return false
-	}
-	if len(d.earlyCancels) >= maxEarlyCancels {
-		d.log.Warn("Dropped cancellation requests for jobs that are not known.", "requests", len(d.earlyCancels))
-		clear(d.earlyCancels)
-	}
-	d.earlyCancels[id] = true
-	return true
-}
-
 // hasEnded reports whether a job has ended and is no longer in the cell.
 func (d *Driver) hasEnded(id string) bool {
 	_, ended := d.ended[id]
 	return ended
 }
 
-// applyEarlyCancel applies a cancellation request that arrived before its job.
-func (d *Driver) applyEarlyCancel(c *core.Cell, id string) {
-	if d.earlyCancels[id] {
-		delete(d.earlyCancels, id)
-		c.Cancel(id)
-	}
-}
-
 // followJobs reads new jobs and cancellation requests of other entries from the feed until ctx ends.
 func (d *Driver) followJobs(ctx context.Context, version int64) {
 	for ctx.Err() == nil {
@@ -263,8 +225,8 @@
 			}
 		}
 		for _, change := range changes {
-			if !change.Deleted {
-				d.applyCancel(c, change.Row)
+			if _, isCancel := jobOf(change.Row); isCancel && !change.Deleted {
+				d.applyCancel(c, d.decodeCancel(change.Row))
 			}
 		}
 	})
--- a/fold/flow/job.go
+++ b/fold/flow/job.go
@@ -229,3 +229,9 @@
 	}
 	return TaskName{Job: parts[0], Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, true
 }
+
+// SameTeam reports whether a caller of a team may read or cancel a job of a team. Callers without a key on an open queue, and jobs that they
+// submitted, have the team "".
+func SameTeam(job, caller string) bool {
+	return job == "" || caller == "" || job == caller
+}
--- a/fold/front/front.go
+++ b/fold/front/front.go
@@ -43,8 +43,9 @@
 type Owner interface {
 	// Submit makes a job durable; known reports whether it was durable before. A Conflict error means that the check failed.
 	Submit(ctx context.Context, job flow.Job, check fold.Check) (known bool, err error)
-	// Cancel makes the request to cancel a job durable.
-	Cancel(ctx context.Context, id string, check fold.Check) error
+	// Cancel makes the request of a team to cancel a job durable. The job need not be known: it is cancelled if its submission takes effect
+	// later.
+	Cancel(ctx context.Context, id, team string, check fold.Check) error
 	// State returns the recorded state of a job and its team, or a Gone error when the owner does not know the job.
 	State(ctx context.Context, id string) (flow.State, string, error)
 }
@@ -331,14 +332,15 @@
 
 // checkTeam returns a Forbidden error if the caller and the job both have a team and these differ.
 func (f *Front) checkTeam(a access, team string) error {
-	if team != "" && a.team != "" && team != a.team {
+	if !flow.SameTeam(team, a.team) {
 		return fold.Refuse(fold.Forbidden, "use a key of the job's team", "the job belongs to another team")
 	}
 	return nil
 }
 
-// Cancel makes the request to cancel a job durable, or returns a Gone error if there is no such job. Cancelling a job that
-// has ended changes nothing. An error with the NotRun trait means that this request neither is nor will be recorded.
+// Cancel makes the request to cancel a job durable. It returns a Gone error if there is no such job; the request is durable then too,
+// because a submission of the job that has got no answer may still take effect. Cancelling a job that has ended changes nothing.
+// An error with the NotRun trait, except Gone, means that this request neither is nor will be recorded.
 func (f *Front) Cancel(ctx context.Context, c Caller) error {
 	ctx, cancel := context.WithTimeout(ctx, c.Budget-answerReserve)
 	defer cancel()
@@ -346,14 +348,20 @@
 	if err != nil {
 		return err
 	}
+	if !validID(a.jobID) {
+		return fold.Refuse(fold.Gone, "check the id", "no job has the id %q", a.jobID)
+	}
 	unsure := false
 	_, err = retry(ctx, f, func(ctx context.Context) (struct{}, error) {
 		state, err := f.state(ctx, a)
-		if err != nil || state.Final() {
+		unknown := errorx.IsOfType(err, fold.Gone)
+		if err != nil && !unknown || state.Final() {
 			return struct{}{}, err
 		}
-		err = f.sendCancel(ctx, a)
-		unsure = unsure || err != nil && !fold.DidNotRun(err)
+		if sendErr := f.sendCancel(ctx, a, unknown); sendErr != nil {
+			unsure = unsure || !fold.DidNotRun(sendErr)
+			return struct{}{}, sendErr
+		}
 		return struct{}{}, err
 	})
 	if unsure && errorx.IsOfType(err, fold.Unavailable) {
@@ -364,18 +372,21 @@
 }
 
 // sendCancel sends the cancellation request of a job to the owner. It writes the request to the table if the owner returns an
-// error, or if there is no owner afterwards.
-func (f *Front) sendCancel(ctx context.Context, a access) error {
+// error, or if there is no owner afterwards. If the job is not known, it leaves an overloaded owner and table alone.
+func (f *Front) sendCancel(ctx context.Context, a access, unknown bool) error {
 	check := f.rulesSource.Check(a.version)
 	var ownerErr error
 	if owner := f.owner(); owner != nil {
-		ownerErr = owner.Cancel(ctx, a.jobID, check)
+		ownerErr = owner.Cancel(ctx, a.jobID, a.team, check)
 	}
 	// The owner is looked up again, because it may have gone meanwhile.
 	if laterOwner := f.owner(); laterOwner != nil && ownerErr == nil {
 		return nil
 	}
-	err := f.writeCancel(ctx, a.jobID, check)
+	if unknown && errorx.IsOfType(ownerErr, fold.Overload) {
+		return ownerErr
+	}
+	err := f.writeCancel(ctx, a, check)
 	if err != nil && ownerErr != nil && !fold.DidNotRun(ownerErr) {
 		return fold.Unknown.Wrap(err, "the owner of the pool did not confirm the request to cancel the job")
 	}
@@ -385,9 +396,13 @@
 // writeCancel makes the cancellation request durable without the owner, by writing a row under drive.InboxPrefix. The owner
 // reads these rows. If the configuration has changed, the request is written without the check, because the key was valid
 // when the request arrived.
-func (f *Front) writeCancel(ctx context.Context, id string, check fold.Check) error {
-	put := fold.Put{Key: drive.InboxPrefix + id + drive.CancelMark}
-	_, err := f.table.Commit(ctx, fold.Txn{Checks: []fold.Check{check}, Puts: []fold.Put{put}})
+func (f *Front) writeCancel(ctx context.Context, a access, check fold.Check) error {
+	value, err := drive.EncodeCancellation(a.team)
+	if err != nil {
+		return err
+	}
+	put := fold.Put{Key: drive.InboxPrefix + a.jobID + drive.CancelMark, Value: value}
+	_, err = f.table.Commit(ctx, fold.Txn{Checks: []fold.Check{check}, Puts: []fold.Put{put}})
 	if errorx.IsOfType(err, fold.Conflict) {
 		_, err = f.table.Commit(ctx, fold.Txn{Puts: []fold.Put{put}})
 	}
--- a/fold/front/front_test.go
+++ b/fold/front/front_test.go
@@ -30,6 +30,8 @@
 	*plat.Table
 	readTime time.Duration
 	commits  atomic.Int64
+	// commitErr is the error of all commits, or nil.
+	commitErr error
 }
 
 func (s *slowTable) Get(ctx context.Context, key string) (fold.Row, error) {
@@ -43,6 +45,9 @@
 
 func (s *slowTable) Commit(ctx context.Context, t fold.Txn) (int64, error) {
 	s.commits.Add(1)
+	if s.commitErr != nil {
+		return 0, s.commitErr
+	}
 	return s.Table.Commit(ctx, t)
 }
 
@@ -66,7 +71,7 @@
 type owner struct{ err error }
 
 func (o owner) Submit(context.Context, flow.Job, fold.Check) (bool, error) { return false, o.err }
-func (o owner) Cancel(context.Context, string, fold.Check) error           { return o.err }
+func (o owner) Cancel(context.Context, string, string, fold.Check) error   { return o.err }
 func (o owner) State(context.Context, string) (flow.State, string, error)  { return "", "", o.err }
 
 // The table is slow for all entries. Guards against entries that add writes to the load and leave their outcome unknown to
@@ -232,3 +237,64 @@
 		}
 	})
 }
+
+// countingOwner is an owner that knows no job and counts the requests to cancel one, which fail with err.
+type countingOwner struct {
+	owner
+	cancels *atomic.Int64
+	err     error
+}
+
+func (o countingOwner) Cancel(context.Context, string, string, fold.Check) error {
+	o.cancels.Add(1)
+	return o.err
+}
+
+// Guards against the answer that there is no such job before the request to cancel it is durable: a submission without an answer may
+// still take effect. Guards also against entries that write such requests to a table that has too much to write.
+func TestCancelOfUnknownJob(t *testing.T) {
+	unavailable, overload, lost := fold.Unavailable.New("unavailable"), fold.Overload.New("busy"), fold.Unknown.New("no answer")
+	cases := []struct {
+		name     string
+		hasOwner bool
+		// owner and table are the results of the owner and of the table.
+		owner, table error
+		want         *errorx.Type
+		// writes is true if this entry writes the request.
+		writes bool
+	}{
+		{"recorded by the owner", true, nil, nil, fold.Gone, false},
+		{"no owner", false, nil, nil, fold.Gone, true},
+		{"the owner is not available", true, unavailable, nil, fold.Gone, true},
+		{"the owner does not answer", true, lost, nil, fold.Gone, true},
+		{"the owner refuses for lack of room", true, overload, nil, fold.Unavailable, false},
+		{"neither records it", true, unavailable, unavailable, fold.Unavailable, true},
+		{"no owner, and the table does not answer", false, nil, lost, fold.Unknown, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := &slowTable{Table: plat.NewTable(), readTime: 4 * time.Millisecond, commitErr: c.table}
+				followed := front.NewRules(rules{}, clock{}, hclog.NewNullLogger(), func(fold.Rules) {})
+				if err := followed.Refresh(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				var cancels atomic.Int64
+				reached := func() front.Owner {
+					if !c.hasOwner {
+						return nil
+					}
+					return countingOwner{owner: owner{err: fold.Gone.New("unknown")}, cancels: &cancels, err: c.owner}
+				}
+				f := front.New(table, followed, rules{}, clock{}, hclog.NewNullLogger(), func(string) (int, bool) { return 0, false }, reached, maxRow)
+				err := f.Cancel(t.Context(), front.Caller{Key: "k", Host: "h", Path: "/p/0123456789abcdef", Budget: 3 * time.Second})
+				if !errorx.IsOfType(err, c.want) || table.commits.Load() > 0 != c.writes || cancels.Load() > 0 != c.hasOwner {
+					t.Errorf("error %v, %d commits, %d requests to the owner; want %v, commits %v", err, table.commits.Load(), cancels.Load(), c.want, c.writes)
+				}
+				if _, err := table.Table.Get(t.Context(), drive.InboxPrefix+"0123456789abcdef"+drive.CancelMark); (err == nil) != (c.writes && c.table == nil) {
+					t.Errorf("reading the request from the table: %v", err)
+				}
+			})
+		})
+	}
+}
--- a/fold/node/ownercalls.go
+++ b/fold/node/ownercalls.go
@@ -43,8 +43,9 @@
 type ownerRequest struct {
 	// Job is the job to submit.
 	Job flow.Job `json:"job"`
-	// ID identifies the job to cancel.
-	ID string `json:"id,omitempty"`
+	// ID identifies the job to cancel, and Team is the team of the caller.
+	ID   string `json:"id,omitempty"`
+	Team string `json:"team,omitempty"`
 	// Check is the condition on the table under which the request is recorded.
 	Check fold.Check `json:"check"`
 	// TimeLeft is how long the asking entry waits for the answer, or 0 if it has no deadline.
@@ -116,7 +117,7 @@
 		}
 		ctx, cancel := req.withTimeout(ctx)
 		defer cancel()
-		return conflictAsAnswer(ownerReply{}, d.Cancel(ctx, req.ID, req.Check))
+		return conflictAsAnswer(ownerReply{}, d.Cancel(ctx, req.ID, req.Team, req.Check))
 	})
 	peer.Handle(transport, announceCall, func(ctx context.Context, _ string, a announcement) (bool, error) {
 		return n.recordAnnouncement(a, a.On && n.tableHealthy(ctx))
@@ -223,8 +224,8 @@
 }
 
 // Cancel makes the request to cancel a job durable.
-func (o localOwner) Cancel(ctx context.Context, id string, check fold.Check) error {
-	return o.driver.Cancel(ctx, id, check)
+func (o localOwner) Cancel(ctx context.Context, id, team string, check fold.Check) error {
+	return o.driver.Cancel(ctx, id, team, check)
 }
 
 // State returns the recorded state of a job.
@@ -251,8 +252,8 @@
 }
 
 // Cancel asks the owner to make the request to cancel a job durable.
-func (o remoteOwner) Cancel(ctx context.Context, id string, check fold.Check) error {
-	reply, err := callOwner[ownerRequest, ownerReply](ctx, o, cancelCall, ownerRequest{ID: id, Check: check, TimeLeft: timeLeft(ctx)})
+func (o remoteOwner) Cancel(ctx context.Context, id, team string, check fold.Check) error {
+	reply, err := callOwner[ownerRequest, ownerReply](ctx, o, cancelCall, ownerRequest{ID: id, Team: team, Check: check, TimeLeft: timeLeft(ctx)})
 	return reply.asError(err)
 }
 
