Register entries under a condition on their row

An entry could stay unlisted for good: it was then neither told of runs without records nor asked to supervise hosts. An earlier process of the entry wrote or removed its row without an answer, and the table performed that after the present process had registered.

Cause: both transactions had no condition. Ruled out: that the entry notices; it reads the rows of the others only.

A registration is written under the version that was read, and a removal takes only a row of the same process. It costs a read at the start and at the end.

--- a/fold/node/peers.go
+++ b/fold/node/peers.go
@@ -123,7 +123,8 @@
 	return row.Value, err
 }
 
-// register writes the entry's row.
+// register writes the entry's row. The write takes effect only if the row has not changed since it was read: without an answer, the
+// table may perform it after the next process of the entry has registered.
 func (p *peers) register(ctx context.Context) error {
 	value, err := codec.Encode(p.self)
 	if err != nil {
@@ -131,15 +132,32 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	_, err = p.table.Commit(ctx, fold.Txn{Puts: []fold.Put{{Key: entryPrefix + p.name, Value: value}}})
+	key := entryPrefix + p.name
+	row, err := p.table.Get(ctx, key)
+	if err != nil && !errorx.IsOfType(err, fold.NotFound) {
+		return err
+	}
+	_, err = p.table.Commit(ctx, fold.Txn{Checks: []fold.Check{{Key: key, Version: row.Version}}, Puts: []fold.Put{{Key: key, Value: value}}})
 	return err
 }
 
-// unregister removes the entry's row.
+// unregister removes the entry's row, unless the next process of the entry has replaced it.
 func (p *peers) unregister(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	_, err := p.table.Commit(ctx, fold.Txn{Deletes: []string{entryPrefix + p.name}})
+	key := entryPrefix + p.name
+	row, err := p.table.Get(ctx, key)
+	if errorx.IsOfType(err, fold.NotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if found, err := codec.Decode[registration](row.Value); err == nil && found.Incarnation != p.self.Incarnation {
+		p.log.Info("Left the registration of the next process of this entry in place.", "incarnation", found.Incarnation)
+		return nil
+	}
+	_, err = p.table.Commit(ctx, fold.Txn{Checks: []fold.Check{{Key: key, Version: row.Version}}, Deletes: []string{key}})
 	return err
 }
 
