Register an entry without a read where it has no row

The read that added to each registration is needed only if an earlier process has left a row.

TestLateRegistrationOfEarlierProcess and TestRegistrationIsRemoved pass.

--- a/fold/node/peers.go
+++ b/fold/node/peers.go
@@ -123,8 +123,8 @@
 	return row.Value, err
 }
 
-// register writes the entry's row. The write takes effect only if the row has not changed since it was read: without an answer, the
-// table may perform it after the next process of the entry has registered.
+// register writes the entry's row. The write takes effect only if the row has not changed: without an answer, the table may perform it
+// after the next process of the entry has registered. The row of an earlier process is replaced.
 func (p *peers) register(ctx context.Context) error {
 	value, err := codec.Encode(p.self)
 	if err != nil {
@@ -133,11 +133,16 @@
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	key := entryPrefix + p.name
+	put := fold.Put{Key: key, Value: value}
+	_, err = p.table.Commit(ctx, fold.Txn{Checks: []fold.Check{{Key: key}}, Puts: []fold.Put{put}})
+	if !errorx.IsOfType(err, fold.Conflict) {
+		return err
+	}
 	row, err := p.table.Get(ctx, key)
-	if err != nil && !errorx.IsOfType(err, fold.NotFound) {
+	if err != nil {
 		return err
 	}
-	_, err = p.table.Commit(ctx, fold.Txn{Checks: []fold.Check{{Key: key, Version: row.Version}}, Puts: []fold.Put{{Key: key, Value: value}}})
+	_, err = p.table.Commit(ctx, fold.Txn{Checks: []fold.Check{{Key: key, Version: row.Version}}, Puts: []fold.Put{put}})
 	return err
 }
 
