Hand the bounds of leases over to the next owner

Cause: an owner starts a task of a host that does not answer when all leases of earlier owners have ended. It counted the longest possible time, 9.1 s, from its own takeover, though owners that hand over know how long their leases last and grant none any more. Evidence: in the log of a trial five owners hand over in order, and the last one gives the run up 6.18 s after its takeover, because the first incarnation in a record replaced the bound.

An owner that hands over now writes into its last row how long the leases of itself and its predecessors may still last, after its relay is closed. The successor counts these times from when it first saw the row.

--- a/fold/core/cell.go
+++ b/fold/core/cell.go
@@ -9,6 +9,7 @@
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/flow"
+	"plantainfold.example/fold/lease"
 )
 
 // Times are the time limits of the platform's hosts and of the owner.
@@ -36,6 +37,8 @@
 	// now is the current time of the steady clock. startedAt is the first time that was set; no earlier owner has
 	// committed after it.
 	now, startedAt fold.Instant
+	// foreignLeases bounds the leases of earlier owners, counted from startedAt.
+	foreignLeases lease.Bounds
 	// wall is the time of day in milliseconds since the Unix epoch.
 	wall int64
 
@@ -154,6 +157,7 @@
 func New(times Times, log hclog.Logger) *Cell {
 	return &Cell{
 		times:                times,
+		foreignLeases:        lease.Bounds{Others: times.RenewWithoutTable + lease.MaxDuration(times.Lease)},
 		log:                  log,
 		queues:               make(map[string]fold.Queue),
 		teams:                make(map[string]*team),
--- a/fold/core/core_test.go
+++ b/fold/core/core_test.go
@@ -31,13 +31,18 @@
 func newFixture(t testing.TB, rules fold.Rules, hosts ...fold.Host) *fixture {
 	t.Helper()
 	b := &fixture{t: t, now: fold.Instant(time.Hour), wall: 1e9, hosts: hosts}
-	b.cell = core.New(core.Times{Lease: leaseTime, Stop: 900 * time.Millisecond, RenewWithoutTable: 4 * time.Second}, hclog.NewNullLogger())
-	b.cell.SetTime(b.now, b.wall)
+	b.resetCell()
 	b.cell.SetRules(rules)
 	b.applyRoster()
 	return b
 }
 
+// resetCell replaces the cell by a new one.
+func (b *fixture) resetCell() {
+	b.cell = core.New(core.Times{Lease: leaseTime, Stop: 900 * time.Millisecond, RenewWithoutTable: 4 * time.Second}, hclog.NewNullLogger())
+	b.cell.SetTime(b.now, b.wall)
+}
+
 func (b *fixture) applyRoster() {
 	b.cell.SetHosts(b.hosts)
 	for _, h := range b.hosts {
--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -100,7 +100,7 @@
 func (c *Cell) host(id string) *host {
 	h, ok := c.hosts[id]
 	if !ok {
-		h = &host{info: fold.Host{ID: id}, sentMaxWait: idleWait, runs: make(map[runKey]*run), foreignLeaseEnd: c.foreignLeaseEnd(), unlistedSince: c.now}
+		h = &host{info: fold.Host{ID: id}, sentMaxWait: idleWait, runs: make(map[runKey]*run), foreignLeaseEnd: c.startedAt.Add(c.foreignLeases.For(id)), unlistedSince: c.now}
 		c.hosts[id] = h
 		at, _ := slices.BinarySearchFunc(c.hostsByID, id, func(o *host, id string) int { return cmp.Compare(o.info.ID, id) })
 		c.hostsByID = slices.Insert(c.hostsByID, at, h)
@@ -109,9 +109,34 @@
 }
 
 // foreignLeaseEnd returns the time by which all leases of earlier owners have expired on a host that does not enforce the
-// fence of this owner. An earlier owner may renew leases for RenewWithoutTable after its last commit.
+// fence of this owner. An earlier owner that did not hand over may renew leases for RenewWithoutTable after its last commit.
 func (c *Cell) foreignLeaseEnd() fold.Instant {
-	return c.startedAt.Add(c.times.RenewWithoutTable + lease.MaxDuration(c.times.Lease))
+	return c.startedAt.Add(c.foreignLeases.Others)
+}
+
+// SetForeignLeases sets bounds of the leases of earlier owners, which the previous one knew when it handed over. They are counted from the
+// first time that was set. It must be called before any host is known.
+func (c *Cell) SetForeignLeases(bounds lease.Bounds) {
+	c.foreignLeases = bounds
+	for id := range bounds.Hosts {
+		// An owner that hands over at once passes the bounds on.
+		c.host(id)
+	}
+}
+
+// LeaseBounds returns bounds of the leases of this owner and earlier ones, counted from now. granted returns how long the leases may
+// last that the present supervisor of a host has granted. At most maxHosts hosts with lower bounds than the others are named: those on
+// which runs may exist.
+func (c *Cell) LeaseBounds(granted func(host string) time.Duration, maxHosts int) lease.Bounds {
+	bounds := lease.Bounds{Others: max(0, c.foreignLeaseEnd().Sub(c.now)), Hosts: make(map[string]time.Duration)}
+	for _, h := range c.hostsByID {
+		left := max(0, h.leaseEnd().Sub(c.now), granted(h.info.ID))
+		bounds.Others = max(bounds.Others, left)
+		if used := len(h.runs) > 0 || c.awaited[h.info.ID]; used && len(bounds.Hosts) < maxHosts && (h.silentSince != 0 || !h.enforcesFence) {
+			bounds.Hosts[h.info.ID] = left
+		}
+	}
+	return bounds
 }
 
 // SetHosts applies a complete list of the hosts in the roster.
--- a/fold/core/incarnation.go
+++ b/fold/core/incarnation.go
@@ -44,7 +44,9 @@
 	h.enforcesFence = false
 	// The host has forgotten the fence. Until it receives the fence again, it accepts calls of earlier owners: those that are
 	// on their way, and new ones as long as an earlier owner may renew leases.
-	h.foreignLeaseEnd = max(c.foreignLeaseEnd(), c.now.Add(lease.MaxDuration(c.times.Lease)))
+	if !firstIncarnation {
+		h.foreignLeaseEnd = max(c.foreignLeaseEnd(), c.now.Add(lease.MaxDuration(c.times.Lease)))
+	}
 	h.compared, h.moreEnds, h.described = false, false, false
 	h.lastEnd, h.nextAck, h.lastAck = 0, 0, 0
 	h.health, h.speed = health{}, hostSpeed{}
--- a/fold/drive/driver.go
+++ b/fold/drive/driver.go
@@ -13,6 +13,7 @@
 	"plantainfold.example/fold/core"
 	"plantainfold.example/fold/flow"
 	"plantainfold.example/fold/lead"
+	"plantainfold.example/fold/lease"
 	"plantainfold.example/fold/relay"
 )
 
@@ -49,6 +50,8 @@
 	// PreviousCommit is a time after the previous owner sent its last commit, or 0 if only the takeover is known to be after it.
 	// Leases of earlier owners are counted from it.
 	PreviousCommit fold.Instant
+	// PreviousLeases bounds the leases of earlier owners if the previous one has handed over, and is nil otherwise.
+	PreviousLeases *lease.Bounds
 	Clock          fold.Clock
 	Logger         hclog.Logger
 	Times          core.Times
@@ -167,6 +170,9 @@
 	d.cell.SetOptions(parts.Options)
 	// The first time is the one from which the cell counts the leases of earlier owners.
 	d.cell.SetTime(cmp.Or(parts.PreviousCommit, term.Began()), time.Now().UnixMilli())
+	if parts.PreviousLeases != nil {
+		d.cell.SetForeignLeases(*parts.PreviousLeases)
+	}
 	d.setTime()
 	d.cell.SetRules(rules)
 	return d
--- a/fold/drive/supervision.go
+++ b/fold/drive/supervision.go
@@ -186,6 +186,34 @@
 	c.RecordLease(id, end.Sub(now)+lease.MaxDuration(d.parts.Times.Lease))
 }
 
+// maxBoundedHosts limits the hosts that LeaseBounds names. Each takes about 25 bytes of the owner's row.
+const maxBoundedHosts = 500
+
+// LeaseBounds returns bounds of all leases that this owner and earlier ones have granted, counted from now. Run must have returned, so
+// that this owner grants no more. Relays in other entries may renew leases until their permissions end.
+func (d *Driver) LeaseBounds() lease.Bounds {
+	l := &d.supervision
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	left := make(map[string]time.Duration)
+	if l.local != nil {
+		left = l.local.relay.LeasesLeft()
+	}
+	var bounds lease.Bounds
+	d.withCell(func(c *core.Cell) {
+		bounds = c.LeaseBounds(func(host string) time.Duration {
+			granted := left[host]
+			if a, ok := l.assignments[host]; ok {
+				if remote, ok := a.supervisor.(*session); ok {
+					granted = max(granted, remote.permittedUntil.Sub(c.Now())+lease.MaxDuration(d.parts.Times.Lease))
+				}
+			}
+			return granted
+		}, maxBoundedHosts)
+	})
+	return bounds
+}
+
 // openSessions asks other entries to open sessions if the pool has more hosts than this entry can supervise. Sessions whose
 // relays reach no host do not count, and more are opened while no supervisor reaches some of the hosts.
 func (d *Driver) openSessions(ctx context.Context) {
--- a/fold/lead/handover_test.go
+++ b/fold/lead/handover_test.go
@@ -8,6 +8,7 @@
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/lead"
+	"plantainfold.example/fold/lease"
 	"plantainfold.example/fold/plat"
 )
 
@@ -40,7 +41,7 @@
 		t.Fatalf("error %v, want an unknown outcome", err)
 	}
 	table.lost = nil
-	err = term.Release(t.Context())
+	err = term.Release(t.Context(), lease.Bounds{})
 	owner, _, readErr := lead.Read(t.Context(), table)
 	if readErr != nil {
 		t.Fatal(readErr)
--- a/fold/lead/lead.go
+++ b/fold/lead/lead.go
@@ -8,6 +8,7 @@
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/codec"
+	"plantainfold.example/fold/lease"
 )
 
 // OwnerKey is the key of the row that names the owner.
@@ -62,6 +63,9 @@
 	FitCount int `json:"strong,omitempty"`
 	// Waiting is the number of jobs, for each queue, that have not started any task.
 	Waiting map[string]int `json:"waiting,omitempty"`
+	// Leases bounds the leases of this owner and earlier ones, counted from before the row was written. It is nil unless the owner has
+	// handed over.
+	Leases *lease.Bounds `json:"leases,omitempty"`
 }
 
 // TakeoverDelayFor returns how long the row has to stay unchanged before another entry takes over, if a read of the table
@@ -112,7 +116,7 @@
 // new owner. A Fenced or Conflict error means that another entry was faster; the other errors are those of Commit. After any
 // error except Unknown the takeover has no effect.
 func TakeOver(ctx context.Context, table fold.Table, clock fold.Clock, previous Owner, version int64, next Owner) (*Term, error) {
-	next.Epoch, next.CommitCount, next.Waiting, next.Entries, next.FitCount = previous.Epoch+1, 0, previous.Waiting, nil, 0
+	next.Epoch, next.CommitCount, next.Waiting, next.Entries, next.FitCount, next.Leases = previous.Epoch+1, 0, previous.Waiting, nil, 0, nil
 	t := &Term{table: table, clock: clock, epoch: next.Epoch, began: clock.Now(), owner: next, version: version}
 	if err := t.commitUntilKnown(ctx, fold.Txn{}, t.owner); err != nil {
 		return nil, err
@@ -146,8 +150,9 @@
 	return t.commitUntilKnown(ctx, txn, next)
 }
 
-// Release gives up the ownership so that another entry can take over at once.
-func (t *Term) Release(ctx context.Context) error {
+// Release gives up the ownership so that another entry can take over at once. The owner must have stopped granting leases; bounds bounds
+// those that it and earlier owners have granted.
+func (t *Term) Release(ctx context.Context, bounds lease.Bounds) error {
 	if t.outcomeUnknown {
 		// The last commit may have been applied; the release then follows it.
 		found, version, err := t.readOwner(ctx)
@@ -157,7 +162,7 @@
 	}
 	next := t.owner
 	next.CommitCount++
-	next.Entry = ""
+	next.Entry, next.Leases = "", &bounds
 	return t.commitUntilKnown(ctx, fold.Txn{}, next)
 }
 
--- a/fold/lead/lead_test.go
+++ b/fold/lead/lead_test.go
@@ -8,6 +8,7 @@
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/lead"
+	"plantainfold.example/fold/lease"
 	"plantainfold.example/fold/plat"
 )
 
@@ -156,7 +157,7 @@
 	if err := first.Commit(t.Context(), fold.Txn{}, lead.PoolState{Waiting: map[string]int{"q": 3}, Entries: []string{"two-1"}, FitCount: 1}); err != nil {
 		t.Fatal(err)
 	}
-	if err := first.Release(t.Context()); err != nil {
+	if err := first.Release(t.Context(), lease.Bounds{}); err != nil {
 		t.Fatal(err)
 	}
 	owner, _, err := lead.Read(t.Context(), table)
--- a/fold/model/entry.go
+++ b/fold/model/entry.go
@@ -280,7 +280,7 @@
 	e.closed = max(e.closed, previous.epoch)
 	next := ownerRow{epoch: previous.epoch + 1, entry: e.number, incarnation: e.incarnation}
 	e.attempted = next.epoch
-	t := &term{entry: e, version: version, began: w.now, previousCommit: e.rowChangedAt}
+	t := &term{entry: e, version: version, began: w.now, previousCommit: e.rowChangedAt, previousLeases: previous.leases}
 	w.log.Debug("An entry sends a takeover.", "entry", e.number, "epoch", next.epoch)
 	t.commit(next, func(int64) {
 		w.log.Debug("The table has applied a takeover.", "entry", e.number, "epoch", next.epoch)
@@ -336,6 +336,9 @@
 func (e *entry) beginTerm(t *term, await bool) {
 	w := e.world
 	o := w.newOwner(e, t.row.epoch, t.began, t.previousCommit)
+	if t.previousLeases != nil {
+		o.cell.SetForeignLeases(*t.previousLeases)
+	}
 	o.term = t
 	w.owner, e.owner, e.attempted = o, o, 0
 	w.log.Debug("An entry owns the pool.", "entry", e.number, "epoch", o.epoch, "await", await)
@@ -387,6 +390,8 @@
 		next := t.row
 		next.count++
 		next.entry = noEntry
+		bounds := o.leaseBounds()
+		next.leases = &bounds
 		e.after(releaseTimeout, func() { t.ended = true })
 		t.commit(next, func(int64) {}, func(result outcome) {
 			if result == outcomeDone {
@@ -412,6 +417,20 @@
 	wait()
 }
 
+// leaseBounds returns bounds of the leases of the owner and earlier ones, as in package drive.
+func (o *owner) leaseBounds() lease.Bounds {
+	o.setTime()
+	return o.cell.LeaseBounds(func(host string) time.Duration {
+		if state, ok := o.holds[host]; ok {
+			return state.grant.Remaining(o.world.now)
+		}
+		return 0
+	}, maxBoundedHosts)
+}
+
+// maxBoundedHosts limits the hosts in leaseBounds, as in package drive.
+const maxBoundedHosts = 500
+
 // invite asks the first entry that answers to take over.
 func (o *owner) invite() {
 	for _, p := range o.entry.respondingPeers() {
--- a/fold/model/table.go
+++ b/fold/model/table.go
@@ -5,6 +5,7 @@
 
 	"plantainfold.example/fold"
 	"plantainfold.example/fold/flow"
+	"plantainfold.example/fold/lease"
 )
 
 // ownerRow is the row of the table that names the owner, as in package lead.
@@ -14,6 +15,8 @@
 	entry, incarnation int
 	// listed holds the entries to which the owner announces that it starts runs without records.
 	listed []process
+	// leases bounds the leases of the owner and earlier ones once it has handed over.
+	leases *lease.Bounds
 }
 
 // process is one incarnation of an entry.
@@ -88,6 +91,8 @@
 	version int64
 	// began is when the takeover was sent. previousCommit is when the row that it replaces was first seen.
 	began, previousCommit fold.Instant
+	// previousLeases is the field leases of that row.
+	previousLeases *lease.Bounds
 	// committing is set during a commit. ended makes the attempts of a commit end.
 	committing, ended bool
 }
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -88,7 +88,7 @@
 		}
 		switch {
 		case err == nil:
-			n.serveTerm(ctx, term, row.changedAt, n.unrecordedRunsPossible(owner) && !n.othersExcludeUnrecordedRuns(ctx, owner))
+			n.serveTerm(ctx, term, row, n.unrecordedRunsPossible(owner) && !n.othersExcludeUnrecordedRuns(ctx, owner))
 		case ctx.Err() == nil:
 			n.forgetInvitation()
 			// Without a configuration each attempt fails with the same error, which is logged at Info only once.
@@ -321,16 +321,18 @@
 }
 
 // serveTerm runs a driver for the pool until the driver stops. Unless another entry has taken over, it then hands the pool
-// over. previousCommit is a time after the last commit of the previous owner was sent. awaitUnrecorded is true if that owner
-// may have started unrecorded runs.
-func (n *Node) serveTerm(ctx context.Context, term *lead.Term, previousCommit fold.Instant, awaitUnrecorded bool) {
+// over. previous is the row of the previous owner, which it replaced. awaitUnrecorded is true if that owner may have started
+// unrecorded runs.
+func (n *Node) serveTerm(ctx context.Context, term *lead.Term, previous ownerRowState, awaitUnrecorded bool) {
 	now := n.clock.Now()
-	n.log.Info("This entry owns the pool.", "epoch", term.Epoch(), "await", awaitUnrecorded, "sinceTakeover", now.Sub(term.Began()).String(), "sincePreviousCommit", now.Sub(previousCommit).String())
+	// The last commit of the previous owner was sent before its row was first seen.
+	previousCommit := previous.changedAt
+	n.log.Info("This entry owns the pool.", "epoch", term.Epoch(), "await", awaitUnrecorded, "sinceTakeover", now.Sub(term.Began()).String(), "sincePreviousCommit", now.Sub(previousCommit).String(), "leases", previous.owner.Leases != nil)
 	index, _, _ := n.rules.Current()
 	driver := drive.New(drive.Parts{
 		Table: n.parts.Table, Log: n.parts.Log, Runner: n.parts.Runner, Roster: n.parts.Roster,
 		RelayCapacity: n.settings.RelayCapacity(), MaxRow: n.settings.MaxRow(), Domain: n.settings.Domain, RelayEntries: n.peers.relayEntries,
-		AdviceCallers: n.peers.adviceCallers, Entries: n.peers.entries, FitterEntry: n.peers.fitterExists, Announce: n.peers.announceUnrecorded, Invite: n.peers.invite, AwaitUnrecorded: awaitUnrecorded, PreviousCommit: previousCommit, Clock: n.clock, Logger: n.log, Times: n.settings.Times(), Options: n.settings.Options(), Meter: n.meter,
+		AdviceCallers: n.peers.adviceCallers, Entries: n.peers.entries, FitterEntry: n.peers.fitterExists, Announce: n.peers.announceUnrecorded, Invite: n.peers.invite, AwaitUnrecorded: awaitUnrecorded, PreviousCommit: previousCommit, PreviousLeases: previous.owner.Leases, Clock: n.clock, Logger: n.log, Times: n.settings.Times(), Options: n.settings.Options(), Meter: n.meter,
 	}, term, index.Rules())
 	following, stop := context.WithCancel(ctx)
 	defer stop()
@@ -350,7 +352,7 @@
 	}
 	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	defer cancel()
-	if err := term.Release(release); err != nil {
+	if err := term.Release(release, driver.LeaseBounds()); err != nil {
 		n.log.Warn("Could not hand over the pool.", "epoch", term.Epoch(), "error", err)
 		return
 	}
--- a/fold/relay/relay.go
+++ b/fold/relay/relay.go
@@ -73,6 +73,19 @@
 	return nil
 }
 
+// LeasesLeft returns how long the leases may still last that the relay has requested on the hosts that it supervises, by the ids of
+// the hosts. Of a closed relay these are the last ones.
+func (r *Relay) LeasesLeft() map[string]time.Duration {
+	now := r.parts.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	left := make(map[string]time.Duration, len(r.contacts))
+	for id, c := range r.contacts {
+		left[id] = c.lease.Remaining(now)
+	}
+	return left
+}
+
 // spawn calls fn in a goroutine that Close waits for. The caller holds the lock, and the relay is not closed.
 func (r *Relay) spawn(fn func()) {
 	r.group.Add(1)
