Let an entry of the model not ask its own earlier process

Cause: a fault of the test. An entry that had started again took its own empty memory for that of its earlier process, which the owner's row listed, and excluded such runs by it. The product asks the processes behind the registrations of the other entries only (othersExcludeUnrecordedRuns, fold/node/announce.go), and its own earlier process has none.

The model now skips that process, so its entries await hosts in more cases than before, as the product does.

--- a/fold/model/entry.go
+++ b/fold/model/entry.go
@@ -317,7 +317,7 @@
 		p := e.world.entries[listed.entry]
 		switch {
 		case p == e:
-			excluded = excluded || e.announced != previous.epoch
+			// This process is not listed, so an earlier one is. It has left no registration to ask at.
 		case p.process() == listed && e.answers(p):
 			p.closed = max(p.closed, previous.epoch)
 			excluded = excluded || p.announced != previous.epoch
--- a/fold/model/partition_test.go
+++ b/fold/model/partition_test.go
@@ -149,6 +149,8 @@
 	2858,
 	// An owner that was paused repeated a start that reached the next incarnation of the host.
 	296,
+	// An entry of the model that had started again excluded runs without records by what its own earlier process had not heard.
+	1761, 102838,
 }
 
 // Guards against a new owner that starts a task again, or counts it as lost, while an entry that owned the pool before still
