Count an order as not run if its host did not tell its incarnation

An order whose new connection got no answer to the call that asks for the incarnation counted as perhaps carried out, though it was never sent; its run would have been stopped and started again later. Found by reading the change as a whole.

With it: a connection may take 1.5 s instead of 2 s to open, as long as the longest hold call; relays get no permission once the owner has counted its leases for the hand-over; a request to cancel an unknown job is dropped for a new one at 12,000 only, so that requests which wait for a commit when the limit of 10,000 is reached drop none; comments.

--- a/fold/conns/conns.go
+++ b/fold/conns/conns.go
@@ -21,7 +21,7 @@
 	maxConns = 2
 	// openTimeout limits the opening of a connection and the call that identifies the host. It may be longer than the calls that
 	// need the connection: these fail, and the next ones use it.
-	openTimeout = 2 * time.Second
+	openTimeout = 1500 * time.Millisecond
 	// idleTimeout is how long an unused connection is kept for reuse, because opening a new one is costly.
 	idleTimeout = 90 * time.Second
 )
@@ -253,6 +253,9 @@
 	if kind == orders {
 		if err := c.identify(ctx, fence); err != nil {
 			r.closeConn(c)
+			if !fold.DidNotRun(err) {
+				err = fold.Unavailable.Wrap(err, "the host %s did not tell its incarnation; the order was not sent", h.ID)
+			}
 			return nil, err
 		}
 	}
--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -125,14 +125,15 @@
 }
 
 // LeaseBounds returns bounds of the leases of this owner and earlier ones, counted from now. granted returns how long the leases may
-// last that the present supervisor of a host has granted. At most maxHosts hosts with lower bounds than the others are named: those on
-// which runs may exist.
+// last that the present supervisor of a host has granted. Hosts that do not answer and on which runs may exist have bounds of their own,
+// at most maxHosts of them.
 func (c *Cell) LeaseBounds(granted func(host string) time.Duration, maxHosts int) lease.Bounds {
 	bounds := lease.Bounds{Others: max(0, c.foreignLeaseEnd().Sub(c.now)), Hosts: make(map[string]time.Duration)}
 	for _, h := range c.hostsByID {
 		left := max(0, h.leaseEnd().Sub(c.now), granted(h.info.ID))
 		bounds.Others = max(bounds.Others, left)
-		if used := len(h.runs) > 0 || c.awaited[h.info.ID]; used && len(bounds.Hosts) < maxHosts && (h.silentSince != 0 || !h.enforcesFence) {
+		mayHaveRuns, answers := len(h.runs) > 0 || c.awaited[h.info.ID], h.silentSince == 0 && h.enforcesFence
+		if mayHaveRuns && !answers && len(bounds.Hosts) < maxHosts {
 			bounds.Hosts[h.info.ID] = left
 		}
 	}
--- a/fold/core/incarnation.go
+++ b/fold/core/incarnation.go
@@ -34,16 +34,16 @@
 	}
 }
 
-// handleRestart applies a new incarnation of a host. Runs of the earlier incarnation have ended, but orders sent to it may
-// still reach the new one.
+// handleRestart applies a new incarnation of a host. Runs of the earlier incarnation have ended. Unanswered orders to it are treated as if
+// the new one could still receive them, though a fold.Runner sends it none.
 func (c *Cell) handleRestart(h *host, incarnation int64) {
 	firstIncarnation := h.info.Incarnation == 0
 	h.info.Incarnation = incarnation
 	c.hostsChanged = true
 	// ownLeaseEnd stays: a relay that the owner does not reach may renew leases on the new incarnation.
 	h.enforcesFence = false
-	// The host has forgotten the fence. Until it receives the fence again, it accepts calls of earlier owners: those that are
-	// on their way, and new ones as long as an earlier owner may renew leases.
+	// The host has forgotten the fence. Until it receives the fence again, an earlier owner may renew leases there. The bound of the
+	// first known incarnation is that of the host.
 	if !firstIncarnation {
 		h.foreignLeaseEnd = max(c.foreignLeaseEnd(), c.now.Add(lease.MaxDuration(c.times.Lease)))
 	}
--- a/fold/drive/cancel.go
+++ b/fold/drive/cancel.go
@@ -15,8 +15,12 @@
 	// earlyCancelRetention is how long the request to cancel an unknown job is kept. A submission may go on for a minute, and the
 	// table may perform a write without an answer some seconds late.
 	earlyCancelRetention = 90 * time.Second
-	// maxEarlyCancels limits the requests to cancel unknown jobs. Each takes a row of the table until it expires.
+	// maxEarlyCancels is the number of kept requests to cancel unknown jobs from which the owner refuses further ones. Each takes a row of
+	// the table until it expires.
 	maxEarlyCancels = 10000
+	// maxKeptCancels is the number of kept requests from which the oldest is dropped for a new one. Requests that wait for a commit or
+	// that other entries have recorded are no longer refused.
+	maxKeptCancels = 12000
 )
 
 // Cancellation is the content of the row of a request to cancel a job.
@@ -82,7 +86,7 @@
 		d.staleRows = append(d.staleRows, r.key)
 		return
 	}
-	if _, ok := d.earlyCancels[r.job]; !ok && len(d.earlyCancels) >= maxEarlyCancels {
+	if _, ok := d.earlyCancels[r.job]; !ok && len(d.earlyCancels) >= maxKeptCancels {
 		d.dropOldestCancel()
 	}
 	early := d.earlyCancels[r.job]
--- a/fold/drive/supervision.go
+++ b/fold/drive/supervision.go
@@ -64,7 +64,9 @@
 
 // supervision holds the supervisors, the assignments of hosts and the orders whose outcome is not known yet.
 type supervision struct {
-	mu          sync.Mutex
+	mu sync.Mutex
+	// ended is set once the owner gives no more permissions to relays.
+	ended       bool
 	local       *localRelay
 	assignments map[string]*assignment
 	// sessions are the sessions with relays on other entries, by id.
@@ -190,11 +192,12 @@
 const maxBoundedHosts = 500
 
 // LeaseBounds returns bounds of all leases that this owner and earlier ones have granted, counted from now. Run must have returned, so
-// that this owner grants no more. Relays in other entries may renew leases until their permissions end.
+// that this entry grants no more; relays in other entries get no further permissions, and may renew leases until theirs end.
 func (d *Driver) LeaseBounds() lease.Bounds {
 	l := &d.supervision
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.ended = true
 	left := make(map[string]time.Duration)
 	if l.local != nil {
 		left = l.local.relay.LeasesLeft()
--- a/fold/drive/supervisor.go
+++ b/fold/drive/supervisor.go
@@ -234,7 +234,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case s.closed:
+	case s.closed, l.ended:
 		return relay.Permit{Ended: true}
 	case s.releasesUnapplied(lastNumber):
 		// The leases on the released hosts were recorded with the permission that the relay has.
--- a/fold/lease/bounds.go
+++ b/fold/lease/bounds.go
@@ -7,7 +7,7 @@
 type Bounds struct {
 	// Others is the bound for all hosts that Hosts does not name, and for leases on later incarnations of any host.
 	Others time.Duration `json:"others"`
-	// Hosts holds lower bounds, by the ids of hosts.
+	// Hosts holds the smaller bounds of single hosts, by their ids.
 	Hosts map[string]time.Duration `json:"hosts,omitempty"`
 }
 
--- a/fold/relay/messages.go
+++ b/fold/relay/messages.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -108,10 +107,9 @@
 	o.Starts = append(o.Starts, more.Starts...)
 	o.Stops = append(o.Stops, more.Stops...)
 	o.Paces = append(o.Paces, more.Paces...)
-	if o.Incarnations == nil {
-		o.Incarnations = make(map[uint64]int64, len(more.Incarnations))
+	for number, incarnation := range more.Incarnations {
+		o.AddIncarnation(number, incarnation)
 	}
-	maps.Copy(o.Incarnations, more.Incarnations)
 	o.Forget = append(o.Forget, more.Forget...)
 }
 
