Keep the newest of two requests to cancel an unknown job

A job that was cancelled twice before it was known could run: the row of the first request, read by the next owner after that of the second, set the earlier time of expiry for both. Found by reading.

The later expiry now holds. TestNewestCancellationExpiresLast fails without that ("the job has state "completed", want cancelled").

--- a/fold/conns/conns.go
+++ b/fold/conns/conns.go
@@ -30,8 +30,10 @@
 type Runner struct {
 	dialer fold.HostDialer
 	log    hclog.Logger
-	// group counts the connections that are being opened.
+	// group counts the connections that are being opened, until ctx ends.
 	group sync.WaitGroup
+	ctx   context.Context
+	stop  context.CancelFunc
 
 	mu     sync.Mutex
 	closed bool
@@ -42,7 +44,8 @@
 
 // New returns a Runner without connections. Close closes those that it opens.
 func New(dialer fold.HostDialer, log hclog.Logger) *Runner {
-	return &Runner{dialer: dialer, log: log.Named("conns"), pools: make(map[poolKey]*pool)}
+	ctx, stop := context.WithCancel(context.Background())
+	return &Runner{dialer: dialer, log: log.Named("conns"), ctx: ctx, stop: stop, pools: make(map[poolKey]*pool)}
 }
 
 // Hold renews the leases on a host and returns its runs and ends. Leases are renewed and ends acknowledged only in the incarnation
@@ -96,11 +99,12 @@
 	}
 }
 
-// Close closes the connections that no call uses, waits for those that are being opened, and makes further calls fail.
+// Close closes the connections that no call uses and those that are being opened, and makes further calls fail.
 func (r *Runner) Close() error {
 	r.mu.Lock()
 	r.closed = true
 	r.mu.Unlock()
+	r.stop()
 	r.Disconnect()
 	r.group.Wait()
 	return nil
@@ -209,7 +213,7 @@
 	open := func() {
 		defer r.group.Done()
 		// The opening goes on after the call has ended, so that a later call to a slow host finds the connection.
-		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), openTimeout)
+		limited, cancel := context.WithTimeout(r.ctx, openTimeout)
 		defer cancel()
 		c, err := r.open(limited, key.kind, h, fence)
 		select {
--- a/fold/drive/cancel.go
+++ b/fold/drive/cancel.go
@@ -93,7 +93,7 @@
 	if !slices.Contains(early.keys, r.key) {
 		early.keys = append(early.keys, r.key)
 	}
-	early.team, early.expires = r.Team, d.parts.Clock.Now().Add(min(left, earlyCancelRetention))
+	early.team, early.expires = r.Team, max(early.expires, d.parts.Clock.Now().Add(min(left, earlyCancelRetention)))
 	d.earlyCancels[r.job] = early
 	d.log.Info("Keeping a request to cancel a job that is not known.", "job", r.job, "team", r.Team, "for", left.String(), "kept", len(d.earlyCancels))
 }
--- a/fold/drive/cancel_test.go
+++ b/fold/drive/cancel_test.go
@@ -151,6 +151,33 @@
 	})
 }
 
+// Guards against a request that expires with an older one for the same job, which another entry has recorded and the next owner reads
+// after it.
+func TestNewestCancellationExpiresLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, hosts := newSlowTable(3*time.Millisecond), newFakeHosts(2, 200*time.Millisecond)
+		d := startDriver(t, table, table, hosts)
+		job := testJob(1, 1)
+		if _, err := table.Table.Commit(t.Context(), fold.Txn{Puts: []fold.Put{cancelledBy(t, "crews", job.ID)}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(80 * time.Second)
+		if err := d.Cancel(t.Context(), job.ID, "crews", fold.Check{}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		d = startDriver(t, table, table, hosts)
+		time.Sleep(15 * time.Second)
+		if _, err := table.Table.Commit(t.Context(), lateSubmission(t, job)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		if state, _, _ := d.State(job.ID); state != flow.Cancelled {
+			t.Errorf("the job has state %q, want cancelled", state)
+		}
+	})
+}
+
 // ambiguousTable counts the transactions that name a row twice. The platform does not say what becomes of such a row.
 type ambiguousTable struct {
 	*slowTable
