--- a/fold/drive/commit.go
+++ b/fold/drive/commit.go
@@ -282,7 +282,7 @@
 				d.lastCommit = sent
 				c.SetCommitted(d.term.Version())
 			})
-			d.setRejected(false)
+			d.setRejected(nil)
 			d.afterCommit(entries)
 			d.applyRequests(requests)
 			return nil
@@ -290,7 +290,7 @@
 			requests = answerConflicted(requests, err)
 		case errorx.IsOfType(err, fold.Unavailable) && ctx.Err() == nil:
 			// No attempt has reached the table, so none of them can take effect later.
-			d.setRejected(true)
+			d.setRejected(err)
 			for _, r := range requests {
 				r.reply <- result{err: err}
 			}
@@ -300,7 +300,7 @@
 			}
 		case errorx.IsOfType(err, fold.Overload) && ctx.Err() == nil:
 			// The table is overloaded and will accept a later attempt.
-			d.setRejected(true)
+			d.setRejected(err)
 			requests = d.answerExpired(requests, err)
 			if !d.pause(ctx, retryDelay) {
 				failRequests(requests, err)
@@ -333,14 +333,25 @@
 // table, should take over.
 const maxRejected = 350 * time.Millisecond
 
-func (d *Driver) setRejected(rejected bool) {
+// setRejected records the error with which the table rejected a commit, or nil for a commit that it accepted.
+func (d *Driver) setRejected(err error) {
+	now := d.parts.Clock.Now()
 	d.intake.mu.Lock()
-	defer d.intake.mu.Unlock()
+	since, rejections := d.intake.rejectedSince, d.intake.rejections
+	switch {
+	case err == nil:
+		d.intake.rejectedSince, d.intake.rejections = 0, 0
+	case since == 0:
+		d.intake.rejectedSince, d.intake.rejections = now, 1
+	default:
+		d.intake.rejections++
+	}
+	d.intake.mu.Unlock()
 	switch {
-	case !rejected:
-		d.intake.rejectedSince = 0
-	case d.intake.rejectedSince == 0:
-		d.intake.rejectedSince = d.parts.Clock.Now()
+	case err == nil && since != 0:
+		d.log.Info("The table accepts commits of this owner again.", "after", now.Sub(since).String(), "rejections", rejections)
+	case err != nil && since == 0:
+		d.log.Warn("The table rejects the commits of this owner.", "sinceCommit", d.SinceCommit().String(), "error", err)
 	}
 }
 
--- a/fold/drive/intake.go
+++ b/fold/drive/intake.go
@@ -59,8 +59,9 @@
 	commitStart fold.Instant
 	// usualCommit is how long a commit usually takes.
 	usualCommit time.Duration
-	// rejectedSince is when the table began to reject commits, or 0.
+	// rejectedSince is when the table began to reject commits, or 0, and rejections counts the rejected ones since then.
 	rejectedSince fold.Instant
+	rejections    int
 }
 
 // Submit writes a job to the table with the next commit, unless this owner knows the job already, which known reports. An
--- a/fold/front/front.go
+++ b/fold/front/front.go
@@ -158,13 +158,14 @@
 		return err
 	}
 	tries, unsure := 0, false
+	var w ownWrites
 	for {
 		tries++
 		var known bool
-		known, err = f.accept(ctx, a, job)
+		known, err = f.accept(ctx, a, job, &w)
 		if err == nil {
 			f.log.Info("Job accepted.", "job", job.ID, "queue", a.queue.Name, "team", a.team, "steps", len(job.Steps),
-				"revision", a.revision, "tries", tries, "known", known, "took", f.clock.Now().Sub(began).String())
+				"revision", a.revision, "tries", tries, "known", known, "ownWrites", w.count, "ownerError", w.ownerErr, "took", f.clock.Now().Sub(began).String())
 			return nil
 		}
 		unsure = unsure || !fold.DidNotRun(err)
@@ -186,7 +187,7 @@
 		err = fold.Unknown.Wrap(err, "the job may have been accepted; read its state or submit it again with the same id")
 	}
 	// If unsure is true, the job may have been accepted.
-	f.log.Warn("Job was not accepted.", "job", job.ID, "queue", a.queue.Name, "tries", tries, "unsure", unsure, "took", f.clock.Now().Sub(began).String(), "error", err)
+	f.log.Warn("Job was not accepted.", "job", job.ID, "queue", a.queue.Name, "tries", tries, "unsure", unsure, "ownWrites", w.count, "ownerError", w.ownerErr, "took", f.clock.Now().Sub(began).String(), "error", err)
 	return err
 }
 
@@ -210,14 +211,27 @@
 	return f.lookUp(c)
 }
 
+// ownWrites counts the attempts to carry out a request that this entry made without the owner of the pool. ownerErr is the last error
+// of the owner because of which it did so, or nil if it could call no owner.
+type ownWrites struct {
+	count    int
+	ownerErr error
+}
+
+func (w *ownWrites) add(ownerErr error) {
+	w.count++
+	w.ownerErr = ownerErr
+}
+
 // accept makes the job durable unless it is known; known reports whether an earlier submission with the job's id was accepted.
 // The owner of the pool records jobs in batches. If it cannot be reached or fails with an error other than Conflict, Overload
 // and TooLarge, this entry writes the job itself while ctx lasts.
-func (f *Front) accept(ctx context.Context, a access, job flow.Job) (known bool, err error) {
+func (f *Front) accept(ctx context.Context, a access, job flow.Job, w *ownWrites) (known bool, err error) {
 	job.Team, job.Queue, job.Accepted = a.team, a.queue, time.Now().UnixMilli()
 	check := f.rulesSource.Check(a.version)
 	owner := f.owner()
 	if owner == nil {
+		w.add(nil)
 		return f.write(ctx, job, check)
 	}
 	known, err = owner.Submit(ctx, job, check)
@@ -226,6 +240,7 @@
 		return known, err
 	}
 	unsure := !fold.DidNotRun(err)
+	w.add(err)
 	known, err = f.write(ctx, job, check)
 	if err != nil && unsure {
 		return false, fold.Unknown.Wrap(err, "the owner of the pool did not confirm the job")
@@ -344,6 +359,7 @@
 func (f *Front) Cancel(ctx context.Context, c Caller) error {
 	ctx, cancel := context.WithTimeout(ctx, c.Budget-answerReserve)
 	defer cancel()
+	began := f.clock.Now()
 	a, err := f.checkAccess(ctx, c)
 	if err != nil {
 		return err
@@ -352,13 +368,14 @@
 		return fold.Refuse(fold.Gone, "check the id", "no job has the id %q", a.jobID)
 	}
 	unsure := false
+	var w ownWrites
 	_, err = retry(ctx, f, func(ctx context.Context) (struct{}, error) {
 		state, err := f.state(ctx, a)
 		unknown := errorx.IsOfType(err, fold.Gone)
 		if err != nil && !unknown || state.Final() {
 			return struct{}{}, err
 		}
-		if sendErr := f.sendCancel(ctx, a, unknown); sendErr != nil {
+		if sendErr := f.sendCancel(ctx, a, unknown, &w); sendErr != nil {
 			unsure = unsure || !fold.DidNotRun(sendErr)
 			return struct{}{}, sendErr
 		}
@@ -367,13 +384,13 @@
 	if unsure && errorx.IsOfType(err, fold.Unavailable) {
 		err = fold.Unknown.Wrap(err, "the request to cancel the job may have been recorded; read the job's state or cancel it again")
 	}
-	f.log.Info("Handled a request to cancel a job.", "job", a.jobID, "queue", a.queue.Name, "team", a.team, "error", err)
+	f.log.Info("Handled a request to cancel a job.", "job", a.jobID, "queue", a.queue.Name, "team", a.team, "ownWrites", w.count, "ownerError", w.ownerErr, "took", f.clock.Now().Sub(began).String(), "error", err)
 	return err
 }
 
 // sendCancel sends the cancellation request of a job to the owner. It writes the request to the table if the owner returns an
 // error, or if there is no owner afterwards. If the job is not known, it leaves an overloaded owner and table alone.
-func (f *Front) sendCancel(ctx context.Context, a access, unknown bool) error {
+func (f *Front) sendCancel(ctx context.Context, a access, unknown bool, w *ownWrites) error {
 	check := f.rulesSource.Check(a.version)
 	var ownerErr error
 	if owner := f.owner(); owner != nil {
@@ -386,6 +403,7 @@
 	if unknown && errorx.IsOfType(ownerErr, fold.Overload) {
 		return ownerErr
 	}
+	w.add(ownerErr)
 	err := f.writeCancel(ctx, a, check)
 	if err != nil && ownerErr != nil && !fold.DidNotRun(ownerErr) {
 		return fold.Unknown.Wrap(err, "the owner of the pool did not confirm the request to cancel the job")
--- a/fold/node/node.go
+++ b/fold/node/node.go
@@ -105,6 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
+	parts.Table = newObservedTable(parts.Table, clock, log)
 	n := &Node{invited: make(chan struct{}, 1), settings: s, parts: parts, clock: clock, log: log, incarnation: uuid.NewString(), telemetry: telemetry, meter: m}
 	if err := exportSpeeds(telemetry, n.speeds); err != nil {
 		return nil, err
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -52,6 +52,8 @@
 	repeatPingTimeout = 120 * time.Millisecond
 	// releaseTimeout limits the hand-over of the pool.
 	releaseTimeout = 1500 * time.Millisecond
+	// heldUpTime is how late a timer must fire for the log to say that the process got no processor time.
+	heldUpTime = 250 * time.Millisecond
 	// maxCountsAge is the greatest age of the owner's counts of waiting jobs that are reported to callers.
 	maxCountsAge = 4 * time.Second
 )
@@ -138,12 +140,16 @@
 		case len(s.owner.Entries) >= maxListed && !slices.Contains(s.owner.Entries, n.incarnation):
 			wait = unlistedPollFactor * lead.PollInterval
 		}
+		began := n.clock.Now()
 		select {
 		case <-ctx.Done():
 			return ownerRowState{}, ctx.Err()
 		case <-n.invited:
 		case <-n.clock.After(wait):
 		}
+		if late := n.clock.Now().Sub(began) - wait; late > heldUpTime {
+			n.log.Warn("This process was held up.", "for", late.String())
+		}
 	}
 }
 
