Let the soak play a store with limits and named troubles at the size of a large deployment

The log of the hosts has a line a second about the calls to the store and one for each time for which the simulation itself stood still, so that such a run can be told from a finding.

--- a/cmd/pfsoak/internal/app/callers.go
+++ b/cmd/pfsoak/internal/app/callers.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"plantainfold.example/fold"
@@ -25,6 +26,8 @@
 	retryDelay = 200 * time.Millisecond
 	// requestReadTime is the time after which a sent request counts as read by the entry.
 	requestReadTime = 150 * time.Millisecond
+	// promptCancel is the longest time between the acceptance of a job and its cancellation while many jobs are cancelled.
+	promptCancel = 300 * time.Millisecond
 )
 
 // callers submit jobs, ask for their states and cancel some of them.
@@ -34,6 +37,10 @@
 	// client leaves idle connections open until the entry closes them.
 	client *http.Client
 	group  sync.WaitGroup
+	// stop ends the callers of all jobs.
+	stop context.Context
+	// cancelSoon is set while callers cancel each new job within promptCancel of its acceptance.
+	cancelSoon atomic.Bool
 
 	mu sync.Mutex
 	// accepted holds the ids of the jobs whose submission was answered with status 200, and ended holds the ids of the jobs
@@ -42,9 +49,9 @@
 	jobs, refusals, unanswered int
 }
 
-func newCallers(env *environment, entries []*entry) *callers {
+func newCallers(stop context.Context, env *environment, entries []*entry) *callers {
 	return &callers{
-		env: env, entries: entries, accepted: make(map[string]bool), ended: make(map[string]bool),
+		stop: stop, env: env, entries: entries, accepted: make(map[string]bool), ended: make(map[string]bool),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}},
 	}
 }
@@ -65,6 +72,9 @@
 		if cl := c.env.workload.Classes[class]; cl.LongRunning || random.Float64() < cl.CancelShare {
 			cancelAfter = time.Second + time.Duration(random.Int64N(int64(max(cl.CancelAfter, longRunningTime))))
 		}
+		if c.cancelSoon.Load() {
+			cancelAfter = time.Duration(1 + random.Int64N(int64(promptCancel)))
+		}
 		c.group.Go(func() { c.followJob(stop, class, spec, firstEntry, cancelAfter) })
 	}
 }
--- a/cmd/pfsoak/internal/app/environment.go
+++ b/cmd/pfsoak/internal/app/environment.go
@@ -45,6 +45,8 @@
 	table *plat.Table
 	// storeFaults sets the fault of the store.
 	storeFaults *plat.Faults
+	// store holds the limits of the store and faults that depend on the entry, or nil for a store without limits.
+	store *storeState
 	// servers are the servers of the simulated platform and its hosts.
 	servers []*httptest.Server
 	rules   fold.Rules
@@ -173,7 +175,12 @@
 // startStore starts the server of the store for an entry and returns its address.
 func (e *environment) startStore(ctx context.Context, entry string) (string, error) {
 	store := linkedStore{FaultyTable: plat.NewFaultyTable(e.table, e.storeFaults), FaultyChangeFeed: plat.NewFaultyChangeFeed(e.table, e.storeFaults), links: e.links, entry: entry}
-	server, err := e.startServer(ctx, stand.Store(store, store), nil)
+	handler := stand.Store(store, store)
+	if e.store != nil {
+		limited := limitedStore{linkedStore: store, state: e.store}
+		handler = stand.Store(limited, limited)
+	}
+	server, err := e.startServer(ctx, handler, nil)
 	if err != nil {
 		return "", err
 	}
--- a/cmd/pfsoak/internal/app/soak.go
+++ b/cmd/pfsoak/internal/app/soak.go
@@ -42,6 +42,9 @@
 	Links    bool          `long:"links" description:"inject only the faults that --basic leaves out"`
 	Large    bool          `long:"large" description:"use the workload of a large pool, whose long-running steps have up to 120 tasks; best with 100 hosts or more"`
 	Calm     bool          `long:"calm" description:"inject only faults of the adviser"`
+	Limits   bool          `long:"limits" description:"the store limits the rate of calls and turns away those beyond it"`
+	Troubles []string      `long:"trouble" description:"inject only the named trouble (see troubles.go); can be repeated"`
+	Linked   int           `long:"linked" description:"number of entries whose links get proxies, which --links needs; 0 means all"`
 	Evacuate bool          `long:"evacuate" description:"evacuate failure domains also with --basic, --links or --calm, which else leave this out"`
 	Learn    bool          `long:"learn" description:"the entries learn the speeds of hosts and order late work by the past use of the teams (settings speeds and pastuse)"`
 	Level    string        `long:"level" default:"info" description:"log level of the entries"`
@@ -80,23 +83,48 @@
 		return out, err
 	}
 	defer func() { err = errors.Join(err, hostLog.Close()) }()
-	if err := t.connect(ctx, o, seed, dir, hclog.New(&hclog.LoggerOptions{Level: hclog.Debug, Output: hostLog})); err != nil {
+	hostLogger := hclog.New(&hclog.LoggerOptions{Level: hclog.Debug, Output: hostLog})
+	if err := t.connect(ctx, o, seed, dir, hostLogger); err != nil {
 		return out, err
 	}
 	defer func() { err = errors.Join(err, t.close()) }()
 	t.startEntries(t.entries)
-	t.callers = newCallers(t.env, t.entries)
 	judging := time.AfterFunc(warmUpTime, t.env.live.JudgeIdle)
 	defer judging.Stop()
 	watching, stop := context.WithCancel(ctx)
 	defer stop()
+	t.callers = newCallers(watching, t.env, t.entries)
 	go t.env.keepHostsRegistered(watching)
+	go watchRig(watching, t.env.store, hostLogger)
 	sending, endSending := context.WithTimeout(ctx, o.Length)
 	defer endSending()
 	var senders sync.WaitGroup
 	for class := range t.env.workload.Classes {
 		senders.Go(func() { t.callers.sendJobs(sending, watching, class, seed) })
 	}
+	faults, err := t.drawAll(o, seed)
+	if err != nil {
+		return out, err
+	}
+	out.faults = t.injectFaults(ctx, faults)
+	senders.Wait()
+	t.env.live.RecordTrafficEnd()
+	out.unplaced = t.finish(ctx, stop)
+	c := t.callers
+	if len(c.accepted) == 0 {
+		t.env.live.AddViolation("LOST", "none of %d jobs was accepted", c.jobs)
+	}
+	counts, violations := t.env.live.Result()
+	out.jobs, out.accepted, out.ended, out.refusals, out.unanswered, out.starts = c.jobs, len(c.accepted), len(c.ended), c.refusals, c.unanswered, counts.Starts
+	out.violations = violations
+	return out, nil
+}
+
+// drawAll returns the faults of a test run: those that are named, or else random ones.
+func (t *testRun) drawAll(o options, seed uint64) ([]fault, error) {
+	if len(o.Troubles) > 0 {
+		return t.namedTroubles(o.Troubles, seed, o.Length)
+	}
 	// Each group of faults has its own random numbers, so that a seed keeps its faults when another group is added.
 	var faults []fault
 	if !o.Links && !o.Calm {
@@ -111,18 +139,7 @@
 	if o.Evacuate || !o.Links && !o.Basic && !o.Calm {
 		faults = append(faults, t.drawEvacuations(rand.New(rand.NewPCG(seed, 19)), o.Length)...)
 	}
-	out.faults = t.injectFaults(ctx, faults)
-	senders.Wait()
-	t.env.live.RecordTrafficEnd()
-	out.unplaced = t.finish(ctx, stop)
-	c := t.callers
-	if len(c.accepted) == 0 {
-		t.env.live.AddViolation("LOST", "none of %d jobs was accepted", c.jobs)
-	}
-	counts, violations := t.env.live.Result()
-	out.jobs, out.accepted, out.ended, out.refusals, out.unanswered, out.starts = c.jobs, len(c.accepted), len(c.ended), c.refusals, c.unanswered, counts.Starts
-	out.violations = violations
-	return out, nil
+	return faults, nil
 }
 
 // connect creates the environment and the entries, whose processes are not started.
@@ -132,14 +149,20 @@
 		names = append(names, fmt.Sprintf("entry-%d", n))
 	}
 	runTime, linked := longRunTime, names
-	if o.Basic || o.Calm {
+	if o.Basic || o.Calm || len(o.Troubles) > 0 {
 		// One proxy for each pair of entry and host takes too many descriptors at the size of a large pool.
 		runTime, linked = shortRunTime, nil
 	}
+	if o.Linked > 0 {
+		linked = names[:min(o.Linked, len(names))]
+	}
 	var err error
 	if t.env, err = newEnvironment(ctx, seed, newWorkload(seed, o.Hosts, o.Large, runTime), linked, t.log, hostLog); err != nil {
 		return err
 	}
+	if o.Limits || len(o.Troubles) > 0 {
+		t.env.store = newStoreState(largeStoreRates, seed)
+	}
 	for n, name := range names {
 		store, err := t.env.startStore(ctx, name)
 		if err != nil {
--- a/fold/node/owner.go
+++ b/fold/node/owner.go
@@ -140,19 +140,27 @@
 		case len(s.owner.Entries) >= maxListed && !slices.Contains(s.owner.Entries, n.incarnation):
 			wait = unlistedPollFactor * lead.PollInterval
 		}
-		began := n.clock.Now()
-		select {
-		case <-ctx.Done():
-			return ownerRowState{}, ctx.Err()
-		case <-n.invited:
-		case <-n.clock.After(wait):
-		}
-		if late := n.clock.Now().Sub(began) - wait; late > heldUpTime {
-			n.log.Warn("This process was held up.", "for", late.String())
+		if err := n.awaitPoll(ctx, wait); err != nil {
+			return ownerRowState{}, err
 		}
 	}
 }
 
+// awaitPoll waits until it is time to ask for the owner again, or until this entry is invited to take over.
+func (n *Node) awaitPoll(ctx context.Context, wait time.Duration) error {
+	began := n.clock.Now()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-n.invited:
+	case <-n.clock.After(wait):
+	}
+	if late := n.clock.Now().Sub(began) - wait; late > heldUpTime {
+		n.log.Warn("This process was held up.", "for", late.String())
+	}
+	return nil
+}
+
 // logDue logs that a takeover is due. Without a configuration no takeover succeeds, and each round would repeat the line.
 func (n *Node) logDue(s ownerRowState, why string, unansweredPings int) {
 	level := hclog.Info
