Keep the simulated hosts of the soak from answering late, and log when they do

With 147 entries and 1,100 hosts the loop that simulates the hosts was the first thing to stand still: each start summed up the runs of all hosts for the check of the teams' limits, each call searched the list of hosts twice, each acknowledged end decoded the whole backlog, and each commit moved 10,000 changes.

Use of teams and hosts are now kept up to date, decoded rows are kept, and the history is trimmed 1,000 changes at a time. A line in the log of the hosts now says when they are late by more than 0.15 s.

--hosttime lets all hosts share one processor, for which each call takes a time. Calls of callers that have stopped waiting count too, as with real processes.

--- a/cmd/pfsoak/internal/app/environment.go
+++ b/cmd/pfsoak/internal/app/environment.go
@@ -43,6 +43,8 @@
 	// live simulates the hosts and checks what the entries do.
 	live  *model.Live
 	table *plat.Table
+	// hostLoad is the processor that the hosts share.
+	hostLoad hostLoad
 	// storeFaults sets the fault of the store.
 	storeFaults *plat.Faults
 	// store holds the limits of the store and faults that depend on the entry, or nil for a store without limits.
@@ -57,6 +59,8 @@
 	mu sync.Mutex
 	// hostServers holds the current server of each host by its id.
 	hostServers map[string]*httptest.Server
+	// backlog holds the decoded rows of the backlog by key.
+	backlog map[string]backlogRow
 	// unlisted counts, by the id of a host, the active faults that keep it from registering.
 	unlisted map[string]int
 }
@@ -106,7 +110,7 @@
 func newEnvironment(ctx context.Context, seed uint64, workload model.Day, linked []string, log, hostLog hclog.Logger) (*environment, error) {
 	e := &environment{
 		log: log, random: rand.New(rand.NewPCG(seed, 7)), workload: workload, table: plat.NewTable(), storeFaults: plat.NewFaults(fold.BootClock{}),
-		links: newLinks(linked), domains: make(map[string]string), hostServers: make(map[string]*httptest.Server), unlisted: make(map[string]int),
+		links: newLinks(linked), domains: make(map[string]string), hostServers: make(map[string]*httptest.Server), unlisted: make(map[string]int), backlog: make(map[string]backlogRow),
 	}
 	e.live = model.NewLive(e.workload, hostLog, e.newestRecord)
 	up, _ := e.live.Hosts()
@@ -210,6 +214,7 @@
 		if info(r).Incarnation != e.live.Incarnation(id) {
 			panic(http.ErrAbortHandler)
 		}
+		e.hostLoad.use()
 		calls.ServeHTTP(w, r)
 	})
 }
@@ -309,6 +314,34 @@
 	}
 }
 
+// sharedRecords returns the records in a row of the backlog, by job. Each version of a row is decoded once, because the simulation
+// stands still meanwhile.
+func (e *environment) sharedRecords(row fold.Row) map[string]flow.Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if cached, ok := e.backlog[row.Key]; ok && cached.version == row.Version {
+		return cached.records
+	}
+	shared, err := codec.Decode[[]drive.BacklogRecord](row.Value)
+	if err != nil {
+		e.log.Error("Could not decode a row of shared records.", "key", row.Key, "error", err)
+	}
+	decoded := backlogRow{version: row.Version, records: make(map[string]flow.Record, len(shared))}
+	for _, r := range shared {
+		if r.Record.Seq >= decoded.records[r.Job].Seq {
+			decoded.records[r.Job] = r.Record
+		}
+	}
+	e.backlog[row.Key] = decoded
+	return decoded.records
+}
+
+// backlogRow is a decoded row of the backlog.
+type backlogRow struct {
+	version int64
+	records map[string]flow.Record
+}
+
 // newestRecord reads the newest durable record of a job. The record may share a row with records of other jobs. Records move
 // from shared rows to rows of their own, so the shared rows are read first.
 func (e *environment) newestRecord(id string) flow.Record {
@@ -318,14 +351,8 @@
 		e.log.Error("Could not read the rows of shared records.", "error", err)
 	}
 	for _, row := range rows {
-		shared, err := codec.Decode[[]drive.BacklogRecord](row.Value)
-		if err != nil {
-			e.log.Error("Could not decode a row of shared records.", "key", row.Key, "error", err)
-		}
-		for _, r := range shared {
-			if r.Job == id && r.Record.Seq > newest.Seq {
-				newest = r.Record
-			}
+		if shared := e.sharedRecords(row)[id]; shared.Seq > newest.Seq {
+			newest = shared
 		}
 	}
 	own, err := drive.ReadRecord(context.Background(), e.table, id)
--- a/cmd/pfsoak/internal/app/rigwatch.go
+++ b/cmd/pfsoak/internal/app/rigwatch.go
@@ -14,15 +14,15 @@
 	// rigTick is the time between two checks whether this process stands still, and rigLate how late one must be to be logged.
 	rigTick = 50 * time.Millisecond
 	rigLate = 150 * time.Millisecond
-	// storeReportInterval is the time between two lines about the calls to the store.
-	storeReportInterval = time.Second
+	// reportInterval is the time between two lines about the calls to the store, and to the hosts.
+	reportInterval = time.Second
 	// maxReportedEntries limits the entries that such a line names.
 	maxReportedEntries = 4
 )
 
-// watchRig logs when this process stands still, because the simulated platform then answers nobody, and how many calls the store
-// got, until ctx ends.
-func watchRig(ctx context.Context, store *storeState, log hclog.Logger) {
+// watchRig logs when this process stands still or its simulated hosts answer late, which is no fault of the entries, and how many calls
+// the store got, until ctx ends.
+func watchRig(ctx context.Context, env *environment, log hclog.Logger) {
 	lastReport := time.Now()
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -30,9 +30,16 @@
 		if late := time.Since(began) - rigTick; late > rigLate {
 			log.Warn("The process of the simulation was held up.", "for", late.String())
 		}
-		if store != nil && time.Since(lastReport) >= storeReportInterval {
-			lastReport = time.Now()
-			store.report(log)
+		if wait := env.live.LongestWait(); wait > rigLate {
+			log.Warn("The simulated hosts were late.", "by", wait.String())
+		}
+		if time.Since(lastReport) < reportInterval {
+			continue
+		}
+		lastReport = time.Now()
+		env.hostLoad.report(log)
+		if env.store != nil {
+			env.store.report(log)
 		}
 	}
 }
--- a/cmd/pfsoak/internal/app/soak.go
+++ b/cmd/pfsoak/internal/app/soak.go
@@ -44,6 +44,7 @@
 	Calm     bool          `long:"calm" description:"inject only faults of the adviser"`
 	Limits   bool          `long:"limits" description:"the store limits the rate of calls and turns away those beyond it"`
 	Troubles []string      `long:"trouble" description:"inject only the named trouble (see troubles.go); can be repeated"`
+	HostTime time.Duration `long:"hosttime" description:"processor time that a call to a host takes; all hosts share one processor"`
 	Linked   int           `long:"linked" description:"number of entries whose links get proxies, which --links needs; 0 means all"`
 	Evacuate bool          `long:"evacuate" description:"evacuate failure domains also with --basic, --links or --calm, which else leave this out"`
 	Learn    bool          `long:"learn" description:"the entries learn the speeds of hosts and order late work by the past use of the teams (settings speeds and pastuse)"`
@@ -95,7 +96,7 @@
 	defer stop()
 	t.callers = newCallers(watching, t.env, t.entries)
 	go t.env.keepHostsRegistered(watching)
-	go watchRig(watching, t.env.store, hostLogger)
+	go watchRig(watching, t.env, hostLogger)
 	sending, endSending := context.WithTimeout(ctx, o.Length)
 	defer endSending()
 	var senders sync.WaitGroup
@@ -160,6 +161,7 @@
 	if t.env, err = newEnvironment(ctx, seed, newWorkload(seed, o.Hosts, o.Large, runTime), linked, t.log, hostLog); err != nil {
 		return err
 	}
+	t.env.hostLoad.perCall = o.HostTime
 	if o.Limits || len(o.Troubles) > 0 {
 		t.env.store = newStoreState(largeStoreRates, seed)
 	}
--- a/fold/model/audit.go
+++ b/fold/model/audit.go
@@ -74,14 +74,7 @@
 	if limit.CPU == 0 {
 		return
 	}
-	var used int64
-	for _, h := range w.hosts {
-		for _, r := range h.runs {
-			if r.task.job.spec.Team == team {
-				used += r.task.step.Size.CPU
-			}
-		}
-	}
+	used := w.teamUse[team]
 	if float64(used) > float64(limit.CPU)*(1+limitExcess) {
 		w.addViolation("QUOTA", "team %s runs %d of %d thousandths of a core", team, used, limit.CPU)
 	}
--- a/fold/model/host.go
+++ b/fold/model/host.go
@@ -150,6 +150,7 @@
 	}
 	r.restored = t.work - r.remaining
 	h.runs[s.Task] = r
+	h.world.countRun(r, 1)
 	t.live[r] = true
 	if t.step.Gang {
 		h.world.joinGang(r)
@@ -225,6 +226,9 @@
 	if how != fold.EndDone {
 		saved = h.checkpoint(r, how == fold.EndStopped)
 	}
+	if h.runs[r.task.id] == r {
+		h.world.countRun(r, -1)
+	}
 	delete(h.runs, r.task.id)
 	delete(r.task.live, r)
 	h.highestRun[r.task.id] = max(h.highestRun[r.task.id], r.number)
@@ -319,6 +323,11 @@
 	return out
 }
 
+// countRun adds a run to what its team uses, or subtracts it.
+func (w *World) countRun(r *run, sign int64) {
+	w.teamUse[r.task.job.spec.Team] += sign * r.task.step.Size.CPU
+}
+
 // crash ends the current incarnation of the host.
 func (h *host) crash() {
 	for _, r := range h.runs {
@@ -327,6 +336,9 @@
 	}
 	h.incarnation++
 	h.up = false
+	for _, r := range h.runs {
+		h.world.countRun(r, -1)
+	}
 	h.runs = make(map[string]*run)
 	h.waiters = nil
 	h.ends = nil
--- a/fold/model/live.go
+++ b/fold/model/live.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -24,6 +25,9 @@
 	// calls holds functions that the loop calls. Under load, this delays hosts less than a lock that many goroutines wait for.
 	calls chan func()
 
+	// longestWait is the longest time for which a call of update waited since it was last read.
+	longestWait atomic.Int64
+
 	mu sync.Mutex
 	w  *World
 	// refused holds the jobs for which every submission was refused.
@@ -78,9 +82,10 @@
 
 // update advances the world to the present and calls fn on it.
 func (l *Live) update(fn func(w *World)) {
-	called := make(chan struct{})
+	called, began := make(chan struct{}), time.Now()
 	call := func() {
 		defer close(called)
+		l.recordWait(time.Since(began))
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.advance()
@@ -94,6 +99,21 @@
 	}
 }
 
+func (l *Live) recordWait(wait time.Duration) {
+	for {
+		longest := l.longestWait.Load()
+		if int64(wait) <= longest || l.longestWait.CompareAndSwap(longest, int64(wait)) {
+			return
+		}
+	}
+}
+
+// LongestWait returns the longest time for which a call to the simulation had to wait since the last call of LongestWait. The
+// simulated hosts answer late by this time, which is no fault of those who call them.
+func (l *Live) LongestWait() time.Duration {
+	return time.Duration(l.longestWait.Swap(0))
+}
+
 // Close stops the hosts.
 func (l *Live) Close() error {
 	close(l.stop)
--- a/fold/model/owner.go
+++ b/fold/model/owner.go
@@ -411,12 +411,7 @@
 }
 
 func (w *World) find(id string) *host {
-	for _, h := range w.hosts {
-		if h.info.ID == id {
-			return h
-		}
-	}
-	return nil
+	return w.hostsByID[id]
 }
 
 // hold renews the leases of a host, reads its report and schedules the next call.
--- a/fold/model/world.go
+++ b/fold/model/world.go
@@ -30,6 +30,9 @@
 	byID  map[string]*jobTruth
 	tasks map[string]*taskTruth
 	rules fold.Rules
+	// hostsByID holds the hosts by id, and teamUse what the runs of each team use, in thousandths of a core.
+	hostsByID map[string]*host
+	teamUse   map[string]int64
 	// gangs holds the runs of each gang, by step and run number.
 	gangs map[string][]*run
 	store store
@@ -110,7 +113,7 @@
 func newWorld(d Day) *World {
 	w := &World{
 		day: d, random: rand.New(rand.NewPCG(d.Seed, 1)), log: hclog.NewNullLogger(), now: fold.Instant(time.Hour), start: fold.Instant(time.Hour),
-		byID: make(map[string]*jobTruth), tasks: make(map[string]*taskTruth), gangs: make(map[string][]*run), tableUp: true,
+		hostsByID: make(map[string]*host), teamUse: make(map[string]int64), byID: make(map[string]*jobTruth), tasks: make(map[string]*taskTruth), gangs: make(map[string][]*run), tableUp: true,
 		store:  store{records: make(map[string]flow.Record), jobs: make(map[string]flow.Job), jobVersions: make(map[string]int64), cancels: make(map[string]bool)},
 		faults: rand.New(rand.NewPCG(d.Seed, 2)),
 	}
@@ -173,6 +176,7 @@
 			},
 		}
 		w.hosts = append(w.hosts, h)
+		w.hostsByID[h.info.ID] = h
 	}
 }
 
--- a/fold/plat/history.go
+++ b/fold/plat/history.go
@@ -1,6 +1,7 @@
 package plat
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -9,8 +10,12 @@
 	"plantainfold.example/fold"
 )
 
-// maxHistoryChanges limits the changes that a table keeps for its change feed.
-const maxHistoryChanges = 10000
+const (
+	// maxHistoryChanges is how many changes a table keeps for its change feed.
+	maxHistoryChanges = 10000
+	// maxExcessChanges is how many more changes may wait to be discarded together.
+	maxExcessChanges = 1000
+)
 
 // history keeps the latest changes of a table in the order of their versions.
 type history struct {
@@ -26,9 +31,9 @@
 // add appends a change. The caller must hold the lock of the table.
 func (h *history) add(change fold.RowChange) {
 	h.changes = append(h.changes, change)
-	if len(h.changes) > maxHistoryChanges {
-		h.discarded = h.changes[0].Version
-		h.changes = slices.Delete(h.changes, 0, 1)
+	if excess := len(h.changes) - maxHistoryChanges; excess > maxExcessChanges {
+		h.discarded = h.changes[excess-1].Version
+		h.changes = slices.Delete(h.changes, 0, excess)
 	}
 }
 
@@ -85,8 +90,9 @@
 		return nil, 0, nil, fold.Refuse(fold.Outdated, "read the table again", "changes up to version %d are no longer kept", t.history.discarded)
 	}
 	var found []fold.RowChange
-	for _, change := range t.history.changes {
-		if change.Version > after && strings.HasPrefix(change.Key, table) {
+	first, _ := slices.BinarySearchFunc(t.history.changes, after+1, func(c fold.RowChange, version int64) int { return cmp.Compare(c.Version, version) })
+	for _, change := range t.history.changes[first:] {
+		if strings.HasPrefix(change.Key, table) {
 			found = append(found, change)
 		}
 	}
