Keep starts from being given up and planned anew while hosts answer late

What callers saw: after takeovers in a pool of 147 entries and 1,100 hosts whose hosts share a busy processor, tasks of lasting jobs had nothing running for over 3 s although there was room (LOST), up to nine seconds after the last fault.

Cause: a start had 0.2 s and the usual delay of the host for waiting for one of two connections, for opening it, and for the call itself. What did not fit was refused, and the owner planned the run anew within 25 ms, mostly on the same hosts. Starts that were sent with the last milliseconds of that time were given up although the host had them, and cost their connection, so that the next one needed three calls. The calls that nobody waited for any more kept the hosts busy: a congestion collapse, which lasts longer than its cause.

Change: starts to a host wait in line, two at a time, while answers are late; a start that certainly was not sent is tried again by the relay, not by the owner. An order is not sent when less than half of its time is left after its connection was opened. Limits allow for the usual delay of all hosts of a relay, not only of the one called. Opening a connection may take 3 s in place of 1.5 s. An owner whose start could not be sent pauses the host for 0.25 s and limits its unconfirmed starts, more with each refusal, for 2 s. Members of a gang are not sent again after a second, since the others wait only a few.

--- a/fold/conns/conns.go
+++ b/fold/conns/conns.go
@@ -21,7 +21,7 @@
 	maxConns = 2
 	// openTimeout limits the opening of a connection and the call that identifies the host. It may be longer than the calls that
 	// need the connection: these fail, and the next ones use it.
-	openTimeout = 1500 * time.Millisecond
+	openTimeout = 3 * time.Second
 	// idleTimeout is how long an unused connection is kept for reuse, because opening a new one is costly.
 	idleTimeout = 90 * time.Second
 )
@@ -112,6 +112,7 @@
 
 // use calls fn with a connection to the host. A connection for orders has been identified as one to the incarnation that h names.
 func (r *Runner) use(ctx context.Context, h fold.Host, kind kind, fence int64, fn func(*conn) error) error {
+	began := time.Now()
 	key := poolKey{id: h.ID, address: h.Address, kind: kind}
 	p, err := r.acquire(ctx, key)
 	if err != nil {
@@ -122,6 +123,10 @@
 		return err
 	}
 	defer r.release(key, p, c)
+	if deadline, ok := ctx.Deadline(); ok && kind == orders && time.Since(began) > time.Until(deadline) {
+		// An order that is sent too late to be answered in time would cost the connection.
+		return fold.Unavailable.Wrap(context.DeadlineExceeded, "the connection to the host %s was opened late; the order was not sent", h.ID)
+	}
 	if kind == orders && c.incarnation != h.Incarnation {
 		r.log.Info("Did not send an order because the host has started again.", "host", h.ID, "born", h.Incarnation, "answered", c.incarnation, "fence", fence)
 		return fold.Refuse(fold.HostRestarted, "wait for the report of the host", "the host %s has started again; the order was not sent", h.ID)
--- a/fold/core/decide.go
+++ b/fold/core/decide.go
@@ -208,6 +208,7 @@
 		r.ticket = held.value
 	}
 	c.attach(r)
+	r.countUnconfirmed()
 	c.planned = append(c.planned, r)
 	c.markDirty(p.job)
 	if !p.job.started {
@@ -431,7 +432,7 @@
 		if chosen > 0 {
 			need = claim.Times(int64(chosen + 1))
 		}
-		if !need.Fits(h.info.Capacity.Sub(h.used)) || t.runsOn(h) {
+		if !need.Fits(h.info.Capacity.Sub(h.used)) || t.runsOn(h) || h.startsWait(c.now, chosen) {
 			continue
 		}
 		score := c.score(p, t, h, need)
--- a/fold/core/ends.go
+++ b/fold/core/ends.go
@@ -59,6 +59,7 @@
 	}
 	p := r.task.part
 	r.detached = true
+	r.confirm()
 	if r.phase == phaseRunning {
 		p.times.end(r.startedAt)
 	}
--- a/fold/core/host.go
+++ b/fold/core/host.go
@@ -73,7 +73,10 @@
 	// endsDelayedUntil is when the host last reported ends that it had held back, because it was silent or had too many.
 	endsDelayedUntil fold.Instant
 
-	health health
+	// starts limits the unconfirmed starts, and unconfirmed counts them.
+	starts      startWindow
+	unconfirmed int
+	health      health
 }
 
 // runKey identifies a run on a host.
@@ -221,6 +224,8 @@
 		return "silent"
 	case h.health.quarantined(now):
 		return "quarantined"
+	case h.startsWait(now, 0):
+		return "starts wait"
 	case !h.described || !h.enforcesFence:
 		return "no answer yet"
 	case len(h.forbiddenStarts) > 0:
@@ -450,6 +455,7 @@
 // updateProgress applies what a host reports about a run.
 func (c *Cell) updateProgress(r *run, hr fold.HostRun) {
 	if r.phase != phaseRunning {
+		r.confirm()
 		r.phase, r.startedAt = phaseRunning, c.now
 		c.confirmBegin(r.task.part.job)
 		r.progressedAt, r.firstPercent, r.startSeenLate = c.now, hr.Percent, true
--- a/fold/core/job.go
+++ b/fold/core/job.go
@@ -158,8 +158,10 @@
 	steady bool
 	// stopSentAt is when the stop was last sent. stopAckedAt is when the host first confirmed it.
 	stopSentAt, stopAckedAt fold.Instant
-	// orderedAt is when the start was last sent. startedAt is when it was confirmed.
-	orderedAt, startedAt fold.Instant
+	// unconfirmed is true while the run counts among the unconfirmed starts of its host.
+	unconfirmed bool
+	// firstOrderedAt and orderedAt are when the start was first and last sent. startedAt is when it was confirmed.
+	firstOrderedAt, orderedAt, startedAt fold.Instant
 	// startSeenLate reports whether a report, instead of the answer to the start, confirmed the run. resumed reports whether it
 	// may have resumed from a checkpoint.
 	startSeenLate, resumed bool
--- a/fold/core/orders.go
+++ b/fold/core/orders.go
@@ -59,6 +59,9 @@
 const (
 	// maxStartTries is how often a start without an answer is sent before the run is given up.
 	maxStartTries = 3
+	// maxGangStartTime is how long the start of a gang's member is sent again. The members that run wait for the others only a few
+	// seconds.
+	maxGangStartTime = time.Second
 	// unhealthyTime is how long a host gets no work after it reported that it is unhealthy or has less capacity than
 	// declared.
 	unhealthyTime = time.Second
@@ -85,6 +88,9 @@
 func (c *Cell) orderStart(r *run) {
 	r.tries++
 	r.orderedAt = c.now
+	if r.tries == 1 {
+		r.firstOrderedAt = c.now
+	}
 	r.resumed = r.resumed || r.task.checkpoint != ""
 	c.stats.Starts++
 	p := r.task.part
@@ -159,6 +165,8 @@
 		return
 	}
 	if err == nil {
+		h.starts.grow()
+		r.confirm()
 		r.phase, r.startedAt, r.progressedAt = phaseRunning, c.now, c.now
 		r.task.part.times.begin(c.now)
 		c.confirmBegin(r.task.part.job)
@@ -181,7 +189,8 @@
 // retryStart sends a start again, unless its host was evacuated meanwhile. The host gives the same answer for a run that it has
 // already started.
 func (c *Cell) retryStart(r *run) {
-	if r.tries < maxStartTries && !r.host.evacuated {
+	tooLate := r.task.part.step.Gang && c.now.Sub(r.firstOrderedAt) > maxGangStartTime
+	if r.tries < maxStartTries && !tooLate && !r.host.evacuated {
 		c.orderStart(r)
 		return
 	}
@@ -200,6 +209,8 @@
 	switch {
 	case errorx.IsOfType(err, fold.HostUnhealthy), errorx.IsOfType(err, fold.HostFull):
 		h.health.quarantinedUntil = max(h.health.quarantinedUntil, c.now.Add(unhealthyTime))
+	case errorx.IsOfType(err, fold.Unavailable):
+		h.starts.shrink(c.now)
 	case errorx.IsOfType(err, fold.HostRestarted):
 		// Nothing is sent to the host until it has reported its new incarnation.
 		h.enforcesFence = false
--- a/fold/relay/calls.go
+++ b/fold/relay/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -14,12 +15,72 @@
 	callTimeout = 200 * time.Millisecond
 	// permissionCheckInterval is the time between two checks whether a start is permitted.
 	permissionCheckInterval = 10 * time.Millisecond
+	// maxStarting is how many starts are sent to a host at a time, which is the number of connections for orders (package conns).
+	maxStarting = 2
+	// startWaitFactor times the usual delay of answers is how long a start waits until it can be sent, at least callTimeout and at most
+	// startWait. With maxOrderAge this bounds the age of a start.
+	startWaitFactor = 4
+	startWait       = time.Second
+	// maxOrderDelay limits the delay that is expected of the answer to an order.
+	maxOrderDelay = 2 * time.Second
+	// startRetryDelay is the delay before a start that could not be sent in time is tried again.
+	startRetryDelay = 20 * time.Millisecond
 )
 
-// startRun sends a start to a host. It first waits for the host's clock, which the lease refers to.
+// startRun sends a start to a host, after the starts before it. A start that certainly was not sent, because no connection was free or
+// open in time, is tried again: if the owner planned the run anew instead, a busy host would only get more calls.
 func (r *Relay) startRun(s Start, incarnation int64) {
-	sent := r.parts.Clock.Now()
-	err := r.callHost(s.Host, func(ctx context.Context, c *contact) error {
+	received := r.parts.Clock.Now()
+	err := r.takeTurn(s, func(patience time.Duration) error {
+		for {
+			err := r.tryStart(s, incarnation)
+			waited := r.parts.Clock.Now().Sub(received)
+			if !errorx.IsOfType(err, fold.Unavailable) || !errors.Is(err, context.DeadlineExceeded) || waited >= patience {
+				return err
+			}
+			r.pause(r.ctx, startRetryDelay)
+		}
+	})
+	r.parts.Meter.Start(r.parts.Clock.Now().Sub(received), err)
+	r.recordResult(s.Number, err)
+}
+
+// takeTurn calls fn when fewer than maxStarting starts are being sent to the host. It refuses a start at once whose turn would come
+// after the patience that it passes to fn.
+func (r *Relay) takeTurn(s Start, fn func(patience time.Duration) error) error {
+	r.mu.Lock()
+	c, ok := r.contacts[s.Host]
+	if !ok {
+		r.mu.Unlock()
+		return r.notSupervised(s.Host)
+	}
+	patience := r.startPatience(c)
+	expected := time.Duration(c.waitingStarts/maxStarting) * r.orderDelay(c)
+	if expected > patience {
+		r.mu.Unlock()
+		return fold.Refuse(fold.Unavailable, "use another host", "the starts that wait for the host %s take %s", s.Host, expected)
+	}
+	c.waitingStarts++
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		c.waitingStarts--
+		r.mu.Unlock()
+	}()
+	select {
+	case c.starting <- struct{}{}:
+	case <-r.parts.Clock.After(patience):
+		return fold.Refuse(fold.Unavailable, "send the order again", "too many starts wait for the host %s", s.Host)
+	case <-r.ctx.Done():
+		return fold.Refuse(fold.Unavailable, "send the order again", "the relay is closed")
+	}
+	defer func() { <-c.starting }()
+	return fn(patience)
+}
+
+// tryStart sends a start to a host. It first waits for the host's clock, which the lease refers to.
+func (r *Relay) tryStart(s Start, incarnation int64) error {
+	return r.callHost(s.Host, func(ctx context.Context, c *contact) error {
 		select {
 		case <-c.answered:
 		case <-ctx.Done():
@@ -34,10 +95,34 @@
 		if err != nil {
 			return err
 		}
-		return r.parts.Runner.Start(ctx, host, fold.StartRequest{Task: s.Task, Run: s.Run, Spec: s.Spec, LeaseEnd: until, Fence: r.parts.Epoch, Checkpoint: s.Saved, Ticket: s.Ticket})
+		sent := r.parts.Clock.Now()
+		err = r.parts.Runner.Start(ctx, host, fold.StartRequest{Task: s.Task, Run: s.Run, Spec: s.Spec, LeaseEnd: until, Fence: r.parts.Epoch, Checkpoint: s.Saved, Ticket: s.Ticket})
+		r.recordOrderDelay(r.parts.Clock.Now().Sub(sent))
+		return err
 	})
-	r.parts.Meter.Start(r.parts.Clock.Now().Sub(sent), err)
-	r.recordResult(s.Number, err)
+}
+
+// recordOrderDelay records how long a host took to answer a start, or that it did not answer in that time.
+func (r *Relay) recordOrderDelay(took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.commonOrderDelay += time.Duration(commonDelayWeight * float64(min(took, maxOrderDelay)-r.commonOrderDelay))
+}
+
+// orderDelay returns the delay to expect of the answer to an order. A missing answer of a single host changes it little. The caller holds
+// the lock.
+func (r *Relay) orderDelay(c *contact) time.Duration {
+	return max(r.usualDelay(c), r.commonOrderDelay)
+}
+
+// startPatience returns how long a start may wait until it is sent. The caller holds the lock.
+func (r *Relay) startPatience(c *contact) time.Duration {
+	return max(callTimeout, min(startWait, startWaitFactor*r.orderDelay(c)))
+}
+
+// notSupervised is the refusal of an order to a host that this relay does not supervise.
+func (r *Relay) notSupervised(host string) error {
+	return fold.Refuse(fold.Unavailable, "send the order again", "this relay does not supervise the host %s", host)
 }
 
 // awaitPermission waits until runs may be started or ctx ends. It returns a time before the permission was checked. An answer of
@@ -92,17 +177,17 @@
 	return c.info.host(incarnation)
 }
 
-// callHost calls fn for a supervised host with a context that limits the call.
+// callHost calls fn for a supervised host with a context that limits the call. The limit allows for the host's usual delay.
 func (r *Relay) callHost(id string, fn func(context.Context, *contact) error) error {
 	r.mu.Lock()
 	c, ok := r.contacts[id]
 	limit := callTimeout
 	if ok {
-		limit += c.usualDelay
+		limit += r.orderDelay(c)
 	}
 	r.mu.Unlock()
 	if !ok {
-		return fold.Refuse(fold.Unavailable, "send the order again", "this relay does not supervise the host %s", id)
+		return r.notSupervised(id)
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, limit)
 	defer cancel()
--- a/fold/relay/relay.go
+++ b/fold/relay/relay.go
@@ -50,7 +50,11 @@
 	// silences holds the newest silence of each host.
 	silences map[string]Silence
 	fenced   bool
-	wake     chan struct{}
+	// commonDelay is the moving average of the delays of all hosts' answers. It stands for that of a host that has answered little.
+	commonDelay time.Duration
+	// commonOrderDelay is the same of the answers to starts.
+	commonOrderDelay time.Duration
+	wake             chan struct{}
 }
 
 // New returns a relay without hosts. Close stops it.
