--- a/fold/conns/conns.go
+++ b/fold/conns/conns.go
@@ -21,7 +21,7 @@
 	maxConns = 2
 	// openTimeout limits the opening of a connection and the call that identifies the host. It may be longer than the calls that
 	// need the connection: these fail, and the next ones use it.
-	openTimeout = 3 * time.Second
+	openTimeout = 1500 * time.Millisecond
 	// idleTimeout is how long an unused connection is kept for reuse, because opening a new one is costly.
 	idleTimeout = 90 * time.Second
 )
--- a/fold/drive/busyhosts_test.go
+++ b/fold/drive/busyhosts_test.go
@@ -110,6 +110,7 @@
 		{"idle", 10 * time.Microsecond},
 		{"busy", 1500 * time.Microsecond},
 		{"work for two seconds", 2500 * time.Microsecond},
+		{"work for four seconds", 5 * time.Millisecond},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/fold/relay/calls.go
+++ b/fold/relay/calls.go
@@ -21,6 +21,8 @@
 	// startWait. With maxOrderAge this bounds the age of a start.
 	startWaitFactor = 4
 	startWait       = time.Second
+	// orderDelayWeight is the weight of an answer in commonOrderDelay.
+	orderDelayWeight = 0.05
 	// maxOrderDelay limits the delay that is expected of the answer to an order.
 	maxOrderDelay = 2 * time.Second
 	// startRetryDelay is the delay before a start that could not be sent in time is tried again.
@@ -106,13 +108,13 @@
 func (r *Relay) recordOrderDelay(took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.commonOrderDelay += time.Duration(commonDelayWeight * float64(min(took, maxOrderDelay)-r.commonOrderDelay))
+	r.commonOrderDelay += time.Duration(orderDelayWeight * float64(min(took, maxOrderDelay)-r.commonOrderDelay))
 }
 
 // orderDelay returns the delay to expect of the answer to an order. A missing answer of a single host changes it little. The caller holds
 // the lock.
 func (r *Relay) orderDelay(c *contact) time.Duration {
-	return max(r.usualDelay(c), r.commonOrderDelay)
+	return max(c.usualDelay, r.commonOrderDelay)
 }
 
 // startPatience returns how long a start may wait until it is sent. The caller holds the lock.
--- a/fold/relay/contact.go
+++ b/fold/relay/contact.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -20,8 +19,6 @@
 	maxHoldTimeout = 1500 * time.Millisecond
 	// delayDecay is the share by which the usual delay of a host's answers approaches a shorter one.
 	delayDecay = 0.125
-	// commonDelayWeight is the weight of an answer in commonDelay.
-	commonDelayWeight = 0.05
 	// maxUnanswered is how many consecutive Hold calls may get no answer before the host counts as silent; single answers
 	// get lost.
 	maxUnanswered = 1
@@ -115,9 +112,6 @@
 			r.notify()
 			return
 		}
-		if errors.Is(err, context.DeadlineExceeded) {
-			r.recordTimeout(c, took-req.Wait)
-		}
 		if unanswered++; unanswered > maxUnanswered {
 			r.recordSilence(c, err)
 			r.pause(ctx, holdRetryDelay)
@@ -130,7 +124,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	doublings := min(max(0, unanswered-maxUnanswered), maxHoldDoublings)
-	return min((holdTimeout+r.usualDelay(c))<<doublings, maxHoldTimeout)
+	return min((holdTimeout+c.usualDelay)<<doublings, maxHoldTimeout)
 }
 
 // maxHoldDoublings is the number of doublings after which holdTimeout exceeds maxHoldTimeout.
@@ -150,27 +144,6 @@
 		delay = c.usualDelay - time.Duration(delayDecay*float64(c.usualDelay-delay))
 	}
 	c.usualDelay = delay
-	r.addToCommonDelay(delay)
-}
-
-// recordTimeout records that a host that is not silent has not answered within the given time, without the wait.
-func (r *Relay) recordTimeout(c *contact, limit time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !c.silent {
-		r.addToCommonDelay(max(limit, r.commonDelay))
-	}
-}
-
-// addToCommonDelay adds an answer, or a missing one, to the moving average. The caller holds the lock.
-func (r *Relay) addToCommonDelay(delay time.Duration) {
-	r.commonDelay += time.Duration(commonDelayWeight * float64(delay-r.commonDelay))
-}
-
-// usualDelay returns the delay to expect of a host's next answer. Hosts that are late together, for example because they share a busy machine,
-// are noticed by the answers of the first ones. The caller holds the lock.
-func (r *Relay) usualDelay(c *contact) time.Duration {
-	return max(c.usualDelay, r.commonDelay)
 }
 
 // holdRequest returns the next Hold call to a host. The leases of a silent host, which may still receive requests, and of a
--- a/fold/relay/relay.go
+++ b/fold/relay/relay.go
@@ -50,9 +50,8 @@
 	// silences holds the newest silence of each host.
 	silences map[string]Silence
 	fenced   bool
-	// commonDelay is the moving average of the delays of all hosts' answers. It stands for that of a host that has answered little.
-	commonDelay time.Duration
-	// commonOrderDelay is the same of the answers to starts.
+	// commonOrderDelay is the moving average of the delays of all hosts' answers to starts. Hosts that are late together, for example
+	// because they share a busy machine, are noticed by the first answers.
 	commonOrderDelay time.Duration
 	wake             chan struct{}
 }
